--- /dev/null
+++ b/core/pool/pool.go
@@ -0,0 +1,160 @@
+// Package pool owns the rows of the pools table. A pool describes a group of backend servers and how its
+// slots are shared.
+package pool
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodglade/core/route"
+)
+
+// Defaults of a pool's columns.
+const (
+	DefaultReservedSlots   = 0.2
+	DefaultLongThreshold   = 1500 * time.Millisecond
+	DefaultLongMaxWait     = 5 * time.Second
+	DefaultQueueLimit      = 10_000 // tasks
+	DefaultRetryBudget     = 0.1
+	DefaultMaxEjectedShare = 0.5
+	DefaultEmptyPoolWait   = 5 * time.Second
+)
+
+// Pool is a row of the pools table. It is a value: With methods return changed copies.
+type Pool struct {
+	Name            string         `yaml:"Name"`
+	Slots           int            `yaml:"Slots"`           // per backend server; 0 takes what it announces
+	ReservedSlots   *float64       `yaml:"ReservedSlots"`   // share of the pool's slots that long work may not use
+	LongThreshold   time.Duration  `yaml:"LongThreshold"`   // estimated run time above which work is long
+	LongMaxWait     time.Duration  `yaml:"LongMaxWait"`     // after which waiting long work may use reserved slots
+	QueueLimit      int            `yaml:"QueueLimit"`      // tasks that wait at once
+	RetryBudget     *float64       `yaml:"RetryBudget"`     // retries as a share of first starts
+	MaxEjectedShare *float64       `yaml:"MaxEjectedShare"` // share of the backend servers ejected at once
+	EmptyPoolWait   time.Duration  `yaml:"EmptyPoolWait"`   // before work for a pool without backend servers is refused
+	Shares          map[string]int `yaml:"Shares"`          // weight by customer; 1 if absent
+	Quotas          map[string]int `yaml:"Quotas"`          // concurrent tasks by customer; unlimited if absent
+}
+
+// New returns a pool with default columns.
+func New(name string) Pool {
+	return Pool{Name: name}.Defaults()
+}
+
+// Defaults returns a copy whose unset columns have their defaults.
+func (p Pool) Defaults() Pool {
+	setShare := func(share **float64, value float64) {
+		if *share == nil {
+			*share = &value
+		}
+	}
+	setDuration := func(d *time.Duration, value time.Duration) {
+		if *d == 0 {
+			*d = value
+		}
+	}
+	setShare(&p.ReservedSlots, DefaultReservedSlots)
+	setShare(&p.RetryBudget, DefaultRetryBudget)
+	setShare(&p.MaxEjectedShare, DefaultMaxEjectedShare)
+	setDuration(&p.LongThreshold, DefaultLongThreshold)
+	setDuration(&p.LongMaxWait, DefaultLongMaxWait)
+	setDuration(&p.EmptyPoolWait, DefaultEmptyPoolWait)
+	if p.QueueLimit == 0 {
+		p.QueueLimit = DefaultQueueLimit
+	}
+	return p
+}
+
+// WithSlots returns a copy with another number of slots per backend server.
+func (p Pool) WithSlots(n int) Pool { p.Slots = n; return p }
+
+// WithReservedSlots returns a copy with another share of slots kept free of long work.
+func (p Pool) WithReservedSlots(share float64) Pool { p.ReservedSlots = &share; return p }
+
+// WithLongThreshold returns a copy with another run time above which work is long.
+func (p Pool) WithLongThreshold(d time.Duration) Pool { p.LongThreshold = d; return p }
+
+// WithLongMaxWait returns a copy with another bound on the wait of long work.
+func (p Pool) WithLongMaxWait(d time.Duration) Pool { p.LongMaxWait = d; return p }
+
+// WithQueueLimit returns a copy with another limit on waiting tasks.
+func (p Pool) WithQueueLimit(n int) Pool { p.QueueLimit = n; return p }
+
+// WithRetryBudget returns a copy with another share of retries.
+func (p Pool) WithRetryBudget(share float64) Pool { p.RetryBudget = &share; return p }
+
+// WithMaxEjectedShare returns a copy with another share of backend servers ejected at once.
+func (p Pool) WithMaxEjectedShare(share float64) Pool { p.MaxEjectedShare = &share; return p }
+
+// WithEmptyPoolWait returns a copy with another wait for the first backend server.
+func (p Pool) WithEmptyPoolWait(d time.Duration) Pool { p.EmptyPoolWait = d; return p }
+
+// WithShare returns a copy in which the customer has the given weight.
+func (p Pool) WithShare(customer string, weight int) Pool {
+	p.Shares = withEntry(p.Shares, customer, weight)
+	return p
+}
+
+// WithQuota returns a copy in which the customer may run the given number of tasks at once.
+func (p Pool) WithQuota(customer string, tasks int) Pool {
+	p.Quotas = withEntry(p.Quotas, customer, tasks)
+	return p
+}
+
+func withEntry(m map[string]int, key string, value int) map[string]int {
+	copied := maps.Clone(m)
+	if copied == nil {
+		copied = map[string]int{}
+	}
+	copied[key] = value
+	return copied
+}
+
+// Share returns the customer's weight.
+func (p Pool) Share(customer string) int {
+	if weight, ok := p.Shares[customer]; ok {
+		return weight
+	}
+	return 1
+}
+
+// Quota returns how many tasks the customer may run at once, or 0 if that is unlimited.
+func (p Pool) Quota(customer string) int { return p.Quotas[customer] }
+
+// Validate reports all invalid columns, joined into one error.
+func (p Pool) Validate() error {
+	var errs []error
+	check := func(ok bool, column, want string, value any) {
+		if !ok {
+			errs = append(errs, &route.ColumnError{
+				Table: "pool", Row: p.Name, Column: column, Value: fmt.Sprintf("%v", value), Want: want,
+			})
+		}
+	}
+	checkShare := func(share *float64, column string) {
+		if share != nil {
+			check(*share >= 0 && *share <= 1, column, "0 to 1", *share)
+		}
+	}
+	check(route.ValidName(p.Name), "Name", "1 to 64 letters, digits, dots, dashes or underscores",
+		fmt.Sprintf("%q", p.Name))
+	check(p.Slots >= 0 && p.Slots <= 1024, "Slots", "0 to 1024", p.Slots)
+	checkShare(p.ReservedSlots, "ReservedSlots")
+	checkShare(p.RetryBudget, "RetryBudget")
+	checkShare(p.MaxEjectedShare, "MaxEjectedShare")
+	check(p.LongThreshold > 0 && p.LongThreshold <= time.Hour, "LongThreshold", "up to 1h", p.LongThreshold)
+	check(p.LongMaxWait > 0 && p.LongMaxWait <= time.Hour, "LongMaxWait", "up to 1h", p.LongMaxWait)
+	check(p.EmptyPoolWait > 0 && p.EmptyPoolWait <= time.Hour, "EmptyPoolWait", "up to 1h", p.EmptyPoolWait)
+	check(p.QueueLimit >= 1 && p.QueueLimit <= 1_000_000, "QueueLimit", "1 to 1000000 tasks", p.QueueLimit)
+	for _, customer := range slices.Sorted(maps.Keys(p.Shares)) {
+		check(p.Shares[customer] >= 1 && p.Shares[customer] <= 1000, "Shares."+customer, "1 to 1000",
+			p.Shares[customer])
+	}
+	for _, customer := range slices.Sorted(maps.Keys(p.Quotas)) {
+		check(p.Quotas[customer] >= 1, "Quotas."+customer, "1 or more tasks", p.Quotas[customer])
+	}
+	return errors.Join(errs...)
+}
