--- /dev/null
+++ b/io/backend/announce.go
@@ -0,0 +1,146 @@
+// Package backend speaks HTTP with the backend servers of one host.
+//
+// It owns the interface on which backend servers announce themselves to their agent, and the client that
+// runs tasks on them. The agent calls Run for each start. If a backend server is lost while a task runs,
+// Run reports a LostError, because the task may have taken effect.
+package backend
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodglade/core/executor"
+	"dogwoodglade/core/route"
+)
+
+// Paths of the agent's interface for backend servers, and of a backend server's interface for tasks.
+const (
+	PathAnnounce  = "/v1/announce"
+	PathHeartbeat = "/v1/heartbeat"
+	PathLeave     = "/v1/leave"
+	PathTask      = "/task"
+)
+
+const maxAnnouncement = 4 << 10 // bytes
+
+// Agent receives the announcements of backend servers.
+type Agent interface {
+	Announce(a executor.Announcement) error
+	Leave(id, incarnation string) error
+}
+
+// announcement is the body of an announcement and of a heartbeat.
+type announcement struct {
+	ID          string
+	Pool        string
+	Address     string
+	Slots       int
+	Connections int
+	Incarnation string
+}
+
+// leave is the body of a goodbye.
+type leave struct {
+	ID          string
+	Incarnation string
+}
+
+// errorBody is the body of a refused request.
+type errorBody struct {
+	Error   string
+	Message string
+}
+
+// FieldError reports an invalid field of an announcement.
+type FieldError struct {
+	Field string
+	Want  string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return fmt.Sprintf("read announcement: %s must be %s", e.Field, e.Want) }
+
+// Handler returns the agent's interface for backend servers.
+func Handler(agent Agent) http.Handler {
+	mux := http.NewServeMux()
+	announce := func(w http.ResponseWriter, r *http.Request) {
+		var a announcement
+		if !readBody(w, r, &a) {
+			return
+		}
+		if err := a.validate(); err != nil {
+			writeError(w, http.StatusBadRequest, "InvalidAnnouncement", err)
+			return
+		}
+		if err := agent.Announce(executor.Announcement(a)); err != nil {
+			writeError(w, http.StatusConflict, "AnnouncementRefused", err)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}
+	mux.HandleFunc("POST "+PathAnnounce, announce)
+	mux.HandleFunc("POST "+PathHeartbeat, announce)
+	mux.HandleFunc("POST "+PathLeave, func(w http.ResponseWriter, r *http.Request) {
+		var l leave
+		if !readBody(w, r, &l) {
+			return
+		}
+		if err := agent.Leave(l.ID, l.Incarnation); err != nil {
+			writeError(w, http.StatusConflict, "LeaveRefused", err)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+func (a announcement) validate() error {
+	host, port, err := net.SplitHostPort(a.Address)
+	number, portErr := strconv.Atoi(port)
+	switch {
+	case !route.ValidName(a.ID):
+		return &FieldError{Field: "ID", Want: "a name"}
+	case !route.ValidName(a.Pool):
+		return &FieldError{Field: "Pool", Want: "a name"}
+	case err != nil || net.ParseIP(host) == nil || portErr != nil || number < 1 || number > 65535:
+		return &FieldError{Field: "Address", Want: "an IP address and a port"}
+	case a.Slots < 1 || a.Slots > 1024:
+		return &FieldError{Field: "Slots", Want: "1 to 1024"}
+	case a.Connections < 1 || a.Connections > 65536:
+		return &FieldError{Field: "Connections", Want: "1 to 65536"}
+	case a.Incarnation == "":
+		return &FieldError{Field: "Incarnation", Want: "unique to one run of the backend server"}
+	}
+	return nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, body any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(body)
+	if err == nil {
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeError(w, http.StatusRequestEntityTooLarge, "BodyTooLarge", err)
+		return false
+	}
+	writeError(w, http.StatusBadRequest, "MalformedBody", err)
+	return false
+}
+
+func writeError(w http.ResponseWriter, status int, name string, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(errorBody{Error: name, Message: err.Error()})
+}
+
+// HeartbeatInterval is how often a backend server repeats its announcement.
+const HeartbeatInterval = time.Second
--- /dev/null
+++ b/io/caller/wire.go
@@ -0,0 +1,135 @@
+package caller
+
+import (
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/route"
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/task"
+)
+
+// payload is a body in JSON: Text if it is valid UTF-8, otherwise Data in base64.
+type payload struct {
+	Text string `json:",omitempty"`
+	Data []byte `json:",omitempty"`
+}
+
+func payloadOf(body []byte) payload {
+	if utf8.Valid(body) {
+		return payload{Text: string(body)}
+	}
+	return payload{Data: body}
+}
+
+func (p payload) bytes() []byte {
+	if p.Data != nil {
+		return p.Data
+	}
+	return []byte(p.Text)
+}
+
+// jobRequest is the body of POST /v1/jobs.
+type jobRequest struct {
+	Customer             string
+	Key                  string
+	Route                string
+	Idempotent           *bool  `json:",omitempty"`
+	DeadlineMilliseconds int64  `json:",omitempty"`
+	Ticket               string `json:",omitempty"`
+	Tasks                []payload
+}
+
+// ticketRequest is the body of POST /v1/tickets.
+type ticketRequest struct {
+	Customer string
+	Key      string
+}
+
+// answer is the body of every answer about a submission.
+type answer struct {
+	Customer string
+	Key      string
+	State    job.State
+	Reason   job.Reason `json:",omitempty"`
+	Message  string     `json:",omitempty"`
+	Results  []result   `json:",omitempty"`
+	Ticket   string     `json:",omitempty"`
+}
+
+type result struct {
+	Status int
+	payload
+}
+
+// errorBody is the body of a request that could not be read.
+type errorBody struct {
+	Error   string
+	Message string
+}
+
+// FieldError reports an invalid field of a request.
+type FieldError struct {
+	Field string
+	Want  string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string { return "read request: " + e.Field + " must be " + e.Want }
+
+const (
+	maxKey      = 256 // bytes
+	maxDeadline = int64(route.LimitDeadline / 1e6)
+)
+
+func validateID(id task.JobID) error {
+	if !route.ValidName(id.Customer) {
+		return &FieldError{Field: "Customer", Want: "1 to 64 letters, digits, dots, dashes or underscores"}
+	}
+	if id.Key == "" || len(id.Key) > maxKey || !utf8.ValidString(id.Key) {
+		return &FieldError{Field: "Key", Want: "1 to 256 bytes of UTF-8, the same for each resubmission"}
+	}
+	return nil
+}
+
+func (r jobRequest) submission() (job.Submission, error) {
+	id := task.JobID{Customer: r.Customer, Key: r.Key}
+	if err := validateID(id); err != nil {
+		return job.Submission{}, errors.WithStack(err)
+	}
+	if r.DeadlineMilliseconds < 0 || r.DeadlineMilliseconds > maxDeadline {
+		return job.Submission{}, errors.WithStack(&FieldError{Field: "DeadlineMilliseconds", Want: "0 to 300000"})
+	}
+	if len(r.Tasks) == 0 {
+		return job.Submission{}, errors.WithStack(&FieldError{Field: "Tasks", Want: "a list of 1 or more tasks"})
+	}
+	ticket, err := shard.ParseTicket(r.Ticket)
+	if err != nil {
+		return job.Submission{}, err
+	}
+	bodies := make([][]byte, len(r.Tasks))
+	for i, t := range r.Tasks {
+		bodies[i] = t.bytes()
+	}
+	return job.Submission{
+		ID:         id,
+		Route:      r.Route,
+		Idempotent: r.Idempotent,
+		Deadline:   milliseconds(r.DeadlineMilliseconds),
+		Ticket:     ticket,
+		Bodies:     bodies,
+	}, nil
+}
+
+func answerOf(a job.Answer) answer {
+	w := answer{
+		Customer: a.ID.Customer, Key: a.ID.Key, State: a.State, Reason: a.Reason,
+		Message: describe(a), Ticket: a.Ticket.String(),
+	}
+	for _, r := range a.Results {
+		w.Results = append(w.Results, result{Status: r.Status, payload: payloadOf(r.Body)})
+	}
+	return w
+}
--- /dev/null
+++ b/io/inner/fence.go
@@ -0,0 +1,110 @@
+package inner
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/task"
+)
+
+const (
+	methodFence     = "Fence"
+	methodReconcile = "Reconcile"
+	methodVote      = "Vote"
+	methodEntries   = "Entries"
+)
+
+// FenceHandler receives the messages by which an entry recovers the state of an agent.
+type FenceHandler interface {
+	Fence(p *Peer, fences []shard.Fence) FenceReply
+	Reconcile(p *Peer, ids []task.AttemptID) ReconcileReply
+	// Vote returns how long each of the named entries has been silent.
+	Vote(p *Peer, entries []string) []time.Duration
+	// Entries tells the agent the addresses of the entries of its region.
+	Entries(p *Peer, addresses []string)
+}
+
+// FenceReply is an agent's answer to a fence. Epochs holds the agent's epochs of the fenced shards after
+// the fence.
+type FenceReply struct {
+	Epochs  []shard.Fence
+	Records []task.Record
+}
+
+// ReconcileReply tells which attempts an agent has started, and which ones it has not and never will.
+type ReconcileReply struct {
+	Found  []task.Record
+	Unseen []task.AttemptID
+}
+
+type fenceParams struct{ Fences []shard.Fence }
+
+type reconcileParams struct{ Attempts []task.AttemptID }
+
+type voteParams struct{ Entries []string }
+
+type voteResult struct{ Silence []time.Duration }
+
+type entriesParams struct{ Addresses []string }
+
+// Fence raises the agent's epochs and returns its start records of the shards.
+func (p *Peer) Fence(ctx context.Context, fences []shard.Fence) (FenceReply, error) {
+	var reply FenceReply
+	err := p.call(ctx, methodFence, fenceParams{Fences: fences}, &reply)
+	return reply, err
+}
+
+// Reconcile asks the agent for the fate of attempts after the connection was lost.
+func (p *Peer) Reconcile(ctx context.Context, ids []task.AttemptID) (ReconcileReply, error) {
+	var reply ReconcileReply
+	err := p.call(ctx, methodReconcile, reconcileParams{Attempts: ids}, &reply)
+	return reply, err
+}
+
+// Vote asks the agent how long the entries have been silent.
+func (p *Peer) Vote(ctx context.Context, entries []string) ([]time.Duration, error) {
+	var reply voteResult
+	err := p.call(ctx, methodVote, voteParams{Entries: entries}, &reply)
+	return reply.Silence, err
+}
+
+// Entries tells the agent the addresses of the entries.
+func (p *Peer) Entries(addresses []string) bool {
+	return p.notify(methodEntries, entriesParams{Addresses: addresses})
+}
+
+func fenceMethods(h FenceHandler) methods {
+	return methods{
+		methodFence: callOf(func(_ context.Context, p *Peer, message json.RawMessage) (any, error) {
+			var params fenceParams
+			if err := decode(message, &params); err != nil {
+				return nil, err
+			}
+			return h.Fence(p, params.Fences), nil
+		}),
+		methodReconcile: callOf(func(_ context.Context, p *Peer, message json.RawMessage) (any, error) {
+			var params reconcileParams
+			if err := decode(message, &params); err != nil {
+				return nil, err
+			}
+			return h.Reconcile(p, params.Attempts), nil
+		}),
+		methodVote: callOf(func(_ context.Context, p *Peer, message json.RawMessage) (any, error) {
+			var params voteParams
+			if err := decode(message, &params); err != nil {
+				return nil, err
+			}
+			return voteResult{Silence: h.Vote(p, params.Entries)}, nil
+		}),
+		methodEntries: notificationOf(func(p *Peer, message json.RawMessage) error {
+			var params entriesParams
+			if err := decode(message, &params); err != nil {
+				return err
+			}
+			h.Entries(p, params.Addresses)
+			return nil
+		}),
+	}
+}
--- /dev/null
+++ b/io/inner/handler.go
@@ -0,0 +1,92 @@
+package inner
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodglade/core/allocator"
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/task"
+)
+
+// EntryHandler receives the messages for an entry.
+type EntryHandler interface {
+	Handler
+	JobHandler
+	SlotHandler
+	AgentEventHandler
+	PeerHandler
+}
+
+// AgentHandler receives the messages for an agent.
+type AgentHandler interface {
+	Handler
+	StartHandler
+	FenceHandler
+}
+
+// JobHandler receives the messages of a front for the owner of a key.
+type JobHandler interface {
+	Submit(ctx context.Context, p *Peer, s job.Submission) (OwnerReply, error)
+	Lookup(ctx context.Context, p *Peer, id task.JobID) (OwnerReply, error)
+	CancelJob(ctx context.Context, p *Peer, id task.JobID) (OwnerReply, error)
+	IssueTicket(ctx context.Context, p *Peer, id task.JobID) (OwnerReply, error)
+}
+
+// SlotHandler receives the messages between owners and allocators. Its methods must not wait for the peer.
+type SlotHandler interface {
+	Ask(p *Peer, pool string, ask allocator.Ask)
+	Withdraw(p *Peer, pool, ask string, count int)
+	Return(p *Peer, pool, grant string)
+	Grant(p *Peer, g allocator.Grant)
+	Refuse(p *Peer, r allocator.Refuse)
+	Release(p *Peer, r allocator.Release)
+}
+
+// StartHandler receives an owner's messages for an agent. Its methods must not wait for the peer.
+type StartHandler interface {
+	Start(p *Peer, s task.Start)
+	CancelTask(p *Peer, a task.AttemptID)
+}
+
+// AgentEventHandler receives an agent's messages for an entry. Its methods must not wait for the peer.
+type AgentEventHandler interface {
+	StartReply(p *Peer, a task.AttemptID, why task.Refusal)
+	Outcome(p *Peer, r task.Record)
+	Heartbeat(p *Peer, servers []allocator.BackendServer)
+}
+
+// methodsOf returns the methods that a handler serves.
+func methodsOf(h Handler) methods {
+	result := methods{}
+	switch h := h.(type) {
+	case EntryHandler:
+		maps.Copy(result, jobMethods(h))
+		maps.Copy(result, slotMethods(h))
+		maps.Copy(result, agentEventMethods(h))
+		maps.Copy(result, peerMethods(h))
+	case AgentHandler:
+		maps.Copy(result, startMethods(h))
+		maps.Copy(result, fenceMethods(h))
+	}
+	return result
+}
+
+func decode(message json.RawMessage, params any) error {
+	return errors.Wrap(json.Unmarshal(message, params), "decode message")
+}
+
+// notificationOf returns a method that handles a notification.
+func notificationOf(handle func(p *Peer, message json.RawMessage) error) method {
+	return method{handle: func(_ context.Context, p *Peer, message json.RawMessage) (any, error) {
+		return nil, handle(p, message)
+	}}
+}
+
+// callOf returns a method that handles a call.
+func callOf(handle func(ctx context.Context, p *Peer, message json.RawMessage) (any, error)) method {
+	return method{isCall: true, handle: handle}
+}
--- /dev/null
+++ b/io/inner/job.go
@@ -0,0 +1,80 @@
+package inner
+
+import (
+	"context"
+	"encoding/json"
+
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/task"
+)
+
+const (
+	methodSubmit      = "Submit"
+	methodLookup      = "Lookup"
+	methodCancelJob   = "CancelJob"
+	methodIssueTicket = "IssueTicket"
+)
+
+// OwnerReply is the answer of a key's owner, or the reply of a process that does not own the key. In the
+// second case the message had no effect.
+type OwnerReply struct {
+	NotOwner bool
+	Answer   job.Answer
+}
+
+type submitParams struct{ Submission job.Submission }
+
+type jobParams struct{ ID task.JobID }
+
+// Submit sends a submission to the owner of its key and waits for the answer.
+func (p *Peer) Submit(ctx context.Context, s job.Submission) (OwnerReply, error) {
+	var reply OwnerReply
+	err := p.call(ctx, methodSubmit, submitParams{Submission: s}, &reply)
+	return reply, err
+}
+
+// Lookup asks the owner of a key for the state of its job.
+func (p *Peer) Lookup(ctx context.Context, id task.JobID) (OwnerReply, error) {
+	return p.callOwner(ctx, methodLookup, id)
+}
+
+// CancelJob asks the owner of a key to cancel its job.
+func (p *Peer) CancelJob(ctx context.Context, id task.JobID) (OwnerReply, error) {
+	return p.callOwner(ctx, methodCancelJob, id)
+}
+
+// IssueTicket asks the owner of a key for a ticket. The ticket is in the answer.
+func (p *Peer) IssueTicket(ctx context.Context, id task.JobID) (OwnerReply, error) {
+	return p.callOwner(ctx, methodIssueTicket, id)
+}
+
+func (p *Peer) callOwner(ctx context.Context, name string, id task.JobID) (OwnerReply, error) {
+	var reply OwnerReply
+	err := p.call(ctx, name, jobParams{ID: id}, &reply)
+	return reply, err
+}
+
+func jobMethods(h JobHandler) methods {
+	type handleJob func(ctx context.Context, p *Peer, id task.JobID) (OwnerReply, error)
+	byID := func(handle handleJob) method {
+		return callOf(func(ctx context.Context, p *Peer, message json.RawMessage) (any, error) {
+			var params jobParams
+			if err := decode(message, &params); err != nil {
+				return nil, err
+			}
+			return handle(ctx, p, params.ID)
+		})
+	}
+	return methods{
+		methodSubmit: callOf(func(ctx context.Context, p *Peer, message json.RawMessage) (any, error) {
+			var params submitParams
+			if err := decode(message, &params); err != nil {
+				return nil, err
+			}
+			return h.Submit(ctx, p, params.Submission)
+		}),
+		methodLookup:      byID(h.Lookup),
+		methodCancelJob:   byID(h.CancelJob),
+		methodIssueTicket: byID(h.IssueTicket),
+	}
+}
--- /dev/null
+++ b/io/inner/slot.go
@@ -0,0 +1,117 @@
+package inner
+
+import (
+	"encoding/json"
+
+	"dogwoodglade/core/allocator"
+)
+
+const (
+	methodAsk      = "Ask"
+	methodWithdraw = "Withdraw"
+	methodReturn   = "Return"
+	methodGrant    = "Grant"
+	methodRefuse   = "Refuse"
+	methodRelease  = "Release"
+)
+
+type askParams struct {
+	Pool string
+	Ask  allocator.Ask
+}
+
+type withdrawParams struct {
+	Pool  string
+	Ask   string
+	Count int
+}
+
+type returnParams struct {
+	Pool  string
+	Grant string
+}
+
+type grantParams struct{ Grant allocator.Grant }
+
+type refuseParams struct{ Refuse allocator.Refuse }
+
+type releaseParams struct{ Release allocator.Release }
+
+// Ask sends a demand for slots to the allocator of the pool.
+func (p *Peer) Ask(pool string, ask allocator.Ask) bool {
+	return p.notify(methodAsk, askParams{Pool: pool, Ask: ask})
+}
+
+// Withdraw withdraws slots of a demand. A count of 0 withdraws all that remain.
+func (p *Peer) Withdraw(pool, ask string, count int) bool {
+	return p.notify(methodWithdraw, withdrawParams{Pool: pool, Ask: ask, Count: count})
+}
+
+// Return gives an unused grant back to the allocator of the pool.
+func (p *Peer) Return(pool, grant string) bool {
+	return p.notify(methodReturn, returnParams{Pool: pool, Grant: grant})
+}
+
+// Grant sends a grant to the owner that asked.
+func (p *Peer) Grant(g allocator.Grant) bool { return p.notify(methodGrant, grantParams{Grant: g}) }
+
+// Refuse tells the owner that asked that no more slots will be granted.
+func (p *Peer) Refuse(r allocator.Refuse) bool { return p.notify(methodRefuse, refuseParams{Refuse: r}) }
+
+// Release tells the allocator that the slot of a grant is free.
+func (p *Peer) Release(r allocator.Release) bool {
+	return p.notify(methodRelease, releaseParams{Release: r})
+}
+
+func slotMethods(h SlotHandler) methods {
+	return methods{
+		methodAsk: notificationOf(func(p *Peer, message json.RawMessage) error {
+			var params askParams
+			if err := decode(message, &params); err != nil {
+				return err
+			}
+			h.Ask(p, params.Pool, params.Ask)
+			return nil
+		}),
+		methodWithdraw: notificationOf(func(p *Peer, message json.RawMessage) error {
+			var params withdrawParams
+			if err := decode(message, &params); err != nil {
+				return err
+			}
+			h.Withdraw(p, params.Pool, params.Ask, params.Count)
+			return nil
+		}),
+		methodReturn: notificationOf(func(p *Peer, message json.RawMessage) error {
+			var params returnParams
+			if err := decode(message, &params); err != nil {
+				return err
+			}
+			h.Return(p, params.Pool, params.Grant)
+			return nil
+		}),
+		methodGrant: notificationOf(func(p *Peer, message json.RawMessage) error {
+			var params grantParams
+			if err := decode(message, &params); err != nil {
+				return err
+			}
+			h.Grant(p, params.Grant)
+			return nil
+		}),
+		methodRefuse: notificationOf(func(p *Peer, message json.RawMessage) error {
+			var params refuseParams
+			if err := decode(message, &params); err != nil {
+				return err
+			}
+			h.Refuse(p, params.Refuse)
+			return nil
+		}),
+		methodRelease: notificationOf(func(p *Peer, message json.RawMessage) error {
+			var params releaseParams
+			if err := decode(message, &params); err != nil {
+				return err
+			}
+			h.Release(p, params.Release)
+			return nil
+		}),
+	}
+}
--- /dev/null
+++ b/io/inner/start.go
@@ -0,0 +1,100 @@
+package inner
+
+import (
+	"encoding/json"
+
+	"dogwoodglade/core/allocator"
+	"dogwoodglade/core/task"
+)
+
+const (
+	methodStart      = "Start"
+	methodStartReply = "StartReply"
+	methodCancelTask = "CancelTask"
+	methodOutcome    = "Outcome"
+	methodHeartbeat  = "Heartbeat"
+)
+
+type startParams struct{ Start task.Start }
+
+type startReplyParams struct {
+	Attempt task.AttemptID
+	Refusal task.Refusal
+}
+
+type cancelTaskParams struct{ Attempt task.AttemptID }
+
+type outcomeParams struct{ Record task.Record }
+
+type heartbeatParams struct{ BackendServers []allocator.BackendServer }
+
+// Start asks the agent to start an attempt. The agent answers with StartReply.
+func (p *Peer) Start(s task.Start) bool { return p.notify(methodStart, startParams{Start: s}) }
+
+// CancelTask asks the agent to stop an attempt.
+func (p *Peer) CancelTask(a task.AttemptID) bool {
+	return p.notify(methodCancelTask, cancelTaskParams{Attempt: a})
+}
+
+// StartReply tells the owner whether an attempt was started.
+func (p *Peer) StartReply(a task.AttemptID, why task.Refusal) bool {
+	return p.notify(methodStartReply, startReplyParams{Attempt: a, Refusal: why})
+}
+
+// Outcome tells the owner how an attempt ended.
+func (p *Peer) Outcome(r task.Record) bool { return p.notify(methodOutcome, outcomeParams{Record: r}) }
+
+// Heartbeat tells an entry the state of the agent's backend servers.
+func (p *Peer) Heartbeat(servers []allocator.BackendServer) bool {
+	return p.notify(methodHeartbeat, heartbeatParams{BackendServers: servers})
+}
+
+func startMethods(h StartHandler) methods {
+	return methods{
+		methodStart: notificationOf(func(p *Peer, message json.RawMessage) error {
+			var params startParams
+			if err := decode(message, &params); err != nil {
+				return err
+			}
+			h.Start(p, params.Start)
+			return nil
+		}),
+		methodCancelTask: notificationOf(func(p *Peer, message json.RawMessage) error {
+			var params cancelTaskParams
+			if err := decode(message, &params); err != nil {
+				return err
+			}
+			h.CancelTask(p, params.Attempt)
+			return nil
+		}),
+	}
+}
+
+func agentEventMethods(h AgentEventHandler) methods {
+	return methods{
+		methodStartReply: notificationOf(func(p *Peer, message json.RawMessage) error {
+			var params startReplyParams
+			if err := decode(message, &params); err != nil {
+				return err
+			}
+			h.StartReply(p, params.Attempt, params.Refusal)
+			return nil
+		}),
+		methodOutcome: notificationOf(func(p *Peer, message json.RawMessage) error {
+			var params outcomeParams
+			if err := decode(message, &params); err != nil {
+				return err
+			}
+			h.Outcome(p, params.Record)
+			return nil
+		}),
+		methodHeartbeat: notificationOf(func(p *Peer, message json.RawMessage) error {
+			var params heartbeatParams
+			if err := decode(message, &params); err != nil {
+				return err
+			}
+			h.Heartbeat(p, params.BackendServers)
+			return nil
+		}),
+	}
+}
