--- a/core/task/task.go
+++ b/core/task/task.go
@@ -53,6 +53,7 @@
 	Attempt       AttemptID
 	TaskCount     int // number of tasks of the job
 	Route         string
+	Digest        string // of the bodies of the job, so that a successor recognises a reused key
 	Idempotent    bool
 	Epoch         shard.Epoch
 	Owner         string // name of the entry that gets the outcome
@@ -64,7 +65,8 @@
 	Body          []byte
 }
 
-// Refusal says why an agent refused a start. A refused start did not run and will not run.
+// Refusal says why an agent refused a start. A refused start did not run and will not run, except that
+// RefusedDuplicate says that an earlier copy of the same start was accepted.
 type Refusal string
 
 // Refusals of a start.
@@ -75,6 +77,7 @@
 	RefusedLeaving       Refusal = "Leaving"
 	RefusedBackendServer Refusal = "UnknownBackendServer"
 	RefusedDuplicate     Refusal = "AlreadyStarted" // the attempt itself is on record
+	RefusedConflict      Refusal = "TaskStarted"    // another attempt of the task is on record
 	RefusedReconciled    Refusal = "Reconciled"     // the owner was told that the attempt can no longer start
 	RefusedUnregistered  Refusal = "NotRegistered"
 	RefusedDeadline      Refusal = "DeadlineExceeded"
@@ -86,7 +89,7 @@
 
 // States of a start record. Ended covers every result of the backend server. Lost means that the backend
 // server was lost while the task ran, so that its effect is unknown. Evicted means that the task ended and
-// its result was dropped to bound the agent's memory.
+// the body of its result was dropped to bound the agent's memory; the status is kept.
 const (
 	Running RecordState = "Running"
 	Ended   RecordState = "Ended"
@@ -99,6 +102,7 @@
 	Attempt    AttemptID
 	TaskCount  int
 	Route      string
+	Digest     string
 	Idempotent bool
 	Epoch      shard.Epoch
 	Agent      string
