--- a/core/job/job.go
+++ b/core/job/job.go
@@ -46,6 +46,7 @@
 	ReasonOverloaded        Reason = "Overloaded"
 	ReasonQuotaExceeded     Reason = "QuotaExceeded"
 	ReasonUnknownRoute      Reason = "UnknownRoute"
+	ReasonNoTasks           Reason = "NoTasks"
 	ReasonTooManyTasks      Reason = "TooManyTasks"
 	ReasonBodyTooLarge      Reason = "BodyTooLarge"
 	ReasonEmptyPool         Reason = "EmptyPool"
--- a/core/task/task.go
+++ b/core/task/task.go
@@ -89,15 +89,21 @@
 
 // States of a start record. Ended covers every result of the backend server. Lost means that the backend
 // server was lost while the task ran, so that its effect is unknown. Evicted means that the task ended and
-// the body of its result was dropped to bound the agent's memory; the status is kept.
+// the body of its result was dropped to bound the agent's memory; the status is kept. Barred is the state
+// of a job rather than of an attempt: the owner reports the job as not run, so none of its tasks may start.
 const (
 	Running RecordState = "Running"
 	Ended   RecordState = "Ended"
 	Lost    RecordState = "Lost"
 	Evicted RecordState = "Evicted"
+	Barred  RecordState = "Barred"
 )
 
-// Record is an agent's memory of one started attempt.
+// BarID returns the identity under which a job's Barred record is kept. No attempt has it.
+func (id JobID) BarID() AttemptID { return AttemptID{Task: ID{Job: id}} }
+
+// Record is an agent's memory of one started attempt, or of a barred job. The result body of a barred job
+// is the reason.
 type Record struct {
 	Attempt    AttemptID
 	TaskCount  int
