Add core/ownership: takeover, pre-vote, handover

Entries need one place that decides which of them owns each key shard.

Ownership takes the time and an event and returns actions. Takeovers are batched: one vote, one write of the Shards row, one registry read and one Fence message per agent. An epoch that was handed over sorts directly after the epoch it came from (shard.Epoch.HandedTo), so a takeover that the old owner did not know of always excludes the new one too.

--- /dev/null
+++ b/core/ownership/action.go
@@ -0,0 +1,123 @@
+package ownership
+
+import (
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/task"
+)
+
+// Action is what Ownership asks its caller to do. The caller performs the actions of one slice in their
+// order. Requests may be answered at any later time; a request without an answer counts as failed after
+// RequestTimeout and is repeated as long as it is needed.
+type Action interface{ isAction() }
+
+// AskVotes asks every connected agent how long ago it last heard from each of the owners. The caller reports
+// the votes that arrived within VoteTimeout, however few, in one call of Votes with the same ID.
+type AskVotes struct {
+	ID     uint64
+	Owners []string
+}
+
+// ReadShards reads the Shards row. Success: ShardsRead. Failure: ShardsFailed. A row that does not exist is
+// read as the zero row.
+type ReadShards struct{}
+
+// WriteShards replaces the Shards row if its version is still Row.Version. Success: ShardsWritten with the
+// new row, whose version is higher by one. If the version differs, the caller reads the row and calls
+// ShardsRead. If the outcome is unknown or the store is down: ShardsFailed.
+type WriteShards struct{ Row ShardsRow }
+
+// ReadRegistry reads all agent rows of the region. Success: RegistryRead with the same ID. Failure:
+// RegistryFailed with the same ID. The read must begin after the action was returned.
+type ReadRegistry struct{ ID uint64 }
+
+// SendFence sends all fences in one message to an agent. Success: Fenced. A failure needs no report: the
+// message is repeated every FenceInterval while the agent is connected.
+type SendFence struct {
+	Agent       string
+	Incarnation string
+	Fences      []shard.Fence
+}
+
+// ReadRecords reads the start records that a drained agent left in the object store. Success: RecordsRead.
+// Failure, a missing object included: RecordsFailed; the read is repeated.
+type ReadRecords struct {
+	Agent       string
+	Incarnation string
+	Object      string
+}
+
+// DrainShard asks the caller to accept no new key of the shard (job.Owner.Drain) and to call HandOver with
+// the shard's records and open keys.
+type DrainShard struct {
+	Shard shard.ID
+	Epoch shard.Epoch
+}
+
+// SendHandover sends a Handover to a peer, which passes it to ReceiveHandover. Success: HandoverAnswered with
+// the peer's reply. A failure needs no report: the message is repeated every HandoverInterval, to another
+// peer if the first one is gone.
+type SendHandover struct {
+	To       string
+	Handover Handover
+}
+
+// Activate makes this entry the owner of the shard: the caller creates the shard's job.Owner. Complete is
+// true only if there is nothing to recover; otherwise Recover and CompleteRecovery follow.
+type Activate struct {
+	Shard    shard.ID
+	Epoch    shard.Epoch
+	Complete bool
+}
+
+// Recover passes recovered start records to the shard's job.Owner (Recovered).
+type Recover struct {
+	Shard   shard.ID
+	Records []task.Record
+}
+
+// CompleteRecovery says that every start of the shard that is still in force is known (RecoveryComplete).
+type CompleteRecovery struct{ Shard shard.ID }
+
+// StepDown ends the ownership of the shard under the given epoch (job.Owner.Superseded). For a shard that
+// was handed over it ends the work on the open keys, because a third entry fenced the agents.
+type StepDown struct {
+	Shard shard.ID
+	Epoch shard.Epoch
+}
+
+// ForwardOpen lists the keys of the shard that its former owner still finishes. The caller forwards
+// submissions, look-ups and cancellations of these keys to that entry and starts none of them. Each
+// ForwardOpen replaces the one before it; StepDown ends it.
+type ForwardOpen struct {
+	Shard shard.ID
+	To    string
+	Keys  []task.JobID
+}
+
+// HandedOver says that the peer owns the shard under the given epoch. The caller sends the starts of the
+// shard's open keys with this epoch, because agents refuse the earlier one once they have seen it; the new
+// owner starts none of these keys under this epoch. The caller calls HandoverProgress when open keys end.
+type HandedOver struct {
+	Shard shard.ID
+	To    string
+	Epoch shard.Epoch
+}
+
+// ReleaseShard ends a handover: the new owner has the records of all keys. The caller drops the job.Owner.
+type ReleaseShard struct{ Shard shard.ID }
+
+func (AskVotes) isAction()         {}
+func (ReadShards) isAction()       {}
+func (WriteShards) isAction()      {}
+func (ReadRegistry) isAction()     {}
+func (SendFence) isAction()        {}
+func (ReadRecords) isAction()      {}
+func (DrainShard) isAction()       {}
+func (SendHandover) isAction()     {}
+func (Activate) isAction()         {}
+func (Recover) isAction()          {}
+func (CompleteRecovery) isAction() {}
+func (StepDown) isAction()         {}
+func (ForwardOpen) isAction()      {}
+func (HandedOver) isAction()       {}
+func (ReleaseShard) isAction()     {}
--- /dev/null
+++ b/core/ownership/message.go
@@ -0,0 +1,100 @@
+package ownership
+
+import (
+	"time"
+
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/table"
+	"dogwoodglade/core/task"
+)
+
+// Ping tells a peer that an entry is alive and which shards it claims. Entries exchange pings every 250 ms.
+// Ownership.Ping fills every field but Tables, which the caller sets.
+type Ping struct {
+	From        string
+	Incarnation string
+	Started     int64  // start of the process, in nanoseconds since 1970; orders incarnations of one name
+	Sequence    uint64 // grows with each ping of the incarnation
+	Draining    bool
+	Shards      []Claim
+	Tables      table.Versions
+}
+
+// Claim is one shard of a ping.
+type Claim struct {
+	Shard  shard.ID
+	Epoch  shard.Epoch
+	From   shard.Epoch // epoch of the owner that handed the shard over; zero after a takeover
+	Active bool        // false while the takeover has been written but the shard is not yet served
+}
+
+// Vote is one agent's answer about one owner in a pre-vote.
+type Vote struct {
+	Agent   string
+	Owner   string
+	Silence time.Duration // since the agent last heard from the owner
+}
+
+// AgentRow is an agent's row in the registry. An agent incarnation writes it before it accepts any start
+// and reads the Shards row after that. A drained agent sets Left and Records after it wrote its start records
+// as one object.
+type AgentRow struct {
+	Agent       string
+	Incarnation string
+	Left        bool
+	Records     string // name of the object
+}
+
+// ShardOwner is one shard of the Shards row.
+type ShardOwner struct {
+	Epoch shard.Epoch
+	Entry string
+}
+
+// ShardsRow is the single row that holds the epochs of all shards. The platform raises Version by one with
+// each accepted write.
+type ShardsRow struct {
+	Version uint64
+	Shards  [shard.Count]ShardOwner
+}
+
+// Epochs returns the epochs of all shards, for an agent that has just registered.
+func (r ShardsRow) Epochs() []shard.Epoch {
+	epochs := make([]shard.Epoch, shard.Count)
+	for id := range r.Shards {
+		epochs[id] = r.Shards[id].Epoch
+	}
+	return epochs
+}
+
+// FenceAnswer is an agent's answer to a Fence message. Epochs holds the agent's epoch of each fenced shard
+// after the fence: the fence's own epoch, or a higher one if the agent refused it. Records holds all start
+// records of these shards.
+type FenceAnswer struct {
+	Agent       string
+	Incarnation string
+	Epochs      []shard.Fence
+	Records     []task.Record
+}
+
+// Handover passes a shard to its next owner. The first message carries all records of the shard; later ones
+// carry the records that were added since the last answered message and the keys that are still open.
+type Handover struct {
+	From        string
+	Incarnation string
+	Shard       shard.ID
+	Epoch       shard.Epoch // under which the sender owned the shard
+	Sequence    uint64
+	Trusted     string // incarnation that may skip the fencing; empty if the sender does not know every start
+	Records     []task.Record
+	OpenKeys    []task.JobID // which the sender finishes
+}
+
+// HandoverReply answers a Handover. A refusal with a zero epoch means that the receiver takes no shards; one
+// with an epoch means that the sender's epoch was superseded by it.
+type HandoverReply struct {
+	Shard    shard.ID
+	Sequence uint64
+	Accepted bool
+	Epoch    shard.Epoch // of the receiver
+}
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -52,6 +52,29 @@
 	return Epoch{Counter: e.Counter + 1, Incarnation: incarnation}
 }
 
+// Separator joins the incarnations of an epoch that was handed over. It sorts before every character of an
+// incarnation, so such an epoch sorts directly after the one it came from: no takeover lies between them.
+const Separator = "+"
+
+// HandedTo returns the epoch of the incarnation that takes the shard from the owner under e without fencing.
+// It is newer than e and older than every takeover that is newer than e.
+func (e Epoch) HandedTo(incarnation string) Epoch {
+	return Epoch{Counter: e.Counter, Incarnation: e.Incarnation + Separator + incarnation}
+}
+
+// Hops returns how often the epoch was handed over.
+func (e Epoch) Hops() int { return strings.Count(e.Incarnation, Separator) }
+
+// Holder returns the incarnation of the process that acts under the epoch.
+func (e Epoch) Holder() string {
+	return e.Incarnation[strings.LastIndex(e.Incarnation, Separator)+1:]
+}
+
+// Inherits reports whether e was handed over, directly or through others, from the owner under other.
+func (e Epoch) Inherits(other Epoch) bool {
+	return e.Counter == other.Counter && strings.HasPrefix(e.Incarnation, other.Incarnation+Separator)
+}
+
 // String formats the epoch as "counter.incarnation".
 func (e Epoch) String() string {
 	return strconv.FormatUint(e.Counter, 10) + "." + e.Incarnation
