--- a/core/task/task.go
+++ b/core/task/task.go
@@ -53,6 +53,7 @@
 	Attempt       AttemptID
 	TaskCount     int // number of tasks of the job
 	Route         string
+	Digest        string // of the bodies of the job, so that a successor recognises a reused key
 	Idempotent    bool
 	Epoch         shard.Epoch
 	Owner         string // name of the entry that gets the outcome
@@ -64,7 +65,8 @@
 	Body          []byte
 }
 
-// Refusal says why an agent refused a start. A refused start did not run and will not run.
+// Refusal says why an agent refused a start. A refused start did not run and will not run, except that
+// RefusedDuplicate says that an earlier copy of the same start was accepted.
 type Refusal string
 
 // Refusals of a start.
@@ -75,6 +77,7 @@
 	RefusedLeaving       Refusal = "Leaving"
 	RefusedBackendServer Refusal = "UnknownBackendServer"
 	RefusedDuplicate     Refusal = "AlreadyStarted" // the attempt itself is on record
+	RefusedConflict      Refusal = "TaskStarted"    // another attempt of the task is on record
 	RefusedReconciled    Refusal = "Reconciled"     // the owner was told that the attempt can no longer start
 	RefusedUnregistered  Refusal = "NotRegistered"
 	RefusedDeadline      Refusal = "DeadlineExceeded"
@@ -86,19 +89,26 @@
 
 // States of a start record. Ended covers every result of the backend server. Lost means that the backend
 // server was lost while the task ran, so that its effect is unknown. Evicted means that the task ended and
-// its result was dropped to bound the agent's memory.
+// the body of its result was dropped to bound the agent's memory; the status is kept. Barred is the state
+// of a job rather than of an attempt: the owner reports the job as not run, so none of its tasks may start.
 const (
 	Running RecordState = "Running"
 	Ended   RecordState = "Ended"
 	Lost    RecordState = "Lost"
 	Evicted RecordState = "Evicted"
+	Barred  RecordState = "Barred"
 )
 
-// Record is an agent's memory of one started attempt.
+// BarID returns the identity under which a job's Barred record is kept. No attempt has it.
+func (id JobID) BarID() AttemptID { return AttemptID{Task: ID{Job: id}} }
+
+// Record is an agent's memory of one started attempt, or of a barred job. The result body of a barred job
+// is the reason.
 type Record struct {
 	Attempt    AttemptID
 	TaskCount  int
 	Route      string
+	Digest     string
 	Idempotent bool
 	Epoch      shard.Epoch
 	Agent      string
