Add the agent process

Cause: starts had decision code but no process. The agent wires core/executor to entries, backend servers and the platform; a late goodbye of an earlier run no longer stops a newer backend server.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,271 @@
+// Package agent is the process beside the backend servers of one host.
+//
+// It connects the decisions of core/executor to the entries (io/inner), the backend servers (io/backend) and
+// the platform (io/platform). If an entry fails, its tasks go on and their records wait for its successor;
+// if the platform fails, a registered agent goes on and a new one waits.
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"maps"
+	"math"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/executor"
+	"dogwoodglade/core/outbox"
+	"dogwoodglade/core/task"
+	"dogwoodglade/io/backend"
+	"dogwoodglade/io/inner"
+	"dogwoodglade/io/platform"
+)
+
+// Intervals of an agent.
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	tickInterval      = 100 * time.Millisecond
+	platformTimeout   = 2 * time.Second
+	registerRetry     = time.Second
+	drainPoll         = 20 * time.Millisecond
+)
+
+// Options are what an agent needs to start.
+type Options struct {
+	Name           string
+	Region         string
+	DataCentre     string
+	Rack           string
+	Entries        []string // addresses of the inner protocol
+	BackendAddress string   // where backend servers announce themselves
+	DrainTimeout   time.Duration
+	Platform       platform.Service
+	Recorder       *event.Recorder
+	Metrics        metrics.Registry
+	Dial           inner.DialFunc // opens connections to entries
+	DialBackend    inner.DialFunc // opens connections to backend servers; nil uses the network
+	Listen         func(address string) (net.Listener, error)
+}
+
+// Agent is a running agent.
+type Agent struct {
+	options     Options
+	incarnation string
+	address     string
+	client      *backend.Client
+
+	mu       sync.Mutex // guards executor, peers and cancels
+	executor *executor.Executor
+	peers    map[string]*inner.Peer // by name of the entry
+	cancels  map[task.AttemptID]context.CancelFunc
+
+	actions   outbox.Outbox[executor.Action]
+	tasks     sync.WaitGroup
+	connector *inner.Connector
+	ready     chan struct{} // closed when connector is set
+}
+
+// New starts an agent. The clean-up drains it: running tasks finish, at most until the drain timeout.
+func New(options Options) (*Agent, func(), error) {
+	if options.Metrics == nil {
+		options.Metrics = metrics.NewRegistry()
+	}
+	a := &Agent{
+		options:     options,
+		incarnation: rand.Text(),
+		executor:    executor.New(options.Name, func(e event.Event) { options.Recorder.Record(e) }),
+		peers:       map[string]*inner.Peer{},
+		cancels:     map[task.AttemptID]context.CancelFunc{},
+		ready:       make(chan struct{}),
+	}
+	listener, err := options.Listen(options.BackendAddress)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "start agent %s", options.Name)
+	}
+	a.address = listener.Addr().String()
+	var closeClient func()
+	a.client, closeClient = backend.NewClient(executor.DefaultConnections, options.DialBackend)
+	closeServer := backend.Serve(listener, a)
+	ctx, stop := context.WithCancel(context.Background())
+	closeConnector := a.connect()
+	var running sync.WaitGroup
+	running.Go(func() { a.register(ctx) })
+	running.Go(func() { a.every(ctx, heartbeatInterval, a.heartbeat) })
+	running.Go(func() { a.every(ctx, tickInterval, a.tick) })
+	options.Recorder.Record(event.Event{Number: event.ProcessStarted, Task: -1, State: a.incarnation})
+	cleanUp := func() {
+		cut := a.drain()
+		stop()
+		running.Wait()
+		a.cancelTasks()
+		a.tasks.Wait()
+		closeConnector()
+		closeServer()
+		closeClient()
+		options.Recorder.Record(event.Event{Number: event.ProcessStopped, Task: -1, Count: cut})
+	}
+	return a, cleanUp, nil
+}
+
+// Address returns the address on which backend servers announce themselves.
+func (a *Agent) Address() string { return a.address }
+
+func (a *Agent) connect() (cleanUp func()) {
+	local := inner.Local{
+		Identity: inner.Identity{
+			Role: inner.RoleAgent, Name: a.options.Name, Incarnation: a.incarnation,
+			Region: a.options.Region, DataCentre: a.options.DataCentre, Rack: a.options.Rack,
+		},
+		Clock:   a.options.Recorder,
+		Metrics: a.options.Metrics,
+	}
+	connector, cleanUp := inner.NewConnector(a.options.Dial, local, a)
+	a.connector = connector
+	close(a.ready)
+	for _, address := range a.options.Entries {
+		connector.Keep(address)
+	}
+	return cleanUp
+}
+
+func (a *Agent) every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
+func (a *Agent) tick() {
+	a.decide(func(now time.Time) []executor.Action { return a.executor.Tick(now) })
+}
+
+// decide runs a decision under the lock and performs its actions in order outside of it.
+func (a *Agent) decide(decision func(now time.Time) []executor.Action) {
+	a.mu.Lock()
+	a.actions.Push(decision(time.Now())...)
+	a.mu.Unlock()
+	a.actions.Perform(a.perform)
+}
+
+func (a *Agent) perform(action executor.Action) {
+	switch action := action.(type) {
+	case executor.Run:
+		a.run(action)
+	case executor.Stop:
+		a.mu.Lock()
+		cancel := a.cancels[action.Attempt]
+		a.mu.Unlock()
+		if cancel != nil {
+			cancel()
+		}
+	case executor.SendOutcome:
+		// If the owner is gone, its successor learns the outcome from the records.
+		if p := a.peer(action.Owner); p != nil {
+			p.Outcome(action.Record)
+		}
+	case executor.SendRelease:
+		// If the allocator is gone, its successor learns of the free slot from the heartbeat.
+		if p := a.peer(action.Allocator); p != nil {
+			p.Release(action.Release)
+		}
+	case executor.SendHeartbeat:
+		a.heartbeat()
+	}
+}
+
+func (a *Agent) peer(entry string) *inner.Peer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.peers[entry]
+}
+
+func (a *Agent) heartbeat() {
+	a.mu.Lock()
+	servers := a.executor.Heartbeat(time.Now())
+	peers := slices.Collect(maps.Values(a.peers))
+	a.mu.Unlock()
+	for _, p := range peers {
+		p.Heartbeat(servers)
+	}
+}
+
+// run sends a task to its backend server and reports the end of the request.
+func (a *Agent) run(r executor.Run) {
+	ctx, cancel := context.WithCancel(context.Background())
+	attempt := r.Start.Attempt
+	a.mu.Lock()
+	a.cancels[attempt] = cancel
+	a.mu.Unlock()
+	a.tasks.Go(func() {
+		result, err := a.client.Run(ctx, r.Address, r.Start)
+		cancel()
+		a.decide(func(now time.Time) []executor.Action {
+			delete(a.cancels, attempt)
+			return a.ended(now, attempt, result, err)
+		})
+	})
+}
+
+func (a *Agent) ended(now time.Time, attempt task.AttemptID, result task.Result, err error) []executor.Action {
+	var lost *backend.LostError
+	switch {
+	case err == nil:
+		return a.executor.Ended(now, attempt, result)
+	case errors.As(err, &lost):
+		return a.executor.Lost(now, attempt)
+	default:
+		failed := task.Result{Status: backend.StatusFailed, Body: []byte(err.Error())}
+		return a.executor.Ended(now, attempt, failed)
+	}
+}
+
+// drain refuses new starts, waits for running tasks and leaves the start records in the object store. It
+// returns the number of tasks that the drain timeout cut off.
+func (a *Agent) drain() (cut int) {
+	a.decide(func(now time.Time) []executor.Action { return a.executor.Drain(now) })
+	deadline := time.Now().Add(a.options.DrainTimeout)
+	for !a.drained() && time.Now().Before(deadline) {
+		time.Sleep(drainPoll)
+	}
+	a.mu.Lock()
+	cut = len(a.cancels)
+	records := a.executor.Records()
+	a.mu.Unlock()
+	if cut == 0 {
+		a.leave(records)
+	}
+	return cut
+}
+
+func (a *Agent) drained() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.executor.Drained()
+}
+
+func (a *Agent) cancelTasks() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, cancel := range a.cancels {
+		cancel()
+	}
+}
+
+// Epochs returns the number of entries that the agent is connected to and the number of running tasks.
+func (a *Agent) status() (entries, tasks int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.peers), min(len(a.cancels), math.MaxInt32)
+}
--- /dev/null
+++ b/agent/entry.go
@@ -0,0 +1,92 @@
+package agent
+
+import (
+	"time"
+
+	"dogwoodglade/core/executor"
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/task"
+	"dogwoodglade/io/inner"
+)
+
+// Connected implements inner.Handler.
+func (a *Agent) Connected(p *inner.Peer) {
+	a.mu.Lock()
+	a.peers[p.Name] = p
+	a.executor.OwnerHeard(time.Now(), p.Name)
+	servers := a.executor.Heartbeat(time.Now())
+	a.mu.Unlock()
+	p.Heartbeat(servers)
+}
+
+// Disconnected implements inner.Handler.
+func (a *Agent) Disconnected(p *inner.Peer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.peers[p.Name] == p {
+		delete(a.peers, p.Name)
+	}
+}
+
+// Start implements inner.StartHandler.
+func (a *Agent) Start(p *inner.Peer, s task.Start) {
+	var why task.Refusal
+	a.decide(func(now time.Time) []executor.Action {
+		a.executor.OwnerHeard(now, p.Name)
+		var actions []executor.Action
+		why, actions = a.executor.Start(now, s)
+		return actions
+	})
+	p.StartReply(s.Attempt, why)
+}
+
+// CancelTask implements inner.StartHandler.
+func (a *Agent) CancelTask(p *inner.Peer, attempt task.AttemptID) {
+	a.decide(func(now time.Time) []executor.Action {
+		a.executor.OwnerHeard(now, p.Name)
+		return a.executor.Cancel(now, attempt)
+	})
+}
+
+// Alive implements inner.StartHandler.
+func (a *Agent) Alive(p *inner.Peer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.executor.OwnerHeard(time.Now(), p.Name)
+}
+
+// Fence implements inner.FenceHandler.
+func (a *Agent) Fence(p *inner.Peer, fences []shard.Fence) inner.FenceReply {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	records := a.executor.Fence(time.Now(), p.Name, fences)
+	return inner.FenceReply{Epochs: a.executor.Epochs(fences), Records: records}
+}
+
+// Reconcile implements inner.FenceHandler.
+func (a *Agent) Reconcile(p *inner.Peer, ids []task.AttemptID) inner.ReconcileReply {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.executor.OwnerHeard(time.Now(), p.Name)
+	found, unseen := a.executor.Reconcile(time.Now(), ids)
+	return inner.ReconcileReply{Found: found, Unseen: unseen}
+}
+
+// Vote implements inner.FenceHandler.
+func (a *Agent) Vote(_ *inner.Peer, entries []string) []time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	silence := make([]time.Duration, len(entries))
+	for i, entry := range entries {
+		silence[i] = a.executor.OwnerSilence(time.Now(), entry)
+	}
+	return silence
+}
+
+// Entries implements inner.FenceHandler.
+func (a *Agent) Entries(_ *inner.Peer, addresses []string) {
+	<-a.ready
+	for _, address := range addresses {
+		a.connector.Learn(address)
+	}
+}
--- /dev/null
+++ b/agent/register.go
@@ -0,0 +1,92 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/ownership"
+	"dogwoodglade/core/task"
+	"dogwoodglade/io/platform"
+)
+
+// register writes the agent's row and then reads the epochs of the shards. The order matters: an owner that
+// read the registry before the row was there had written its epoch before, so this read returns it.
+func (a *Agent) register(ctx context.Context) {
+	failed := false
+	for ctx.Err() == nil {
+		err := a.tryRegister(ctx)
+		if err == nil {
+			if failed {
+				a.options.Recorder.Record(event.Event{Number: event.PlatformRestored, Task: -1})
+			}
+			return
+		}
+		if !failed {
+			failed = true
+			a.options.Recorder.Record(event.Event{Number: event.PlatformFailed, Task: -1, State: err.Error()})
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(registerRetry):
+		}
+	}
+}
+
+func (a *Agent) tryRegister(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	row := ownership.AgentRow{Agent: a.options.Name, Incarnation: a.incarnation}
+	if err := a.writeRow(ctx, row); err != nil {
+		return err
+	}
+	rows, err := a.options.Platform.Get(ctx, platform.ShardsKey)
+	if err != nil {
+		return errors.Wrap(err, "read the epochs of the shards")
+	}
+	var shards ownership.ShardsRow
+	if len(rows) > 0 && len(rows[0].Value) > 0 {
+		if err := json.Unmarshal(rows[0].Value, &shards); err != nil {
+			return errors.Wrap(err, "decode the epochs of the shards")
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.executor.Registered(time.Now(), shards.Epochs())
+	return nil
+}
+
+func (a *Agent) writeRow(ctx context.Context, row ownership.AgentRow) error {
+	data, err := json.Marshal(row)
+	if err != nil {
+		return errors.Wrap(err, "encode the agent's row")
+	}
+	key := platform.AgentKey(row.Agent, row.Incarnation)
+	_, err = a.options.Platform.Commit(ctx, platform.Transaction{
+		Writes: []platform.Write{{Key: key, Value: data}},
+	})
+	return errors.Wrap(err, "register the agent")
+}
+
+// leave leaves the start records where a later owner finds them. If the platform is down, owners treat the
+// agent as one that was lost.
+func (a *Agent) leave(records []task.Record) {
+	ctx, cancel := context.WithTimeout(context.Background(), platformTimeout)
+	defer cancel()
+	data, err := json.Marshal(records)
+	if err != nil {
+		return
+	}
+	name := platform.RecordsName(a.options.Name, a.incarnation)
+	if err := a.options.Platform.PutObject(ctx, name, data); err != nil {
+		a.options.Recorder.Record(event.Event{Number: event.PlatformFailed, Task: -1, State: err.Error()})
+		return
+	}
+	row := ownership.AgentRow{Agent: a.options.Name, Incarnation: a.incarnation, Left: true, Records: name}
+	if err := a.writeRow(ctx, row); err != nil {
+		a.options.Recorder.Record(event.Event{Number: event.PlatformFailed, Task: -1, State: err.Error()})
+	}
+}
--- a/core/executor/server.go
+++ b/core/executor/server.go
@@ -121,9 +121,9 @@
 
 // Leave stops new work for a backend server until its next incarnation, and announces that at once. A
 // heartbeat that arrives late does not undo it.
-func (e *Executor) Leave(_ time.Time, backendServer string) []Action {
+func (e *Executor) Leave(_ time.Time, backendServer, incarnation string) []Action {
 	s, ok := e.servers[backendServer]
-	if !ok || s.left {
+	if !ok || s.left || s.Incarnation != incarnation {
 		return nil
 	}
 	s.left = true
--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,12 +28,16 @@
 	PathTask      = "/task"
 )
 
-const maxAnnouncement = 4 << 10 // bytes
+const (
+	maxAnnouncement = 4 << 10 // bytes
+	requestTimeout  = 5 * time.Second
+	idleTimeout     = time.Minute
+)
 
 // Agent receives the announcements of backend servers.
 type Agent interface {
 	Announce(a executor.Announcement) error
-	Leave(id, incarnation string) error
+	Leave(id, incarnation string)
 }
 
 // announcement is the body of an announcement and of a heartbeat.
@@ -78,7 +83,7 @@
 			writeError(w, http.StatusBadRequest, "InvalidAnnouncement", err)
 			return
 		}
-		if err := agent.Announce(executor.Announcement(a)); err != nil {
+		if err := agent.Announce(a.message()); err != nil {
 			writeError(w, http.StatusConflict, "AnnouncementRefused", err)
 			return
 		}
@@ -91,15 +96,19 @@
 		if !readBody(w, r, &l) {
 			return
 		}
-		if err := agent.Leave(l.ID, l.Incarnation); err != nil {
-			writeError(w, http.StatusConflict, "LeaveRefused", err)
-			return
-		}
+		agent.Leave(l.ID, l.Incarnation)
 		w.WriteHeader(http.StatusNoContent)
 	})
 	return mux
 }
 
+func (a announcement) message() executor.Announcement {
+	return executor.Announcement{
+		ID: a.ID, Pool: a.Pool, Address: a.Address, Slots: a.Slots, Connections: a.Connections,
+		Incarnation: a.Incarnation,
+	}
+}
+
 func (a announcement) validate() error {
 	host, port, err := net.SplitHostPort(a.Address)
 	number, portErr := strconv.Atoi(port)
@@ -120,6 +129,20 @@
 	return nil
 }
 
+// Serve serves the agent's interface until the returned function is called.
+func Serve(listener net.Listener, agent Agent) (cleanUp func()) {
+	server := &http.Server{
+		Handler: Handler(agent), ReadHeaderTimeout: requestTimeout, ReadTimeout: requestTimeout,
+		WriteTimeout: requestTimeout, IdleTimeout: idleTimeout,
+	}
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(listener) })
+	return func() {
+		_ = server.Close()
+		running.Wait()
+	}
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, body any) bool {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
 	decoder.DisallowUnknownFields()
--- a/io/backend/run.go
+++ b/io/backend/run.go
@@ -18,6 +18,9 @@
 // MaxResult is the bound on the body of a result, in bytes.
 const MaxResult = 64 << 10
 
+// StatusFailed is the status of a result that the agent reports in place of a backend server.
+const StatusFailed = http.StatusBadGateway
+
 // Headers of a task.
 const (
 	HeaderCustomer = "Dogwoodglade-Customer"
--- a/io/inner/handler.go
+++ b/io/inner/handler.go
@@ -50,6 +50,8 @@
 type StartHandler interface {
 	Start(p *Peer, s task.Start)
 	CancelTask(p *Peer, a task.AttemptID)
+	// Alive tells the agent that the entry is alive.
+	Alive(p *Peer)
 }
 
 // AgentEventHandler receives an agent's messages for an entry. Its methods must not wait for the peer.
--- a/io/inner/start.go
+++ b/io/inner/start.go
@@ -11,6 +11,7 @@
 	methodStart      = "Start"
 	methodStartReply = "StartReply"
 	methodCancelTask = "CancelTask"
+	methodAlive      = "Alive"
 	methodOutcome    = "Outcome"
 	methodHeartbeat  = "Heartbeat"
 )
@@ -24,6 +25,8 @@
 
 type cancelTaskParams struct{ Attempt task.AttemptID }
 
+type aliveParams struct{}
+
 type outcomeParams struct{ Record task.Record }
 
 type heartbeatParams struct{ BackendServers []allocator.BackendServer }
@@ -36,6 +39,9 @@
 	return p.notify(methodCancelTask, cancelTaskParams{Attempt: a})
 }
 
+// Alive tells the agent that this entry is alive.
+func (p *Peer) Alive() bool { return p.notify(methodAlive, aliveParams{}) }
+
 // StartReply tells the owner whether an attempt was started.
 func (p *Peer) StartReply(a task.AttemptID, why task.Refusal) bool {
 	return p.notify(methodStartReply, startReplyParams{Attempt: a, Refusal: why})
@@ -67,6 +73,10 @@
 			h.CancelTask(p, params.Attempt)
 			return nil
 		}),
+		methodAlive: notificationOf(func(p *Peer, _ json.RawMessage) error {
+			h.Alive(p)
+			return nil
+		}),
 	}
 }
 
