Add the allocator of a pool

The design names an allocator for each pool; only its messages existed. It queues asks by age, shares slots between customers by weighted fair queueing, keeps slots free of long work, refuses work early under overload and ejects failing backend servers. All decisions use heaps and a bucket index.

--- /dev/null
+++ b/core/allocator/admission.go
@@ -0,0 +1,362 @@
+package allocator
+
+import (
+	"math"
+	"time"
+
+	"dogwoodglade/core/event"
+)
+
+const (
+	// warmUp follows the first call and the return of an empty pool: a new allocator learns its capacity
+	// from the first heartbeat of each agent, and predicts nothing before that.
+	warmUp = time.Second
+
+	// overloadDelay and overloadAfter define an overload: the delay stays above the one for the other. Jobs
+	// of many tasks cause such a delay for a moment at a moderate load.
+	overloadDelay = 400 * time.Millisecond
+	overloadAfter = 500 * time.Millisecond
+	// overloadDemand is the offered load above which a delay counts as overload.
+	overloadDemand = 1.3
+	// overloadHold is the delay allowed in an overload. It keeps the slots busy, lets short deadlines be
+	// met, and drains within 1 s at 80% load.
+	overloadHold = 150 * time.Millisecond
+	// askDelays is the delay allowed in an overload in multiples of the delay by one ask: demand in few
+	// large jobs needs a longer queue to keep the slots busy until the next job.
+	askDelays = 1.5
+	// recoveredShare of the allowed delay, at an offered load of at most recoveredDemand, ends an overload.
+	recoveredShare  = 0.25
+	recoveredDemand = 1.1
+	// demandWindow is the time constant of the offered load.
+	demandWindow = time.Second
+
+	// waitMargin allows for run times that turn out longer than predicted.
+	waitMargin = 1.2
+
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+	// overheadLimit bounds the time between grant and release that is not run time.
+	overheadLimit = 50 * time.Millisecond
+	// overheadWeight is the weight of the latest grant in the mean of that time.
+	overheadWeight = 1.0 / 64
+)
+
+// overload detects a demand beyond the capacity that lasts.
+type overload struct {
+	demand     float64 // offered work, in seconds of slot time, decayed with demandWindow
+	squares    float64 // sum of the squares of the asks' work, decayed likewise
+	at         int64   // of the latest decay
+	aboveSince int64   // 0 while the delay is short
+	active     bool
+}
+
+// forecast is the predicted wait of an ask.
+type forecast struct {
+	ahead time.Duration // until its first slot, as far as other work delays it
+	last  time.Duration // until its last slot
+	quota bool          // the customer's quota decides, not the demand
+}
+
+// offer counts the work of a new ask.
+func (a *Allocator) offer(work time.Duration) {
+	a.decayDemand()
+	a.overload.demand += work.Seconds()
+	a.overload.squares += work.Seconds() * work.Seconds()
+}
+
+func (a *Allocator) decayDemand() {
+	o := &a.overload
+	if elapsed := a.now - o.at; elapsed > 0 {
+		decay := math.Exp(-float64(elapsed) / float64(demandWindow))
+		o.demand *= decay
+		o.squares *= decay
+		o.at = a.now
+	}
+}
+
+// delay is the time until the queue is served at the present capacity.
+func (a *Allocator) delay() time.Duration {
+	if a.capacity == 0 {
+		return 0
+	}
+	return a.slotTime(a.total.allWork(), a.total.allTasks()) / time.Duration(a.capacity)
+}
+
+// slotTime is the time that work holds slots, with the messages before and after.
+func (a *Allocator) slotTime(work int64, tasks int) time.Duration {
+	return time.Duration(work) + time.Duration(tasks)*a.overhead
+}
+
+// assess renews the overload state.
+func (a *Allocator) assess() {
+	a.decayDemand()
+	o := &a.overload
+	delay := a.delay()
+	offered := o.demand / demandWindow.Seconds() / float64(max(a.capacity, 1))
+	if o.active {
+		o.active = offered > recoveredDemand || float64(delay) > recoveredShare*float64(a.delayLimit(a.overall.mean))
+		o.aboveSince = 0
+		return
+	}
+	switch {
+	case delay <= max(overloadDelay, a.delayLimit(a.overall.mean)):
+		o.aboveSince = 0
+	case o.aboveSince == 0:
+		o.aboveSince = a.now
+	case a.now-o.aboveSince >= int64(overloadAfter):
+		o.active = offered > overloadDemand
+	}
+}
+
+// delayLimit is the delay allowed in an overload. Work that runs longer needs a longer queue to keep the
+// slots busy.
+func (a *Allocator) delayLimit(mean time.Duration) time.Duration {
+	limit := max(overloadHold, mean/2)
+	if o := &a.overload; o.demand > 0 && a.capacity > 0 {
+		perAsk := o.squares / o.demand / float64(a.capacity) // weighted by work
+		limit = max(limit, time.Duration(askDelays*perAsk*float64(time.Second)))
+	}
+	return limit
+}
+
+// predict forecasts the wait of an ask that is not in the queue.
+func (a *Allocator) predict(c *customer, r *routeState, count int, arrival int64) forecast {
+	if a.capacity == 0 {
+		return forecast{}
+	}
+	free := 0
+	if a.total.weight == 0 {
+		free = a.free
+	}
+	own := a.slotTime(r.mean.Nanoseconds()*int64(max(count-free, 0)), max(count-free, 0))
+	var f forecast
+	f.ahead = a.classWait(c, r, arrival, 0)
+	f.last = a.classWait(c, r, arrival, own)
+	if c.quota > 0 && count > c.quota-c.inUse {
+		work := a.slotTime(c.demand[short].work+c.demand[long].work, c.demand[short].tasks+c.demand[long].tasks)
+		work = time.Duration(float64(work) * c.olderShare(a.now, arrival))
+		mine := max(count-max(c.quota-c.inUse, 0), 0)
+		bound := (work + a.slotTime(r.mean.Nanoseconds()*int64(mine), mine)) / time.Duration(c.quota)
+		if bound > f.last {
+			f.last, f.quota = bound, true
+		}
+	}
+	return f
+}
+
+// classWait is the wait for the work ahead of an ask and for own work of the ask itself. Short work waits
+// for all work or, in the reserved slots, for short work. Long work waits for all work and, in the
+// unreserved slots, for long work, until it has waited for LongMaxWait.
+func (a *Allocator) classWait(c *customer, r *routeState, arrival int64, own time.Duration) time.Duration {
+	unreserved := a.longLimit()
+	all := a.shareWait(c, arrival, own, a.capacity, short, long)
+	if r.class == long {
+		untilAged := max(a.pool.LongMaxWait-time.Duration(a.now-arrival), 0)
+		return min(max(all, a.shareWait(c, arrival, own, unreserved, long, long)), all+untilAged)
+	}
+	if reserved := a.capacity - unreserved; reserved > 0 {
+		return min(all, a.shareWait(c, arrival, own, reserved, short, short))
+	}
+	return all
+}
+
+// shareWait is the time that the given number of slots need for the customer's work of a range of classes
+// at the customer's share, or for the work of all customers if that is shorter.
+func (a *Allocator) shareWait(
+	c *customer, arrival int64, own time.Duration, slots int, from, to class,
+) time.Duration {
+	var total, mine time.Duration
+	for i := from; i <= to; i++ {
+		total += a.slotTime(a.total.work[i], a.total.tasks[i])
+		mine += a.slotTime(c.demand[i].work, c.demand[i].tasks)
+	}
+	older := c.olderShare(a.now, arrival)
+	if !a.options.Fairness {
+		older = 1
+		if first := a.eligible.top(); first != nil {
+			older = olderShare(first.head.arrival, a.now, arrival)
+		}
+	}
+	capacity := float64(max(slots, 1))
+	wait := (float64(total)*older + float64(own)) / capacity
+	if a.options.Fairness {
+		weight := a.total.weight
+		if !c.eligible {
+			weight += c.weight
+		}
+		share := float64(c.weight) / float64(weight)
+		wait = min(
+			(float64(total)+float64(own))/capacity,
+			(float64(mine)*older+float64(own))/(capacity*share))
+	}
+	return time.Duration(min(wait, float64(math.MaxInt64/2)))
+}
+
+// olderShare is the estimated share of the customer's queue that is older than an arrival.
+func (c *customer) olderShare(now, arrival int64) float64 {
+	if c.head == nil {
+		return 1
+	}
+	return olderShare(c.head.arrival, now, arrival)
+}
+
+func olderShare(oldest, now, arrival int64) float64 {
+	if arrival >= now {
+		return 1
+	}
+	return float64(max(arrival-oldest, 0)) / float64(now-oldest)
+}
+
+// admit decides whether an ask may wait. It refuses the ask, or other work in favour of it, as needed.
+func (a *Allocator) admit(q Ask) bool {
+	switch {
+	case q.Deadline <= 0:
+		a.refuseAsk(q, DeadlineExceeded, a.retryAfter(0))
+		return false
+	case a.isEmpty():
+		a.refuseAsk(q, EmptyPool, a.retryAfter(a.pool.EmptyPoolWait))
+		return false
+	}
+	c, r := a.customerOf(q.Customer), a.routeOf(q.Route)
+	arrival := a.now - int64(max(q.Age, 0))
+	a.offer(time.Duration(q.Count) * r.mean)
+	if a.predicts() && !a.fits(c, q.Count) {
+		f := a.predict(c, r, q.Count, arrival)
+		late := time.Duration(waitMargin*float64(f.last)) - (q.Deadline - a.expected(r))
+		switch {
+		case late > 0 && f.quota:
+			a.refuseAsk(q, QuotaExceeded, a.retryAfter(late))
+			return false
+		case late > 0:
+			a.refuseAsk(q, Overloaded, a.retryAfter(late))
+			return false
+		case a.overload.active && !c.atQuota() && f.ahead > a.delayLimit(r.mean):
+			a.refuseAsk(q, Overloaded, a.retryAfter(f.ahead))
+			return false
+		}
+	}
+	if !a.makeRoom(c, q.Count) {
+		a.refuseAsk(q, Overloaded, a.retryAfter(a.delay()))
+		return false
+	}
+	return true
+}
+
+// fits reports whether an ask can be granted at once.
+func (a *Allocator) fits(c *customer, count int) bool {
+	return a.total.weight == 0 && count <= a.free && (c.quota == 0 || c.inUse+count <= c.quota)
+}
+
+// makeRoom keeps the queue within its limit. Work that misses its deadline is refused first, then the
+// youngest work of the customer that exceeds its share of the queue most.
+func (a *Allocator) makeRoom(c *customer, count int) bool {
+	if a.total.weight == 0 {
+		count -= a.free
+	}
+	for a.queued+count > a.pool.QueueLimit {
+		if k := a.doomed(); k != nil {
+			a.refuse(k, Overloaded, a.retryAfter(a.delay()))
+			continue
+		}
+		k := a.youngestBeyondShare(c, count)
+		if k == nil {
+			return false
+		}
+		a.refuse(k, Overloaded, a.retryAfter(a.delay()))
+	}
+	return true
+}
+
+// doomed returns the ask with the earliest latest start if its predicted wait exceeds that.
+func (a *Allocator) doomed() *ask {
+	k := a.deadlines.top()
+	if k == nil || !a.predicts() || a.capacity == 0 {
+		return nil
+	}
+	wait := a.classWait(k.lane.customer, k.lane.route, k.arrival, 0)
+	if addTime(a.now, wait) <= k.latestStart {
+		return nil
+	}
+	return k
+}
+
+// youngestBeyondShare returns a young ask of the customer with the most queued tasks for its weight, or nil
+// if that is the customer of the new ask.
+func (a *Allocator) youngestBeyondShare(c *customer, count int) *ask {
+	if !a.options.Fairness {
+		return nil
+	}
+	var most *customer
+	load := float64(c.tasks()+count) / float64(c.weight)
+	for _, other := range a.customers {
+		if other == c || other.head == nil {
+			continue
+		}
+		l := float64(other.tasks()) / float64(other.weight)
+		if l > load || (most != nil && l == load && other.name < most.name) {
+			most, load = other, l
+		}
+	}
+	if most == nil {
+		return nil
+	}
+	d := &most.demand[long]
+	if d.lanes.len() == 0 || most.demand[short].tasks > d.tasks {
+		d = &most.demand[short]
+	}
+	return d.lanes.last().asks.last()
+}
+
+func (c *customer) tasks() int { return c.demand[short].tasks + c.demand[long].tasks }
+
+// misses reports whether an ask of several tasks can no longer get its last slot in time. Granting only a
+// part of it would waste the slots.
+func (a *Allocator) misses(k *ask) bool {
+	if k.granted > 0 || k.count <= a.free || !a.predicts() {
+		return false
+	}
+	c, r := k.lane.customer, k.lane.route
+	slots := a.capacity
+	if r.class == long && k != c.reserved {
+		slots = a.longLimit()
+	}
+	rest := k.count - a.free
+	share := float64(c.weight) / float64(max(a.total.weight, c.weight))
+	wait := min(
+		float64(a.slotTime(int64(rest)*int64(r.mean), rest))/share,
+		float64(a.slotTime(a.total.allWork(), a.total.allTasks())))
+	return addTime(a.now, time.Duration(wait/float64(slots))) > k.latestStart
+}
+
+// predicts reports whether waits are predicted now.
+func (a *Allocator) predicts() bool {
+	return a.options.Admission && a.now-a.warmSince >= int64(warmUp)
+}
+
+// isEmpty reports whether the pool had no backend server for EmptyPoolWait.
+func (a *Allocator) isEmpty() bool {
+	return a.members == 0 && a.now-a.emptySince >= int64(a.pool.EmptyPoolWait)
+}
+
+// refuseEmpty refuses everything in the queue of an empty pool.
+func (a *Allocator) refuseEmpty() {
+	for a.isEmpty() && a.deadlines.len() > 0 {
+		a.refuse(a.deadlines.top(), EmptyPool, a.retryAfter(a.pool.EmptyPoolWait))
+	}
+}
+
+// retryAfter bounds the advice when to try again.
+func (a *Allocator) retryAfter(d time.Duration) time.Duration {
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+func (a *Allocator) refuseAsk(q Ask, why Reason, retryAfter time.Duration) {
+	a.refused[why] += uint64(q.Count)
+	a.actions = append(a.actions, Refuse{
+		Ask: q.ID, Owner: q.Owner, Count: q.Count, Reason: why, RetryAfter: retryAfter,
+	})
+	a.record(event.Event{
+		Number: event.AskRefused, Task: -1, Customer: q.Customer, Route: q.Route, State: string(why),
+		Peer: q.Owner, Count: q.Count,
+	})
+}
