Test the promises of owners and agents with a state machine

A world of owners, agents and an allocator runs random schedules of delays, repeats, lost connections, deaths, pauses and takeovers, and checks each start and each answer.

--- /dev/null
+++ b/core/job/world_test.go
@@ -0,0 +1,512 @@
+package job_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"dogwoodglade/core/allocator"
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/executor"
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/pool"
+	"dogwoodglade/core/route"
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/table"
+	"dogwoodglade/core/task"
+)
+
+const (
+	attempts = 3
+	deadline = 2 * time.Second
+	tick     = 50 * time.Millisecond
+)
+
+// fault is a defect put into the world, to show that a check finds it.
+type fault string
+
+const (
+	noFault        fault = ""
+	noFences       fault = "agents keep no fences"
+	earlyRecovery  fault = "recovery counts as complete at once"
+	noBars         fault = "not run is answered without a record"
+	noReconcile    fault = "unseen attempts may start later"
+	earlyRefusal   fault = "a start without a reply counts as not run"
+	earlyResult    fault = "a task counts as done when it starts"
+	swappedResults fault = "results go to another task"
+	secondReply    fault = "a waiter is answered twice"
+	retryAll       fault = "every job is retried as idempotent"
+	startTwice     fault = "agents accept a repeated start"
+)
+
+// world runs owners, agents and an allocator over a network that delays, reorders and repeats messages and
+// loses connections. It checks the promises at each start and at each answer.
+type world struct {
+	now     time.Time
+	pick    func(n int) int
+	violate func(string)
+	fault   fault
+	log     []string
+
+	tables   table.Snapshot
+	shard    shard.ID
+	row      shard.Epoch
+	registry []string
+	owners   []*owner
+	agents   []*agent
+	net      []message
+	sessions map[[2]string]int
+	asks     []ask
+	grants   int
+
+	jobs    map[task.JobID]*client
+	waiters []*waiter
+	starts  map[task.ID]int
+	started map[startID]bool
+	notRun  map[task.JobID]bool
+}
+
+type startID struct {
+	attempt task.AttemptID
+	epoch   shard.Epoch
+}
+
+type message struct {
+	from, to, text string
+	session        int
+	deliver        func()
+}
+
+type owner struct {
+	*job.Owner
+	name    string
+	paused  bool
+	dead    bool
+	unheard map[string]bool // agents whose records are missing
+	epoch   shard.Epoch
+}
+
+type agent struct {
+	*executor.Executor
+	name    string
+	dead    bool
+	left    bool
+	inc     int
+	running []task.Start
+}
+
+type ask struct {
+	owner *owner
+	allocator.Ask
+}
+
+type client struct {
+	idempotent bool
+	ticket     shard.Ticket
+	tasks      int
+}
+
+type waiter struct {
+	name    string
+	owner   *owner
+	bodies  [][]byte
+	answers int
+}
+
+func newWorld(pick func(int) int, violate func(string), f fault) *world {
+	w := &world{
+		now: time.Unix(1_000_000, 0), pick: pick, violate: violate, fault: f,
+		sessions: map[[2]string]int{}, jobs: map[task.JobID]*client{}, starts: map[task.ID]int{},
+		started: map[startID]bool{}, notRun: map[task.JobID]bool{}, shard: keys[0].Shard(),
+	}
+	w.tables = table.New(table.Versions{}, []route.Route{
+		route.New("r", "p").WithAttempts(attempts).WithDeadline(deadline),
+		route.New("s", "p").WithAttempts(attempts).WithDeadline(deadline),
+	}, []pool.Pool{pool.New("p")})
+	for range 2 {
+		w.addAgent()
+	}
+	w.deliverAll()
+	w.takeOver()
+	w.deliverAll()
+	return w
+}
+
+// keys are submissions of one shard.
+var keys = func() (ids []task.JobID) {
+	for i := 0; len(ids) < 4; i++ {
+		id := task.JobID{Customer: "c", Key: strconv.Itoa(i)}
+		if len(ids) == 0 || id.Shard() == ids[0].Shard() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}()
+
+func (w *world) logf(format string, args ...any) { w.log = append(w.log, fmt.Sprintf(format, args...)) }
+
+func (w *world) check(ok bool, format string, args ...any) {
+	if !ok {
+		w.violate(fmt.Sprintf(format, args...))
+	}
+}
+
+func (w *world) send(from, to, text string, deliver func()) {
+	w.net = append(w.net, message{from, to, text, w.sessions[link(from, to)], deliver})
+}
+
+func link(a, b string) [2]string { return [2]string{min(a, b), max(a, b)} }
+
+func (w *world) halted(name string) bool {
+	return slices.ContainsFunc(w.owners, func(o *owner) bool { return o.name == name && o.paused })
+}
+
+// deliverNth delivers a message, unless its receiver is paused, dead or its connection was lost.
+func (w *world) deliverNth(i int, keep bool) bool {
+	m := w.net[i]
+	if w.halted(m.to) {
+		return false
+	}
+	if !keep {
+		w.net = slices.Delete(w.net, i, i+1)
+	}
+	dead := slices.ContainsFunc(w.owners, func(o *owner) bool { return o.name == m.to && o.dead }) ||
+		slices.ContainsFunc(w.agents, func(a *agent) bool { return a.name == m.to && a.dead })
+	if !dead && m.session == w.sessions[link(m.from, m.to)] {
+		m.deliver()
+	}
+	return true
+}
+
+func (w *world) deliverAll() {
+	for {
+		i := slices.IndexFunc(w.net, func(m message) bool { return !w.halted(m.to) })
+		if i < 0 {
+			return
+		}
+		w.deliverNth(i, false)
+	}
+}
+
+func (w *world) addAgent() {
+	name := fmt.Sprintf("a%d", len(w.agents)+1)
+	a := &agent{Executor: executor.New(name, func(event.Event) {}), name: name}
+	w.agents = append(w.agents, a)
+	w.registry = append(w.registry, name)
+	w.announce(a)
+	w.send("store", name, "row", func() {
+		epochs := make([]shard.Epoch, shard.Count)
+		epochs[w.shard] = w.row
+		a.Registered(w.now, epochs)
+	})
+}
+
+func (w *world) announce(a *agent) {
+	actions, err := a.Announce(w.now, executor.Announcement{
+		ID: "b" + a.name, Pool: "p", Address: "address", Slots: 2, Incarnation: strconv.Itoa(a.inc),
+	})
+	w.check(err == nil, "announce: %v", err)
+	w.runAgent(a, actions)
+}
+
+// takeOver makes a new owner: it writes its epoch, reads the registry and fences the agents.
+func (w *world) takeOver() *owner {
+	o := &owner{name: fmt.Sprintf("e%d", len(w.owners)+1), unheard: map[string]bool{}}
+	o.epoch = w.row.Next(o.name)
+	w.row = o.epoch
+	o.Owner = job.New(o.name, w.shard, o.epoch, false, rand.New(rand.NewPCG(1, uint64(len(w.owners)))), func(event.Event) {})
+	for _, old := range w.owners {
+		w.send("net", old.name, "superseded", func() { w.runOwner(old, old.Superseded(w.now, o.epoch)) })
+	}
+	w.owners = append(w.owners, o)
+	for _, name := range w.registry {
+		o.unheard[name] = true
+		w.sendFence(o, name)
+	}
+	if w.fault == earlyRecovery {
+		w.runOwner(o, o.RecoveryComplete(w.now))
+	}
+	return o
+}
+
+func (w *world) sendFence(o *owner, name string) {
+	a := w.agent(name)
+	w.send(o.name, name, "fence", func() {
+		records := a.Records()
+		if w.fault != noFences {
+			records = a.Fence(w.now, o.name, []shard.Fence{{Shard: w.shard, Epoch: o.epoch}})
+		}
+		w.send(name, o.name, "records", func() {
+			w.runOwner(o, o.Recovered(w.now, name, records))
+			delete(o.unheard, name)
+			if len(o.unheard) == 0 {
+				w.runOwner(o, o.RecoveryComplete(w.now))
+			}
+		})
+	})
+}
+
+func (w *world) agent(name string) *agent {
+	return w.agents[slices.IndexFunc(w.agents, func(a *agent) bool { return a.name == name })]
+}
+
+// submit submits a key. A resubmission carries the ticket of the first submission.
+func (w *world) submit(o *owner, id task.JobID, s job.Submission, c client) *waiter {
+	if w.jobs[id] == nil {
+		w.jobs[id] = &c
+	}
+	c = *w.jobs[id]
+	s.ID, s.Idempotent, s.Ticket = id, &c.idempotent, c.ticket
+	if w.fault == retryAll {
+		s.Idempotent = new(bool)
+		*s.Idempotent = true
+	}
+	for i := len(s.Bodies); i < c.tasks; i++ {
+		s.Bodies = append(s.Bodies, fmt.Appendf(nil, "%s.%d", id.Key, i))
+	}
+	wt := &waiter{name: fmt.Sprintf("w%d", len(w.waiters)+1), owner: o, bodies: s.Bodies}
+	w.waiters = append(w.waiters, wt)
+	w.runOwner(o, o.Submit(w.now, s, wt.name, w.tables))
+	return wt
+}
+
+func (w *world) runOwner(o *owner, actions []job.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case job.AskSlots:
+			w.send(o.name, "allocator", "ask", func() { w.replaceAsk(ask{o, a.Ask}) })
+		case job.WithdrawAsk:
+			w.send(o.name, "allocator", "withdraw", func() { w.withdraw(o, a) })
+		case job.ReturnGrant:
+		case job.SendStart:
+			w.sendStart(o, a)
+		case job.CancelTask:
+			to := w.agent(a.Agent)
+			w.send(o.name, to.name, "cancel", func() { w.runAgent(to, to.Cancel(w.now, a.Attempt)) })
+		case job.BarJob:
+			w.sendBar(o, a.Record)
+		case job.Reply:
+			w.reply(a)
+			if w.fault == secondReply {
+				w.reply(a)
+			}
+		}
+	}
+}
+
+func (w *world) replaceAsk(a ask) {
+	w.asks = slices.DeleteFunc(w.asks, func(b ask) bool { return b.owner == a.owner && b.ID == a.ID })
+	w.asks = append(w.asks, a)
+}
+
+func (w *world) withdraw(o *owner, a job.WithdrawAsk) {
+	for i := range w.asks {
+		if w.asks[i].owner == o && w.asks[i].ID == a.Ask {
+			w.asks[i].Count -= max(a.Count, 1)
+			if a.Count == 0 || w.asks[i].Count <= 0 {
+				w.asks = slices.Delete(w.asks, i, i+1)
+				return
+			}
+		}
+	}
+}
+
+// grant grants a slot of the agent to an ask, whether the slot is free or not.
+func (w *world) grant(i int, a *agent) {
+	k := w.asks[i]
+	w.withdraw(k.owner, job.WithdrawAsk{Ask: k.ID, Count: 1})
+	w.grants++
+	g := allocator.Grant{
+		ID: strconv.Itoa(w.grants), Ask: k.ID, Owner: k.owner.name, Allocator: "allocator", Agent: a.name,
+		BackendServer: "b" + a.name, Incarnation: strconv.Itoa(a.inc),
+	}
+	w.send("allocator", k.owner.name, "grant", func() { w.runOwner(k.owner, k.owner.Granted(w.now, g)) })
+}
+
+func (w *world) refuseAsk(i int) {
+	k := w.asks[i]
+	w.asks = slices.Delete(w.asks, i, i+1)
+	r := allocator.Refuse{Ask: k.ID, Owner: k.owner.name, Count: k.Count, Reason: allocator.Overloaded}
+	w.send("allocator", k.owner.name, "refuse", func() { w.runOwner(k.owner, k.owner.AskRefused(w.now, r)) })
+}
+
+func (w *world) sendStart(o *owner, s job.SendStart) {
+	a := w.agent(s.Agent)
+	refused := func(why task.Refusal) { w.runOwner(o, o.StartRefused(w.now, s.Start.Attempt, why)) }
+	if a.dead {
+		w.send("net", o.name, "unreachable", func() { refused(task.RefusedUnreachable) })
+		return
+	}
+	w.send(o.name, a.name, "start", func() {
+		why, actions := a.Start(w.now, s.Start)
+		w.runAgent(a, actions)
+		if w.fault == startTwice && why == task.RefusedDuplicate {
+			w.checkStart(s.Start)
+		}
+		r := task.Record{Attempt: s.Start.Attempt, Epoch: s.Start.Epoch, Agent: a.name, State: task.Running}
+		if w.fault == earlyResult {
+			r.State, r.Result = task.Ended, task.Result{Status: 200}
+		}
+		w.send(a.name, o.name, "reply", func() {
+			if why != task.Accepted {
+				refused(why)
+				return
+			}
+			w.runOwner(o, o.Outcome(w.now, r))
+		})
+	})
+	if w.fault == earlyRefusal {
+		w.send("net", o.name, "early refusal", func() { refused(task.RefusedSlots) })
+	}
+}
+
+func (w *world) sendBar(o *owner, r task.Record) {
+	live := slices.DeleteFunc(slices.Clone(w.agents), func(a *agent) bool { return a.dead })
+	barred := func(why task.Refusal) { w.runOwner(o, o.Barred(w.now, r.Attempt.Task.Job, why)) }
+	if len(live) == 0 || w.fault == noBars {
+		why := task.RefusedUnreachable
+		if w.fault == noBars {
+			why = task.Accepted
+		}
+		w.send("net", o.name, "barred", func() { barred(why) })
+		return
+	}
+	a := live[w.pick(len(live))]
+	w.send(o.name, a.name, "bar", func() {
+		why := a.BarJob(w.now, r)
+		w.send(a.name, o.name, "barred", func() { barred(why) })
+	})
+}
+
+func (w *world) runAgent(a *agent, actions []executor.Action) {
+	for _, action := range actions {
+		switch x := action.(type) {
+		case executor.Run:
+			w.checkStart(x.Start)
+			a.running = append(a.running, x.Start)
+		case executor.SendOutcome:
+			a.running = slices.DeleteFunc(a.running, func(s task.Start) bool { return s.Attempt == x.Record.Attempt })
+			w.outcome(a, x)
+		case executor.Stop, executor.SendRelease, executor.SendHeartbeat:
+		}
+	}
+}
+
+func (w *world) outcome(a *agent, x executor.SendOutcome) {
+	r := x.Record
+	if w.fault == swappedResults && r.Result.Succeeded() {
+		r.Attempt.Task.Index = (r.Attempt.Task.Index + 1) % r.TaskCount
+	}
+	w.send(a.name, x.Owner, "outcome", func() {
+		o := w.owners[slices.IndexFunc(w.owners, func(o *owner) bool { return o.name == x.Owner })]
+		w.runOwner(o, o.Outcome(w.now, r))
+	})
+}
+
+// end ends a running task with the status, or loses it if the status is 0.
+func (w *world) end(a *agent, s task.Start, status int) {
+	if status == 0 {
+		w.runAgent(a, a.Lost(w.now, s.Attempt))
+		return
+	}
+	w.runAgent(a, a.Ended(w.now, s.Attempt, task.Result{Status: status, Body: append([]byte("r:"), s.Body...)}))
+}
+
+// reconnect loses what is under way between an owner and an agent, and reconciles the outstanding starts.
+func (w *world) reconnect(o *owner, a *agent) {
+	if w.fault != noReconcile {
+		w.sessions[link(o.name, a.name)]++
+	}
+	if o.unheard[a.name] {
+		w.sendFence(o, a.name)
+	}
+	ids := o.InFlight(a.name)
+	w.send(o.name, a.name, "reconcile", func() {
+		var found []task.Record
+		unseen := ids
+		if w.fault != noReconcile {
+			found, unseen = a.Reconcile(w.now, ids)
+		}
+		w.send(a.name, o.name, "reconciled", func() { w.runOwner(o, o.Reconciled(w.now, a.name, found, unseen)) })
+	})
+}
+
+// kill ends an agent with its tasks and records.
+func (w *world) kill(a *agent) {
+	a.dead, a.running = true, nil
+	for _, o := range w.owners {
+		w.send("net", o.name, "agent lost", func() { w.runOwner(o, o.AgentLost(w.now, a.name)) })
+	}
+}
+
+func (w *world) advance(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(tick)
+		for _, a := range w.agents {
+			if !a.dead && !a.left {
+				w.announce(a)
+				w.runAgent(a, a.Tick(w.now))
+			}
+		}
+		for _, o := range w.owners {
+			if !o.paused && !o.dead {
+				w.runOwner(o, o.Tick(w.now))
+			}
+		}
+	}
+}
+
+func (w *world) checkStart(s task.Start) {
+	id := startID{s.Attempt, s.Epoch}
+	w.check(!w.started[id], "attempt %v started twice", s.Attempt)
+	w.started[id] = true
+	w.starts[s.Attempt.Task]++
+	limit := 1
+	if w.jobs[s.Attempt.Task.Job].idempotent {
+		limit = attempts
+	}
+	w.check(w.starts[s.Attempt.Task] <= limit, "task %v started %d times", s.Attempt, w.starts[s.Attempt.Task])
+	w.check(!w.notRun[s.Attempt.Task.Job], "%v started after it was reported as not run", s.Attempt)
+	w.logf("start %v", s.Attempt)
+}
+
+func (w *world) reply(r job.Reply) {
+	wt := w.waiters[slices.IndexFunc(w.waiters, func(x *waiter) bool { return x.name == r.Waiter })]
+	wt.answers++
+	w.logf("%s: %s %s", r.Waiter, r.Answer.State, r.Answer.Reason)
+	w.check(wt.answers == 1, "waiter %s was answered %d times", wt.name, wt.answers)
+	switch r.Answer.State {
+	case job.Complete:
+		w.check(len(r.Answer.Results) == len(wt.bodies), "%d results for %d tasks", len(r.Answer.Results), len(wt.bodies))
+		for i, result := range r.Answer.Results {
+			w.check(string(result.Body) == "r:"+string(wt.bodies[i]), "task %d got result %q", i, result.Body)
+		}
+		return
+	case job.NotRun:
+		w.notRun[r.Answer.ID] = true
+		for id := range w.starts {
+			w.check(id.Job != r.Answer.ID, "%v was reported as not run after a start", r.Answer.ID)
+		}
+	case job.Failed, job.OutcomeUnknown:
+	case job.Pending:
+		w.check(false, "a waiter got a pending answer")
+	}
+	w.check(len(r.Answer.Results) == 0, "a partial answer has results")
+}
+
+// settle lets everything end, and checks that each waiter of a live owner was answered.
+func (w *world) settle() {
+	for _, o := range w.owners {
+		o.paused = false
+	}
+	for range 2 * int(deadline/(10*tick)) {
+		w.deliverAll()
+		w.advance(10 * tick)
+	}
+	w.deliverAll()
+	for _, wt := range w.waiters {
+		w.check(wt.owner.dead || wt.answers == 1, "waiter %s was answered %d times", wt.name, wt.answers)
+	}
+}
