--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,7 +9,6 @@
 	"context"
 	"crypto/rand"
 	"maps"
-	"math"
 	"net"
 	"slices"
 	"sync"
@@ -262,10 +261,3 @@
 		cancel()
 	}
 }
-
-// Epochs returns the number of entries that the agent is connected to and the number of running tasks.
-func (a *Agent) status() (entries, tasks int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.peers), min(len(a.cancels), math.MaxInt32)
-}
--- a/agent/entry.go
+++ b/agent/entry.go
@@ -90,3 +90,11 @@
 		a.connector.Learn(address)
 	}
 }
+
+// Confirm implements inner.FenceHandler.
+func (a *Agent) Confirm(p *inner.Peer, f shard.Fence) task.Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.executor.OwnerHeard(time.Now(), p.Name)
+	return a.executor.Confirm(f)
+}
--- a/core/executor/epoch.go
+++ b/core/executor/epoch.go
@@ -1,6 +1,9 @@
 package executor
 
-import "dogwoodglade/core/shard"
+import (
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/task"
+)
 
 // Epochs returns the current epochs of the fenced shards: the fence's own, or a higher one that refused it.
 func (e *Executor) Epochs(fences []shard.Fence) []shard.Fence {
@@ -12,3 +15,14 @@
 	}
 	return epochs
 }
+
+// Confirm reports whether an owner's epoch is still accepted. It has no effect.
+func (e *Executor) Confirm(f shard.Fence) task.Refusal {
+	switch {
+	case !e.registered:
+		return task.RefusedUnregistered
+	case f.Shard < 0 || f.Shard >= shard.Count || f.Epoch.Less(e.fences[f.Shard]):
+		return task.RefusedEpoch
+	}
+	return task.Accepted
+}
--- /dev/null
+++ b/dev/site.go
@@ -0,0 +1,308 @@
+// Package dev runs a whole small site in one process: the stand-in of the platform, entries, agents and
+// sample backend servers, which talk over loopback sockets as separate processes do.
+//
+// The dev command and end-to-end tests use it. Each part can be stopped or killed on its own.
+package dev
+
+import (
+	"context"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/agent"
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/pool"
+	"dogwoodglade/core/route"
+	"dogwoodglade/core/table"
+	"dogwoodglade/entry"
+	"dogwoodglade/io/backend"
+	"dogwoodglade/io/platform"
+)
+
+// Names of the sample rows.
+const (
+	SampleRoute = "sample"
+	SamplePool  = "samples"
+)
+
+const (
+	eventCapacity = 20_000
+	drainTimeout  = 30 * time.Second
+	readyTimeout  = 10 * time.Second
+	readyPoll     = 10 * time.Millisecond
+	place         = "dev"
+)
+
+// Settings are the sizes of a site.
+type Settings struct {
+	Entries       int
+	Agents        int
+	Slots         int // of each backend server
+	Seed          uint64
+	CallerAddress string // of the first entry; a random port if empty
+	Network       Network
+	Log           func(event.Event)
+}
+
+// Defaults returns a copy whose unset settings have their defaults.
+func (s Settings) Defaults() Settings {
+	setCount := func(n *int, value int) {
+		if *n == 0 {
+			*n = value
+		}
+	}
+	setCount(&s.Entries, 2)
+	setCount(&s.Agents, 3)
+	setCount(&s.Slots, 8)
+	if s.Network == nil {
+		s.Network = loopback{}
+	}
+	if s.Log == nil {
+		s.Log = func(event.Event) {}
+	}
+	return s
+}
+
+// Network opens the connections of a site. Tests on a paused clock bring one in memory.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+type loopback struct{}
+
+func (loopback) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+func (loopback) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, network, address)
+}
+
+// Site is a running site.
+type Site struct {
+	Platform        *platform.Memory
+	PlatformAddress string
+	Entries         []*Part[*entry.Entry]
+	Agents          []*Part[*agent.Agent]
+	Servers         []*Part[*backend.Server]
+
+	settings Settings
+	service  platform.Service
+}
+
+// Part is a process of the site.
+type Part[T any] struct {
+	Name     string
+	Process  T
+	Recorder *event.Recorder
+	Metrics  metrics.Registry
+
+	stop func()
+	once sync.Once
+}
+
+// Stop stops the part as a planned stop does.
+func (p *Part[T]) Stop() { p.once.Do(p.stop) }
+
+// NotReadyError reports a site that did not become ready in time.
+type NotReadyError struct{ Waited time.Duration }
+
+// Error implements error.
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("start site: not ready after %v", e.Waited)
+}
+
+// New starts a site and waits until it is ready. The clean-up stops all parts gracefully.
+func New(settings Settings) (*Site, func(), error) {
+	s := &Site{settings: settings.Defaults()}
+	stopPlatform, err := s.startPlatform()
+	if err != nil {
+		return nil, nil, err
+	}
+	cleanUp := func() {
+		s.stopAll()
+		stopPlatform()
+	}
+	if err := s.startAll(); err != nil {
+		cleanUp()
+		return nil, nil, err
+	}
+	return s, cleanUp, nil
+}
+
+func (s *Site) startAll() error {
+	for range s.settings.Entries {
+		if _, err := s.StartEntry(); err != nil {
+			return err
+		}
+	}
+	if err := s.applySamples(); err != nil {
+		return err
+	}
+	for range s.settings.Agents {
+		a, err := s.StartAgent()
+		if err != nil {
+			return err
+		}
+		if _, err := s.StartServer(a.Process.Address()); err != nil {
+			return err
+		}
+	}
+	return s.waitReady()
+}
+
+func (s *Site) stopAll() {
+	for _, e := range s.Entries {
+		e.Stop()
+	}
+	for _, b := range s.Servers {
+		b.Stop()
+	}
+	for _, a := range s.Agents {
+		a.Stop()
+	}
+}
+
+func (s *Site) startPlatform() (func(), error) {
+	listener, err := s.settings.Network.Listen("127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "start platform stand-in")
+	}
+	random := mathrand.New(mathrand.NewPCG(s.settings.Seed, 0))
+	s.Platform = platform.NewMemory(platform.DefaultLimits, random)
+	s.PlatformAddress = listener.Addr().String()
+	server := &http.Server{Handler: platform.Handler(s.Platform), ReadHeaderTimeout: time.Second}
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(listener) })
+	transport := &http.Transport{DialContext: s.settings.Network.Dial}
+	s.service = platform.NewClient(s.PlatformAddress, &http.Client{Transport: transport})
+	return func() {
+		transport.CloseIdleConnections()
+		_ = server.Close()
+		running.Wait()
+	}, nil
+}
+
+func (s *Site) recorder(name string) *event.Recorder {
+	return event.NewRecorder(name, eventCapacity, time.Now, s.settings.Log)
+}
+
+// StartEntry starts one more entry.
+func (s *Site) StartEntry() (*Part[*entry.Entry], error) {
+	name := fmt.Sprintf("entry-%d", len(s.Entries)+1)
+	p := &Part[*entry.Entry]{Name: name, Recorder: s.recorder(name), Metrics: metrics.NewRegistry()}
+	callerAddress := "127.0.0.1:0"
+	if len(s.Entries) == 0 && s.settings.CallerAddress != "" {
+		callerAddress = s.settings.CallerAddress
+	}
+	process, stop, err := entry.New(entry.Options{
+		Name: name, Region: place, DataCentre: place, Rack: place,
+		InnerAddress: "127.0.0.1:0", CallerAddress: callerAddress,
+		Peers: s.entryAddresses(), DrainTimeout: drainTimeout,
+		Platform: s.service, Recorder: p.Recorder, Metrics: p.Metrics,
+		Dial: s.settings.Network.Dial, Listen: s.settings.Network.Listen,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.Process, p.stop = process, stop
+	s.Entries = append(s.Entries, p)
+	return p, nil
+}
+
+// StartAgent starts one more agent.
+func (s *Site) StartAgent() (*Part[*agent.Agent], error) {
+	name := fmt.Sprintf("agent-%d", len(s.Agents)+1)
+	p := &Part[*agent.Agent]{Name: name, Recorder: s.recorder(name), Metrics: metrics.NewRegistry()}
+	process, stop, err := agent.New(agent.Options{
+		Name: name, Region: place, DataCentre: place, Rack: place,
+		Entries: s.entryAddresses(), BackendAddress: "127.0.0.1:0", DrainTimeout: drainTimeout,
+		Platform: s.service, Recorder: p.Recorder, Metrics: p.Metrics,
+		Dial: s.settings.Network.Dial, DialBackend: s.settings.Network.Dial, Listen: s.settings.Network.Listen,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.Process, p.stop = process, stop
+	s.Agents = append(s.Agents, p)
+	return p, nil
+}
+
+// StartServer starts one more sample backend server beside an agent.
+func (s *Site) StartServer(agentAddress string) (*Part[*backend.Server], error) {
+	name := fmt.Sprintf("server-%d", len(s.Servers)+1)
+	server, stop, err := backend.NewServer(backend.ServerSettings{
+		ID: name, Pool: SamplePool, Agent: agentAddress,
+		Slots: s.settings.Slots, Connections: 64, Run: RunSample(name),
+		ListenFunc: s.settings.Network.Listen, Dial: s.settings.Network.Dial,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p := &Part[*backend.Server]{Name: name, Process: server, stop: stop}
+	s.Servers = append(s.Servers, p)
+	return p, nil
+}
+
+func (s *Site) entryAddresses() []string {
+	var addresses []string
+	for _, e := range s.Entries {
+		addresses = append(addresses, e.Process.InnerAddress())
+	}
+	return addresses
+}
+
+// applySamples adds the sample route and pool to the tables.
+func (s *Site) applySamples() error {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	tables := s.Entries[0].Process.Tables()
+	for _, e := range []table.Edit{
+		table.SetPool("dev-pool", pool.New(SamplePool)),
+		table.SetRoute("dev-route", route.New(SampleRoute, SamplePool)),
+	} {
+		if _, err := tables.Edit(ctx, e, 0); err != nil {
+			return errors.Wrap(err, "add sample rows")
+		}
+	}
+	return nil
+}
+
+func (s *Site) waitReady() error {
+	until := time.Now().Add(readyTimeout)
+	for !s.ready() {
+		if time.Now().After(until) {
+			return errors.WithStack(&NotReadyError{Waited: readyTimeout})
+		}
+		time.Sleep(readyPoll)
+	}
+	return nil
+}
+
+func (s *Site) ready() bool {
+	for _, e := range s.Entries {
+		if !e.Process.Ready() || !e.Process.Serving(SamplePool, s.settings.Agents*s.settings.Slots) {
+			return false
+		}
+	}
+	return true
+}
+
+// Events returns the merged time line of all parts.
+func (s *Site) Events() []event.Event {
+	var records [][]event.Event
+	for _, e := range s.Entries {
+		records = append(records, e.Recorder.Events())
+	}
+	for _, a := range s.Agents {
+		records = append(records, a.Recorder.Events())
+	}
+	return event.Merge(records...)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,197 @@
+// Package entry is the process on an entry host.
+//
+// It connects the decisions of core to callers (io/caller), agents and other entries (io/inner) and the
+// platform (io/platform). Each entry is a front for callers, the owner of some key shards and the allocator
+// of some pools. If another entry fails, its shards and pools move to the live ones; if the platform fails,
+// service goes on without edits.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/ownership"
+	"dogwoodglade/core/retry"
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/table"
+	"dogwoodglade/io/caller"
+	"dogwoodglade/io/inner"
+	"dogwoodglade/io/platform"
+	"dogwoodglade/io/tables"
+)
+
+// Intervals of an entry.
+const (
+	decisionInterval = 50 * time.Millisecond // of the ticks of owners and allocators
+	aliveInterval    = 250 * time.Millisecond
+	platformTimeout  = 2 * time.Second
+	drainPoll        = 20 * time.Millisecond
+	agentSilence     = 2 * time.Second // after which an agent's connection counts as lost
+	agentLossTimeout = 2 * time.Second // between the loss of a connection and the loss of the agent's tasks
+)
+
+// Options are what an entry needs to start.
+type Options struct {
+	Name          string
+	Region        string
+	DataCentre    string
+	Rack          string
+	InnerAddress  string
+	CallerAddress string
+	Peers         []string // addresses of the inner protocol of other entries
+	DrainTimeout  time.Duration
+	Platform      platform.Service
+	Recorder      *event.Recorder
+	Metrics       metrics.Registry
+	Dial          inner.DialFunc
+	Listen        func(address string) (net.Listener, error)
+}
+
+// Entry is a running entry.
+type Entry struct {
+	options       Options
+	incarnation   string
+	innerAddress  string
+	callerAddress string
+	tables        *tables.Tables
+	budgets       *retry.Budgets
+	connector     *inner.Connector
+
+	owners     [shard.Count]ownedShard
+	allocators allocators
+	directory  directory
+	ownership  ownershipState
+	waiters    waiters
+
+	draining    atomic.Bool
+	submissions atomic.Int64 // of callers, in progress
+	missed      map[registration]time.Time
+	background  background
+}
+
+// New starts an entry. The clean-up drains it: its shards move to other entries and open jobs finish, at
+// most until the drain timeout.
+func New(options Options) (*Entry, func(), error) {
+	if options.Metrics == nil {
+		options.Metrics = metrics.NewRegistry()
+	}
+	e := &Entry{options: options, incarnation: rand.Text(), budgets: retry.NewBudgets()}
+	innerListener, err := options.Listen(options.InnerAddress)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "start entry %s", options.Name)
+	}
+	callerListener, err := options.Listen(options.CallerAddress)
+	if err != nil {
+		_ = innerListener.Close()
+		return nil, nil, errors.Wrapf(err, "start entry %s", options.Name)
+	}
+	e.innerAddress, e.callerAddress = innerListener.Addr().String(), callerListener.Addr().String()
+	e.background.init()
+	e.directory.init()
+	e.waiters.init()
+	e.allocators.init()
+	e.ownership.init(e)
+
+	stopTables := e.startTables()
+	stopConnections := e.connect(innerListener)
+	stopServer := serve(callerListener, caller.NewServer(e))
+	e.background.every(decisionInterval, e.tickDecisions)
+	e.background.every(aliveInterval, e.tickPeers)
+	e.background.every(ownership.TickInterval, e.tickOwnership)
+	e.background.every(registryInterval, e.cleanRegistry)
+	options.Recorder.Record(event.Event{Number: event.ProcessStarted, Task: -1, State: e.incarnation})
+	cleanUp := func() {
+		cut := e.drain()
+		stopServer()
+		e.background.stop()
+		stopConnections()
+		stopTables()
+		options.Recorder.Record(event.Event{Number: event.ProcessStopped, Task: -1, Count: cut})
+	}
+	return e, cleanUp, nil
+}
+
+// InnerAddress returns the address on which the entry serves agents and other entries.
+func (e *Entry) InnerAddress() string { return e.innerAddress }
+
+// CallerAddress returns the address on which the entry serves callers.
+func (e *Entry) CallerAddress() string { return e.callerAddress }
+
+// Tables returns the entry's copy of the tables.
+func (e *Entry) Tables() *tables.Tables { return e.tables }
+
+// Ready implements caller.Dispatcher.
+func (e *Entry) Ready() bool { return !e.draining.Load() && e.tables.Ready() }
+
+func (e *Entry) startTables() (cleanUp func()) {
+	var cleanUpTables func()
+	e.tables, cleanUpTables = tables.New(tables.Config{
+		Platform: e.options.Platform,
+		Pull: func(ctx context.Context, peer string, since table.Versions) (table.Answer, error) {
+			p := e.directory.entry(peer)
+			if p == nil {
+				return table.Answer{}, errors.WithStack(&inner.UnreachableError{Peer: peer, Method: "PullTables"})
+			}
+			return p.PullTables(ctx, since)
+		},
+		Adopted: func(table.Snapshot) { e.allocators.changed.Store(true) },
+		Record:  e.record,
+		Random:  newRandom(),
+	})
+	return cleanUpTables
+}
+
+// connect starts the inner protocol in both directions.
+func (e *Entry) connect(listener net.Listener) (cleanUp func()) {
+	local := inner.Local{
+		Identity: inner.Identity{
+			Role: inner.RoleEntry, Name: e.options.Name, Incarnation: e.incarnation,
+			Region: e.options.Region, DataCentre: e.options.DataCentre, Rack: e.options.Rack,
+			Address: e.innerAddress,
+		},
+		Clock:   e.options.Recorder,
+		Metrics: e.options.Metrics,
+	}
+	connector, closeConnector := inner.NewConnector(e.options.Dial, local, dialled{inbound{e}})
+	e.connector = connector
+	closeServer := inner.Serve(listener, local, inbound{e})
+	for _, address := range e.options.Peers {
+		connector.Keep(address)
+	}
+	return func() {
+		closeConnector()
+		closeServer()
+	}
+}
+
+func serve(listener net.Listener, server *http.Server) (cleanUp func()) {
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(listener) })
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+		running.Wait()
+	}
+}
+
+func (e *Entry) record(ev event.Event) { e.options.Recorder.Record(ev) }
+
+func newRandom() *mathrand.Rand {
+	var seed [16]byte
+	_, _ = rand.Read(seed[:])
+	return mathrand.New(mathrand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+}
--- /dev/null
+++ b/entry/front.go
@@ -0,0 +1,260 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/route"
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/task"
+	"dogwoodglade/io/inner"
+)
+
+// Times of a front.
+const (
+	rerouteWait  = 20 * time.Millisecond // between two tries to reach the owner of a key
+	ownerWait    = 5 * time.Second       // for a shard to get an owner
+	answerGrace  = 2 * time.Second       // beyond the deadline, for the owner's own answer to arrive
+	requestLimit = 5 * time.Second       // of a look-up, a cancellation or a ticket
+)
+
+// ask is a message of a front for the owner of a key, answered by this entry or by a peer.
+type ask struct {
+	id     task.JobID
+	local  func(ctx context.Context) (inner.OwnerReply, error)
+	remote func(ctx context.Context, p *inner.Peer) (inner.OwnerReply, error)
+}
+
+// Submit implements caller.Dispatcher. If the owner of the key is lost or replaced, the submission is sent
+// to its successor, which treats it as a resubmission.
+func (e *Entry) Submit(ctx context.Context, s job.Submission) job.Answer {
+	e.submissions.Add(1)
+	defer e.submissions.Add(-1)
+	limit := e.deadlineOf(s)
+	until := time.Now().Add(limit)
+	ctx, cancel := context.WithTimeout(ctx, limit+answerGrace)
+	defer cancel()
+	remaining := func() job.Submission {
+		s := s
+		s.Deadline = max(time.Until(until), time.Millisecond)
+		return s
+	}
+	return e.askOwner(ctx, ask{
+		id:    s.ID,
+		local: func(ctx context.Context) (inner.OwnerReply, error) { return e.submitLocal(ctx, remaining()) },
+		remote: func(ctx context.Context, p *inner.Peer) (inner.OwnerReply, error) {
+			return p.Submit(ctx, remaining())
+		},
+	})
+}
+
+func (e *Entry) deadlineOf(s job.Submission) time.Duration {
+	limit := route.LimitDeadline
+	if r, ok := e.tables.Current().Routes[s.Route]; ok {
+		limit = r.Deadline
+	}
+	if s.Deadline > 0 {
+		limit = min(limit, s.Deadline)
+	}
+	return limit
+}
+
+// Lookup implements caller.Dispatcher.
+func (e *Entry) Lookup(ctx context.Context, id task.JobID) job.Answer {
+	ctx, cancel := context.WithTimeout(ctx, requestLimit)
+	defer cancel()
+	return e.askOwner(ctx, ask{
+		id:     id,
+		local:  func(ctx context.Context) (inner.OwnerReply, error) { return e.lookupLocal(ctx, id) },
+		remote: func(ctx context.Context, p *inner.Peer) (inner.OwnerReply, error) { return p.Lookup(ctx, id) },
+	})
+}
+
+// Cancel implements caller.Dispatcher.
+func (e *Entry) Cancel(ctx context.Context, id task.JobID) job.Answer {
+	ctx, cancel := context.WithTimeout(ctx, requestLimit)
+	defer cancel()
+	return e.askOwner(ctx, ask{
+		id:     id,
+		local:  func(ctx context.Context) (inner.OwnerReply, error) { return e.cancelLocal(ctx, id) },
+		remote: func(ctx context.Context, p *inner.Peer) (inner.OwnerReply, error) { return p.CancelJob(ctx, id) },
+	})
+}
+
+// IssueTicket implements caller.Dispatcher.
+func (e *Entry) IssueTicket(ctx context.Context, id task.JobID) job.Answer {
+	ctx, cancel := context.WithTimeout(ctx, requestLimit)
+	defer cancel()
+	return e.askOwner(ctx, ask{
+		id:     id,
+		local:  func(ctx context.Context) (inner.OwnerReply, error) { return e.issueTicketLocal(ctx, id) },
+		remote: func(ctx context.Context, p *inner.Peer) (inner.OwnerReply, error) { return p.IssueTicket(ctx, id) },
+	})
+}
+
+// askOwner sends a message to the owner of its key until it is answered or the context ends.
+func (e *Entry) askOwner(ctx context.Context, a ask) job.Answer {
+	noOwnerUntil := time.Now().Add(ownerWait)
+	last := job.Answer{ID: a.id, State: job.NotRun, Reason: job.ReasonOwnerUnavailable, RetryAfter: time.Second}
+	for {
+		reply, sent, err := e.tryOwner(ctx, a)
+		switch {
+		case err == nil && !reply.NotOwner && !moved(reply.Answer):
+			return reply.Answer
+		case err == nil && !reply.NotOwner:
+			last = reply.Answer
+		case err != nil && sent && last.State == job.NotRun:
+			// The owner may have accepted the submission.
+			last = job.Answer{ID: a.id, State: job.OutcomeUnknown, Reason: job.ReasonOwnerUnavailable}
+		}
+		if !sent && last.State == job.NotRun && time.Now().After(noOwnerUntil) {
+			return e.unsent(last)
+		}
+		select {
+		case <-ctx.Done():
+			return e.unsent(last)
+		case <-time.After(rerouteWait + rand.N(rerouteWait)):
+		}
+	}
+}
+
+// unsent answers a submission that this entry never sent to an owner. Another copy of it may have run, so
+// only the owner can report it as not run.
+func (e *Entry) unsent(a job.Answer) job.Answer {
+	if a.State == job.NotRun {
+		a.State = job.OutcomeUnknown
+	}
+	return a
+}
+
+// moved reports whether the answer only says that the owner gave the shard up.
+func moved(a job.Answer) bool {
+	return a.State == job.OutcomeUnknown &&
+		(a.Reason == job.ReasonOwnerSuperseded || a.Reason == job.ReasonDraining)
+}
+
+// tryOwner sends the message once. Sent reports whether it may have had an effect.
+func (e *Entry) tryOwner(ctx context.Context, a ask) (reply inner.OwnerReply, sent bool, err error) {
+	e.ownership.mu.Lock()
+	owner, _, ok := e.ownership.state.Owner(a.id.Shard())
+	e.ownership.mu.Unlock()
+	if !ok {
+		return inner.OwnerReply{NotOwner: true}, false, nil
+	}
+	if owner == e.options.Name {
+		reply, err = a.local(ctx)
+		return reply, !reply.NotOwner, err
+	}
+	p := e.directory.entry(owner)
+	if p == nil {
+		return inner.OwnerReply{}, false, errors.WithStack(&inner.UnreachableError{Peer: owner, Method: "Submit"})
+	}
+	reply, err = a.remote(ctx, p)
+	return reply, err != nil || !reply.NotOwner, err
+}
+
+// formerOwner returns the entry that still finishes the key after a handover, if there is one.
+func (e *Entry) formerOwner(id task.JobID) string {
+	s := &e.owners[id.Shard()]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.forwarded[id]; ok {
+		return s.forwardTo
+	}
+	return ""
+}
+
+// forward sends a message about a key to the former owner that finishes it.
+func (e *Entry) forward(
+	ctx context.Context, to string, send func(p *inner.Peer) (inner.OwnerReply, error),
+) (inner.OwnerReply, error) {
+	p := e.directory.entry(to)
+	if p == nil {
+		return inner.OwnerReply{NotOwner: true}, nil
+	}
+	reply, err := send(p)
+	if err != nil && ctx.Err() == nil {
+		// The former owner is gone; ownership will recover the key.
+		return inner.OwnerReply{NotOwner: true}, nil
+	}
+	return reply, err
+}
+
+// submitLocal submits to an owner in this entry and waits for the answer.
+func (e *Entry) submitLocal(ctx context.Context, s job.Submission) (inner.OwnerReply, error) {
+	if to := e.formerOwner(s.ID); to != "" {
+		return e.forward(ctx, to, func(p *inner.Peer) (inner.OwnerReply, error) { return p.Submit(ctx, s) })
+	}
+	waiter, answer := e.waiters.add()
+	defer e.waiters.remove(waiter)
+	id := s.ID.Shard()
+	snapshot := e.tables.Current()
+	owned := e.decide(id, func(now time.Time, o *job.Owner) []job.Action {
+		return o.Submit(now, s, waiter, snapshot)
+	})
+	if !owned {
+		return inner.OwnerReply{NotOwner: true}, nil
+	}
+	select {
+	case a := <-answer:
+		if a.Reason == job.ReasonOwnerSuperseded {
+			e.checkEpoch(id)
+		}
+		return inner.OwnerReply{Answer: a}, nil
+	case <-ctx.Done():
+		return inner.OwnerReply{}, errors.Wrap(ctx.Err(), "wait for the answer")
+	}
+}
+
+// checkEpoch asks an agent whether the shard has a newer owner, because a ticket says so.
+func (e *Entry) checkEpoch(id shard.ID) {
+	agents := e.directory.connectedAgents()
+	if len(agents) > 0 {
+		p := agents[rand.IntN(len(agents))]
+		e.background.start(func(ctx context.Context) { e.readEpoch(ctx, p, id) })
+	}
+}
+
+func (e *Entry) lookupLocal(ctx context.Context, id task.JobID) (inner.OwnerReply, error) {
+	if to := e.formerOwner(id); to != "" {
+		return e.forward(ctx, to, func(p *inner.Peer) (inner.OwnerReply, error) { return p.Lookup(ctx, id) })
+	}
+	return e.answerLocal(id, func(now time.Time, o *job.Owner) ([]job.Action, job.Answer) {
+		return nil, o.Lookup(now, id)
+	})
+}
+
+func (e *Entry) cancelLocal(ctx context.Context, id task.JobID) (inner.OwnerReply, error) {
+	if to := e.formerOwner(id); to != "" {
+		return e.forward(ctx, to, func(p *inner.Peer) (inner.OwnerReply, error) { return p.CancelJob(ctx, id) })
+	}
+	return e.answerLocal(id, func(now time.Time, o *job.Owner) ([]job.Action, job.Answer) {
+		actions := o.Cancel(now, id)
+		return actions, o.Lookup(now, id)
+	})
+}
+
+func (e *Entry) issueTicketLocal(_ context.Context, id task.JobID) (inner.OwnerReply, error) {
+	return e.answerLocal(id, func(now time.Time, o *job.Owner) ([]job.Action, job.Answer) {
+		a := o.Lookup(now, id)
+		a.Ticket = o.IssueTicket()
+		return nil, a
+	})
+}
+
+func (e *Entry) answerLocal(
+	id task.JobID, decision func(now time.Time, o *job.Owner) ([]job.Action, job.Answer),
+) (inner.OwnerReply, error) {
+	var reply inner.OwnerReply
+	owned := e.decide(id.Shard(), func(now time.Time, o *job.Owner) []job.Action {
+		var actions []job.Action
+		actions, reply.Answer = decision(now, o)
+		return actions
+	})
+	reply.NotOwner = !owned
+	return reply, nil
+}
--- /dev/null
+++ b/entry/handover.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/ownership"
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/task"
+)
+
+func (e *Entry) performHandover(action ownership.Action) {
+	switch action := action.(type) {
+	case ownership.DrainShard:
+		e.drainShard(action.Shard)
+	case ownership.SendHandover:
+		e.background.start(func(ctx context.Context) { e.sendHandover(ctx, action) })
+	case ownership.HandedOver:
+		s := &e.owners[action.Shard]
+		s.mu.Lock()
+		s.departing, s.startAs = true, action.Epoch
+		s.mu.Unlock()
+	case ownership.ForwardOpen:
+		s := &e.owners[action.Shard]
+		s.mu.Lock()
+		s.forwardTo, s.forwarded = action.To, map[task.JobID]struct{}{}
+		for _, id := range action.Keys {
+			s.forwarded[id] = struct{}{}
+		}
+		s.mu.Unlock()
+	case ownership.ReleaseShard:
+		s := &e.owners[action.Shard]
+		s.mu.Lock()
+		s.owner, s.departing, s.startAs = nil, false, shard.Epoch{}
+		s.mu.Unlock()
+	}
+}
+
+// drainShard makes the owner of a shard refuse new keys, and hands its records over.
+func (e *Entry) drainShard(id shard.ID) {
+	var records []task.Record
+	var open []task.JobID
+	e.decide(id, func(now time.Time, o *job.Owner) []job.Action {
+		records, open = o.Drain(now)
+		e.owners[id].open = open
+		return nil
+	})
+	e.decideOwnership(func(now time.Time) []ownership.Action {
+		return e.ownership.state.HandOver(now, id, records, open)
+	})
+}
+
+func (e *Entry) sendHandover(ctx context.Context, action ownership.SendHandover) {
+	p := e.directory.entry(action.To)
+	if p == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownership.HandoverInterval)
+	defer cancel()
+	reply, err := p.Handover(ctx, action.Handover)
+	if err != nil {
+		return
+	}
+	e.decideOwnership(func(now time.Time) []ownership.Action {
+		return e.ownership.state.HandoverAnswered(now, action.To, reply)
+	})
+}
+
+// reportProgress tells the new owners of departing shards which open keys have ended.
+func (e *Entry) reportProgress(time.Time) {
+	if !e.draining.Load() {
+		return
+	}
+	for i := range e.owners {
+		id := shard.ID(i)
+		var records []task.Record
+		var open []task.JobID
+		ended := false
+		e.decide(id, func(now time.Time, o *job.Owner) []job.Action {
+			s := &e.owners[id]
+			if len(s.open) == 0 {
+				return nil
+			}
+			all, left := o.Drain(now)
+			if len(left) == len(s.open) {
+				return nil
+			}
+			records = slices.DeleteFunc(all, func(r task.Record) bool {
+				return !slices.Contains(s.open, r.Attempt.Task.Job)
+			})
+			s.open, open, ended = left, left, true
+			return nil
+		})
+		if ended {
+			e.decideOwnership(func(now time.Time) []ownership.Action {
+				return e.ownership.state.HandoverProgress(now, id, records, open)
+			})
+		}
+	}
+}
+
+// drain hands all shards over and waits until the open jobs of this entry have ended. It returns the number
+// of submissions that the drain timeout cut off.
+func (e *Entry) drain() (cut int) {
+	e.draining.Store(true)
+	e.record(event.Event{Number: event.ProcessDraining, Task: -1, Count: e.waiters.count()})
+	e.decideOwnership(func(now time.Time) []ownership.Action { return e.ownership.state.Drain(now) })
+	deadline := time.Now().Add(e.options.DrainTimeout)
+	for time.Now().Before(deadline) {
+		if e.drained() {
+			return 0
+		}
+		time.Sleep(drainPoll)
+	}
+	return e.waiters.count() + int(e.submissions.Load())
+}
+
+// drained reports whether the entry may stop. Without another entry to take the shards, it waits only for
+// its open jobs.
+func (e *Entry) drained() bool {
+	if e.submissions.Load() > 0 || e.waiters.count() > 0 {
+		return false
+	}
+	e.ownership.mu.Lock()
+	handedOver := e.ownership.state.Drained()
+	e.ownership.mu.Unlock()
+	return handedOver || !e.otherEntryServes() && !e.openJobs()
+}
+
+func (e *Entry) otherEntryServes() bool {
+	live := e.liveEntries()
+	return len(live) != 1 || live[0] != e.options.Name
+}
+
+func (e *Entry) openJobs() bool {
+	open := false
+	e.eachOwner(func(now time.Time, o *job.Owner) []job.Action {
+		_, keys := o.Drain(now)
+		open = open || len(keys) > 0
+		return nil
+	})
+	return open
+}
--- /dev/null
+++ b/entry/owner.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"dogwoodglade/core/allocator"
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/outbox"
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/task"
+	"dogwoodglade/io/inner"
+)
+
+// ownedShard is a key shard that this entry owns, or hands over while its last keys are open.
+type ownedShard struct {
+	mu        sync.Mutex // guards all but actions
+	owner     *job.Owner // nil if this entry does not serve the shard
+	epoch     shard.Epoch
+	startAs   shard.Epoch  // epoch of starts after a handover; zero before it
+	departing bool         // the ownership is handed over and the open keys finish here
+	open      []task.JobID // keys that were open at the last report of a drain
+	forwardTo string       // former owner that finishes the keys in forwarded
+	forwarded map[task.JobID]struct{}
+
+	actions outbox.Outbox[job.Action]
+}
+
+// decide runs a decision on the shard's owner, if there is one, and performs its actions in order. It
+// reports whether there is an owner.
+func (e *Entry) decide(id shard.ID, decision func(now time.Time, o *job.Owner) []job.Action) bool {
+	s := &e.owners[id]
+	s.mu.Lock()
+	if s.owner == nil {
+		s.mu.Unlock()
+		return false
+	}
+	s.actions.Push(decision(time.Now(), s.owner)...)
+	s.mu.Unlock()
+	s.actions.Perform(func(a job.Action) { e.performJob(id, a) })
+	return true
+}
+
+// eachOwner runs a decision on the owners of all shards that this entry serves.
+func (e *Entry) eachOwner(decision func(now time.Time, o *job.Owner) []job.Action) {
+	for id := range e.owners {
+		e.decide(shard.ID(id), decision)
+	}
+}
+
+func (e *Entry) performJob(id shard.ID, action job.Action) {
+	switch action := action.(type) {
+	case job.AskSlots:
+		e.ask(action.Pool, action.Ask)
+	case job.WithdrawAsk:
+		e.withdraw(action.Pool, action.Ask, action.Count)
+	case job.ReturnGrant:
+		e.returnGrant(action.Allocator, action.Grant)
+	case job.SendStart:
+		e.sendStart(id, action)
+	case job.CancelTask:
+		if p := e.directory.agent(action.Agent); p != nil {
+			p.CancelTask(action.Attempt)
+		}
+	case job.BarJob:
+		e.confirm(action)
+	case job.Reply:
+		e.waiters.deliver(action.Waiter, action.Answer)
+	}
+}
+
+func (e *Entry) sendStart(id shard.ID, action job.SendStart) {
+	s := &e.owners[id]
+	s.mu.Lock()
+	start := action.Start
+	if !s.startAs.IsZero() {
+		start.Epoch = s.startAs
+	}
+	s.mu.Unlock()
+	p := e.directory.agent(action.Agent)
+	if p != nil && p.Start(start) {
+		return
+	}
+	e.decide(id, func(now time.Time, o *job.Owner) []job.Action {
+		return o.StartRefused(now, start.Attempt, task.RefusedUnreachable)
+	})
+}
+
+// StartReply implements inner.AgentEventHandler.
+func (e *Entry) StartReply(p *inner.Peer, a task.AttemptID, why task.Refusal) {
+	id := a.Task.Job.Shard()
+	e.decide(id, func(now time.Time, o *job.Owner) []job.Action {
+		if why == task.Accepted {
+			return o.Outcome(now, task.Record{Attempt: a, State: task.Running, Agent: p.Name})
+		}
+		return o.StartRefused(now, a, why)
+	})
+	if why == task.RefusedEpoch {
+		e.background.start(func(ctx context.Context) { e.readEpoch(ctx, p, id) })
+	}
+}
+
+// Outcome implements inner.AgentEventHandler.
+func (e *Entry) Outcome(_ *inner.Peer, r task.Record) {
+	e.decide(r.Attempt.Task.Job.Shard(), func(now time.Time, o *job.Owner) []job.Action {
+		return o.Outcome(now, r)
+	})
+}
+
+// Grant implements inner.SlotHandler.
+func (e *Entry) Grant(_ *inner.Peer, g allocator.Grant) {
+	id, ok := shardOfAsk(g.Ask)
+	if ok && e.decide(id, func(now time.Time, o *job.Owner) []job.Action { return o.Granted(now, g) }) {
+		return
+	}
+	e.returnGrant(g.Allocator, g.ID)
+}
+
+// Refuse implements inner.SlotHandler.
+func (e *Entry) Refuse(_ *inner.Peer, r allocator.Refuse) {
+	if id, ok := shardOfAsk(r.Ask); ok {
+		e.decide(id, func(now time.Time, o *job.Owner) []job.Action { return o.AskRefused(now, r) })
+	}
+}
+
+// shardOfAsk returns the shard of the owner that made the ask. The ID of an ask begins with it.
+func shardOfAsk(ask string) (shard.ID, bool) {
+	text, _, _ := strings.Cut(ask, ".")
+	id, err := strconv.Atoi(text)
+	return shard.ID(id), err == nil && id >= 0 && id < shard.Count
+}
+
+// tickDecisions advances the owners and allocators of this entry.
+func (e *Entry) tickDecisions(now time.Time) {
+	e.allocators.update(e)
+	e.allocators.each(e, func(now time.Time, a *allocator.Allocator) []allocator.Action { return a.Tick(now) })
+	e.eachOwner(func(now time.Time, o *job.Owner) []job.Action { return o.Tick(now) })
+	e.reportProgress(now)
+}
--- /dev/null
+++ b/entry/ownership.go
@@ -0,0 +1,298 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/outbox"
+	"dogwoodglade/core/ownership"
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/task"
+	"dogwoodglade/io/inner"
+	"dogwoodglade/io/platform"
+)
+
+// fencesPerCall bounds the records in one answer of an agent.
+const fencesPerCall = 16
+
+// ownershipState is the entry's view of the owners of all shards.
+type ownershipState struct {
+	mu         sync.Mutex // guards all but actions
+	state      *ownership.Ownership
+	incomplete map[shard.ID]struct{} // owned shards whose recovery is incomplete
+	confirm    confirmations
+
+	actions outbox.Outbox[ownership.Action]
+}
+
+func (o *ownershipState) init(e *Entry) {
+	o.state = ownership.New(e.options.Name, e.incarnation, nil, newRandom(), e.record)
+	o.incomplete = map[shard.ID]struct{}{}
+	o.confirm = confirmations{
+		waiting: map[shard.Fence][]task.JobID{},
+		asking:  map[shard.Fence]bool{},
+	}
+}
+
+// decideOwnership runs a decision on the ownership and performs its actions in order.
+func (e *Entry) decideOwnership(decision func(now time.Time) []ownership.Action) {
+	o := &e.ownership
+	o.mu.Lock()
+	o.actions.Push(decision(time.Now())...)
+	o.mu.Unlock()
+	o.actions.Perform(e.performOwnership)
+}
+
+func (e *Entry) tickOwnership(time.Time) {
+	e.decideOwnership(func(now time.Time) []ownership.Action { return e.ownership.state.Tick(now) })
+	e.useFencedAgents()
+}
+
+// useFencedAgents tells owners with incomplete recovery which agents they may use.
+func (e *Entry) useFencedAgents() {
+	agents := e.directory.connectedAgents()
+	usable := map[shard.ID][]string{}
+	e.ownership.mu.Lock()
+	for id := range e.ownership.incomplete {
+		for _, p := range agents {
+			if e.ownership.state.MayUse(id, p.Name, p.Incarnation) {
+				usable[id] = append(usable[id], p.Name)
+			}
+		}
+	}
+	e.ownership.mu.Unlock()
+	for id, names := range usable {
+		e.decide(id, func(now time.Time, o *job.Owner) []job.Action {
+			var actions []job.Action
+			for _, name := range names {
+				actions = append(actions, o.Recovered(now, name, nil)...)
+			}
+			return actions
+		})
+	}
+}
+
+func (e *Entry) performOwnership(action ownership.Action) {
+	switch action := action.(type) {
+	case ownership.Activate:
+		e.activate(action)
+	case ownership.Recover:
+		e.decide(action.Shard, func(now time.Time, o *job.Owner) []job.Action {
+			return o.Recovered(now, "", action.Records)
+		})
+	case ownership.CompleteRecovery:
+		e.setIncomplete(action.Shard, false)
+		e.decide(action.Shard, func(now time.Time, o *job.Owner) []job.Action { return o.RecoveryComplete(now) })
+	case ownership.StepDown:
+		e.stepDown(action)
+	case ownership.DrainShard, ownership.SendHandover, ownership.HandedOver, ownership.ForwardOpen,
+		ownership.ReleaseShard:
+		e.performHandover(action)
+	default:
+		e.background.start(func(ctx context.Context) { e.performRequest(ctx, action) })
+	}
+}
+
+// performRequest performs the actions that wait for an agent or for the platform.
+func (e *Entry) performRequest(ctx context.Context, action ownership.Action) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	switch action := action.(type) {
+	case ownership.AskVotes:
+		e.askVotes(ctx, action)
+	case ownership.ReadShards:
+		e.readShards(ctx)
+	case ownership.WriteShards:
+		e.writeShards(ctx, action)
+	case ownership.ReadRegistry:
+		e.readRegistry(ctx, action)
+	case ownership.ReadRecords:
+		e.readRecords(ctx, action)
+	case ownership.SendFence:
+		e.sendFence(ctx, action)
+	}
+}
+
+func (e *Entry) activate(a ownership.Activate) {
+	e.setIncomplete(a.Shard, !a.Complete)
+	s := &e.owners[a.Shard]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.owner = job.New(e.options.Name, a.Shard, a.Epoch, a.Complete, newRandom(), e.record)
+	s.owner.ShareBudgets(e.budgets)
+	s.epoch, s.startAs, s.departing = a.Epoch, shard.Epoch{}, false
+	s.forwardTo, s.forwarded = "", nil
+}
+
+func (e *Entry) stepDown(a ownership.StepDown) {
+	e.setIncomplete(a.Shard, false)
+	e.decide(a.Shard, func(now time.Time, o *job.Owner) []job.Action {
+		s := &e.owners[a.Shard]
+		if s.epoch != a.Epoch {
+			return nil
+		}
+		s.owner, s.forwardTo, s.forwarded = nil, "", nil
+		return o.Superseded(now, a.Epoch.Next(a.Epoch.Incarnation))
+	})
+}
+
+func (e *Entry) setIncomplete(id shard.ID, incomplete bool) {
+	e.ownership.mu.Lock()
+	defer e.ownership.mu.Unlock()
+	delete(e.ownership.incomplete, id)
+	if incomplete {
+		e.ownership.incomplete[id] = struct{}{}
+	}
+}
+
+func (e *Entry) askVotes(ctx context.Context, action ownership.AskVotes) {
+	ctx, cancel := context.WithTimeout(ctx, ownership.VoteTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var votes []ownership.Vote
+	var asking sync.WaitGroup
+	for _, p := range e.directory.connectedAgents() {
+		asking.Go(func() {
+			silence, err := p.Vote(ctx, action.Owners)
+			if err != nil || len(silence) != len(action.Owners) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for i, owner := range action.Owners {
+				votes = append(votes, ownership.Vote{Agent: p.Name, Owner: owner, Silence: silence[i]})
+			}
+		})
+	}
+	asking.Wait()
+	e.decideOwnership(func(now time.Time) []ownership.Action {
+		return e.ownership.state.Votes(now, action.ID, votes)
+	})
+}
+
+// fetchShards returns the Shards row. An absent row is the zero row.
+func (e *Entry) fetchShards(ctx context.Context) (ownership.ShardsRow, error) {
+	var row ownership.ShardsRow
+	rows, err := e.options.Platform.Get(ctx, platform.ShardsKey)
+	if err != nil {
+		return row, errors.Wrap(err, "read the epochs of the shards")
+	}
+	if len(rows) == 0 || len(rows[0].Value) == 0 {
+		return row, nil
+	}
+	if err := json.Unmarshal(rows[0].Value, &row); err != nil {
+		return row, errors.Wrap(err, "decode the epochs of the shards")
+	}
+	row.Version = rows[0].Version
+	return row, nil
+}
+
+func (e *Entry) readShards(ctx context.Context) {
+	row, err := e.fetchShards(ctx)
+	e.decideOwnership(func(now time.Time) []ownership.Action {
+		if err != nil {
+			return e.ownership.state.ShardsFailed(now)
+		}
+		return e.ownership.state.ShardsRead(now, row)
+	})
+}
+
+func (e *Entry) writeShards(ctx context.Context, action ownership.WriteShards) {
+	row := action.Row
+	data, err := json.Marshal(row)
+	if err == nil {
+		row.Version, err = e.options.Platform.Commit(ctx, platform.Transaction{
+			Checks: []platform.Check{{Key: platform.ShardsKey, Version: action.Row.Version}},
+			Writes: []platform.Write{{Key: platform.ShardsKey, Value: data}},
+		})
+	}
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		e.readShards(ctx)
+		return
+	}
+	e.decideOwnership(func(now time.Time) []ownership.Action {
+		if err != nil {
+			return e.ownership.state.ShardsFailed(now)
+		}
+		return e.ownership.state.ShardsWritten(now, row)
+	})
+}
+
+func (e *Entry) readRegistry(ctx context.Context, action ownership.ReadRegistry) {
+	rows, err := e.fetchRegistry(ctx)
+	e.decideOwnership(func(now time.Time) []ownership.Action {
+		if err != nil {
+			return e.ownership.state.RegistryFailed(now, action.ID)
+		}
+		return e.ownership.state.RegistryRead(now, action.ID, rows)
+	})
+}
+
+func (e *Entry) fetchRegistry(ctx context.Context) ([]ownership.AgentRow, error) {
+	rows, err := e.options.Platform.List(ctx, platform.AgentPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the registry of agents")
+	}
+	agents := make([]ownership.AgentRow, 0, len(rows))
+	for _, row := range rows {
+		var a ownership.AgentRow
+		if err := json.Unmarshal(row.Value, &a); err != nil {
+			return nil, errors.Wrapf(err, "decode row %s", row.Key)
+		}
+		agents = append(agents, a)
+	}
+	return agents, nil
+}
+
+func (e *Entry) readRecords(ctx context.Context, action ownership.ReadRecords) {
+	var records []task.Record
+	data, err := e.options.Platform.GetObject(ctx, action.Object)
+	if err == nil {
+		err = json.Unmarshal(data, &records)
+	}
+	e.decideOwnership(func(now time.Time) []ownership.Action {
+		if err != nil {
+			return e.ownership.state.RecordsFailed(now, action.Agent, action.Incarnation)
+		}
+		return e.ownership.state.RecordsRead(now, action.Agent, action.Incarnation, records)
+	})
+}
+
+// sendFence fences an agent in several calls, and reports them as one answer.
+func (e *Entry) sendFence(ctx context.Context, action ownership.SendFence) {
+	p := e.directory.agent(action.Agent)
+	if p == nil || p.Incarnation != action.Incarnation {
+		return
+	}
+	answer := ownership.FenceAnswer{Agent: action.Agent, Incarnation: action.Incarnation}
+	for rest := action.Fences; len(rest) > 0; {
+		n := min(len(rest), fencesPerCall)
+		reply, err := p.Fence(ctx, rest[:n])
+		if err != nil {
+			return
+		}
+		answer.Epochs = append(answer.Epochs, reply.Epochs...)
+		answer.Records = append(answer.Records, reply.Records...)
+		rest = rest[n:]
+	}
+	e.decideOwnership(func(now time.Time) []ownership.Action {
+		return e.ownership.state.Fenced(now, answer)
+	})
+}
+
+// Handover implements inner.PeerHandler.
+func (e *Entry) Handover(_ context.Context, _ *inner.Peer, h ownership.Handover) (ownership.HandoverReply, error) {
+	var reply ownership.HandoverReply
+	e.decideOwnership(func(now time.Time) []ownership.Action {
+		var actions []ownership.Action
+		reply, actions = e.ownership.state.ReceiveHandover(now, h)
+		return actions
+	})
+	return reply, nil
+}
--- /dev/null
+++ b/entry/peer.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"dogwoodglade/core/allocator"
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/ownership"
+	"dogwoodglade/core/table"
+	"dogwoodglade/core/task"
+	"dogwoodglade/io/inner"
+)
+
+// dialled handles the connections that this entry opened to other entries. It sends on them; the other
+// entry sends on the connection that it opened itself.
+type dialled struct{ inbound }
+
+// Connected implements inner.Handler.
+func (d dialled) Connected(p *inner.Peer) {
+	if p.Role != inner.RoleEntry || p.Incarnation == d.incarnation {
+		return
+	}
+	d.directory.addEntry(p)
+	d.record(event.Event{Number: event.EntryConnected, Task: -1, Peer: p.Name})
+	d.ping(p, time.Now())
+}
+
+// Disconnected implements inner.Handler.
+func (d dialled) Disconnected(p *inner.Peer) {
+	d.directory.removeEntry(p)
+	d.tables.PeerLost(p.Name)
+	d.allocators.lose(p.Name)
+}
+
+// Connected implements inner.Handler for connections that others opened.
+func (e *Entry) Connected(p *inner.Peer) {
+	if p.Role == inner.RoleEntry {
+		e.connector.Learn(p.Address)
+		return
+	}
+	now := time.Now()
+	replaced, old := e.directory.addAgent(p, now)
+	if old != nil {
+		go old.Close()
+	}
+	if replaced {
+		e.agentLost(now, p.Name)
+	}
+	e.record(event.Event{Number: event.AgentConnected, Task: -1, Peer: p.Name})
+	p.Entries(e.entryAddresses())
+	e.background.start(func(ctx context.Context) { e.reconcile(ctx, p) })
+	e.decideOwnership(func(now time.Time) []ownership.Action {
+		return e.ownership.state.AgentConnected(now, p.Name, p.Incarnation)
+	})
+}
+
+// Disconnected implements inner.Handler for connections that others opened.
+func (e *Entry) Disconnected(p *inner.Peer) {
+	if p.Role == inner.RoleEntry {
+		e.allocators.each(e, func(now time.Time, a *allocator.Allocator) []allocator.Action {
+			return a.OwnerLost(now, p.Name)
+		})
+		return
+	}
+	if !e.directory.removeAgent(p, time.Now()) {
+		return
+	}
+	e.allocators.each(e, func(now time.Time, a *allocator.Allocator) []allocator.Action {
+		return a.AgentLost(now, p.Name)
+	})
+	e.decideOwnership(func(now time.Time) []ownership.Action {
+		return e.ownership.state.AgentLost(now, p.Name)
+	})
+}
+
+// reconcile asks an agent for the fate of the attempts that were sent to it before its connection.
+func (e *Entry) reconcile(ctx context.Context, p *inner.Peer) {
+	var ids []task.AttemptID
+	e.eachOwner(func(_ time.Time, o *job.Owner) []job.Action {
+		ids = append(ids, o.InFlight(p.Name)...)
+		return nil
+	})
+	if len(ids) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, agentSilence)
+	defer cancel()
+	reply, err := p.Reconcile(ctx, ids)
+	if err != nil {
+		p.Close()
+		return
+	}
+	e.eachOwner(func(now time.Time, o *job.Owner) []job.Action {
+		return o.Reconciled(now, p.Name, reply.Found, reply.Unseen)
+	})
+}
+
+func (e *Entry) agentLost(now time.Time, name string) {
+	e.record(event.Event{Number: event.AgentLost, Task: -1, Peer: name})
+	e.eachOwner(func(_ time.Time, o *job.Owner) []job.Action { return o.AgentLost(now, name) })
+}
+
+func (e *Entry) entryAddresses() []string {
+	addresses := []string{e.innerAddress}
+	for _, p := range e.directory.connectedEntries() {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses
+}
+
+// tickPeers tells peers that this entry is alive, and drops agents that are silent.
+func (e *Entry) tickPeers(now time.Time) {
+	for _, p := range e.directory.connectedEntries() {
+		e.ping(p, now)
+	}
+	for _, p := range e.directory.connectedAgents() {
+		p.Alive()
+	}
+	silent, lost := e.directory.expire(now)
+	for _, p := range silent {
+		go p.Close()
+	}
+	for _, name := range lost {
+		e.agentLost(now, name)
+	}
+}
+
+func (e *Entry) ping(p *inner.Peer, now time.Time) {
+	e.ownership.mu.Lock()
+	ping := e.ownership.state.Ping(now)
+	e.ownership.mu.Unlock()
+	p.Ping(ping, e.tables.Notification())
+}
+
+// Ping implements inner.PeerHandler.
+func (e *Entry) Ping(p *inner.Peer, ping ownership.Ping, notification table.Notification) {
+	e.tables.Notified(p.Name, notification)
+	e.decideOwnership(func(now time.Time) []ownership.Action {
+		return e.ownership.state.PeerPing(now, ping)
+	})
+}
+
+// PullTables implements inner.PeerHandler.
+func (e *Entry) PullTables(_ *inner.Peer, since table.Versions) table.Answer {
+	return e.tables.PullTables(since)
+}
+
+// Heartbeat implements inner.AgentEventHandler.
+func (e *Entry) Heartbeat(p *inner.Peer, servers []allocator.BackendServer) {
+	e.directory.heard(p, servers, time.Now())
+	for _, s := range servers {
+		if a := e.allocators.of(e, s.Pool); a != nil {
+			a.decide(e, func(now time.Time, a *allocator.Allocator) []allocator.Action {
+				return a.Announce(now, s)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,26 @@
+package entry
+
+import "dogwoodglade/core/shard"
+
+// Serving reports whether every shard has a live owner, those of this entry are recovered, and the pool has
+// at least the given number of slots.
+func (e *Entry) Serving(pool string, slots int) bool {
+	e.ownership.mu.Lock()
+	owned := len(e.ownership.incomplete) == 0
+	for id := range shard.ID(shard.Count) {
+		if _, _, ok := e.ownership.state.Owner(id); !ok {
+			owned = false
+		}
+	}
+	e.ownership.mu.Unlock()
+	if !owned {
+		return false
+	}
+	if _, ok := e.tables.Current().Pools[pool]; !ok {
+		return false
+	}
+	a := e.allocators.of(e, pool)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Stats().Slots >= slots
+}
--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -69,7 +69,9 @@
 }
 
 // Error implements error.
-func (e *FieldError) Error() string { return fmt.Sprintf("read announcement: %s must be %s", e.Field, e.Want) }
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("read announcement: %s must be %s", e.Field, e.Want)
+}
 
 // Handler returns the agent's interface for backend servers.
 func Handler(agent Agent) http.Handler {
--- a/io/backend/server.go
+++ b/io/backend/server.go
@@ -39,6 +39,10 @@
 	Slots       int    // tasks that run at once
 	Connections int
 	Run         func(ctx context.Context, t Task) (body []byte, err error)
+
+	// ListenFunc and Dial replace the network if they are set.
+	ListenFunc func(address string) (net.Listener, error)
+	Dial       func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Task is a task as a backend server sees it.
@@ -69,14 +73,18 @@
 	if settings.Listen == "" {
 		settings.Listen = "127.0.0.1:0"
 	}
-	listener, err := net.Listen("tcp", settings.Listen)
+	if settings.ListenFunc == nil {
+		settings.ListenFunc = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	listener, err := settings.ListenFunc(settings.Listen)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "start backend server %s", settings.ID)
 	}
 	ctx, stop := context.WithCancel(context.Background())
+	transport := &http.Transport{DialContext: settings.Dial}
 	s := &Server{
 		settings: settings,
-		client:   &http.Client{Timeout: HeartbeatInterval},
+		client:   &http.Client{Timeout: HeartbeatInterval, Transport: transport},
 		address:  listener.Addr().String(),
 		stop:     stop,
 	}
@@ -106,6 +114,7 @@
 	s.stop()
 	_ = s.http.Close()
 	s.running.Wait()
+	s.client.CloseIdleConnections()
 }
 
 func (s *Server) cleanUp() {
@@ -113,6 +122,7 @@
 	_ = s.post(context.Background(), PathLeave, leave{ID: s.self.ID, Incarnation: s.self.Incarnation})
 	_ = s.http.Shutdown(context.Background())
 	s.running.Wait()
+	s.client.CloseIdleConnections()
 }
 
 // announce repeats the announcement, which is also the heartbeat, until the context ends. A failure is
--- a/io/inner/entry.go
+++ b/io/inner/entry.go
@@ -12,23 +12,38 @@
 	methodPing       = "Ping"
 	methodHandover   = "Handover"
 	methodPullTables = "PullTables"
+	methodConnected  = "ConnectedTo"
 )
 
 // PeerHandler receives the messages between entries.
 type PeerHandler interface {
-	Ping(p *Peer, ping ownership.Ping)
+	Ping(p *Peer, ping ownership.Ping, tables table.Notification)
 	Handover(ctx context.Context, p *Peer, h ownership.Handover) (ownership.HandoverReply, error)
-	PullTables(ctx context.Context, p *Peer, have table.Versions) (table.Snapshot, error)
+	PullTables(p *Peer, since table.Versions) table.Answer
+	// ConnectedTo reports whether this run of the agent is connected to the entry.
+	ConnectedTo(agent, incarnation string) bool
 }
 
-type pingParams struct{ Ping ownership.Ping }
+type pingParams struct {
+	Ping   ownership.Ping
+	Tables table.Notification
+}
 
 type handoverParams struct{ Handover ownership.Handover }
 
-type pullTablesParams struct{ Have table.Versions }
+type connectedParams struct {
+	Agent       string
+	Incarnation string
+}
+
+type connectedResult struct{ Connected bool }
 
-// Ping tells the peer that this entry is alive, and what it owns.
-func (p *Peer) Ping(ping ownership.Ping) bool { return p.notify(methodPing, pingParams{Ping: ping}) }
+type pullTablesParams struct{ Since table.Versions }
+
+// Ping tells the peer that this entry is alive, what it owns and which tables it has.
+func (p *Peer) Ping(ping ownership.Ping, tables table.Notification) bool {
+	return p.notify(methodPing, pingParams{Ping: ping, Tables: tables})
+}
 
 // Handover passes a shard to the peer.
 func (p *Peer) Handover(ctx context.Context, h ownership.Handover) (ownership.HandoverReply, error) {
@@ -37,13 +52,20 @@
 	return reply, err
 }
 
-// PullTables returns the peer's tables if they are newer than the given versions.
-func (p *Peer) PullTables(ctx context.Context, have table.Versions) (table.Snapshot, error) {
-	var reply table.Snapshot
-	err := p.call(ctx, methodPullTables, pullTablesParams{Have: have}, &reply)
+// PullTables returns what the peer has beyond the given versions.
+func (p *Peer) PullTables(ctx context.Context, since table.Versions) (table.Answer, error) {
+	var reply table.Answer
+	err := p.call(ctx, methodPullTables, pullTablesParams{Since: since}, &reply)
 	return reply, err
 }
 
+// ConnectedTo reports whether this run of the agent is connected to the peer.
+func (p *Peer) ConnectedTo(ctx context.Context, agent, incarnation string) (bool, error) {
+	var reply connectedResult
+	err := p.call(ctx, methodConnected, connectedParams{Agent: agent, Incarnation: incarnation}, &reply)
+	return reply.Connected, err
+}
+
 func peerMethods(h PeerHandler) methods {
 	return methods{
 		methodPing: notificationOf(func(p *Peer, message json.RawMessage) error {
@@ -51,7 +73,7 @@
 			if err := decode(message, &params); err != nil {
 				return err
 			}
-			h.Ping(p, params.Ping)
+			h.Ping(p, params.Ping, params.Tables)
 			return nil
 		}),
 		methodHandover: callOf(func(ctx context.Context, p *Peer, message json.RawMessage) (any, error) {
@@ -61,12 +83,19 @@
 			}
 			return h.Handover(ctx, p, params.Handover)
 		}),
-		methodPullTables: callOf(func(ctx context.Context, p *Peer, message json.RawMessage) (any, error) {
+		methodPullTables: callOf(func(_ context.Context, p *Peer, message json.RawMessage) (any, error) {
 			var params pullTablesParams
 			if err := decode(message, &params); err != nil {
 				return nil, err
 			}
-			return h.PullTables(ctx, p, params.Have)
+			return h.PullTables(p, params.Since), nil
+		}),
+		methodConnected: callOf(func(_ context.Context, _ *Peer, message json.RawMessage) (any, error) {
+			var params connectedParams
+			if err := decode(message, &params); err != nil {
+				return nil, err
+			}
+			return connectedResult{Connected: h.ConnectedTo(params.Agent, params.Incarnation)}, nil
 		}),
 	}
 }
--- a/io/inner/fence.go
+++ b/io/inner/fence.go
@@ -14,11 +14,14 @@
 	methodReconcile = "Reconcile"
 	methodVote      = "Vote"
 	methodEntries   = "Entries"
+	methodConfirm   = "Confirm"
 )
 
 // FenceHandler receives the messages by which an entry recovers the state of an agent.
 type FenceHandler interface {
 	Fence(p *Peer, fences []shard.Fence) FenceReply
+	// Confirm returns RefusedEpoch if the epoch of the fence was superseded, without effect.
+	Confirm(p *Peer, f shard.Fence) task.Refusal
 	Reconcile(p *Peer, ids []task.AttemptID) ReconcileReply
 	// Vote returns how long each of the named entries has been silent.
 	Vote(p *Peer, entries []string) []time.Duration
@@ -41,6 +44,10 @@
 
 type fenceParams struct{ Fences []shard.Fence }
 
+type confirmParams struct{ Fence shard.Fence }
+
+type confirmResult struct{ Refusal task.Refusal }
+
 type reconcileParams struct{ Attempts []task.AttemptID }
 
 type voteParams struct{ Entries []string }
@@ -56,6 +63,13 @@
 	return reply, err
 }
 
+// Confirm asks the agent whether the epoch is still current.
+func (p *Peer) Confirm(ctx context.Context, f shard.Fence) (task.Refusal, error) {
+	var reply confirmResult
+	err := p.call(ctx, methodConfirm, confirmParams{Fence: f}, &reply)
+	return reply.Refusal, err
+}
+
 // Reconcile asks the agent for the fate of attempts after the connection was lost.
 func (p *Peer) Reconcile(ctx context.Context, ids []task.AttemptID) (ReconcileReply, error) {
 	var reply ReconcileReply
@@ -84,6 +98,13 @@
 			}
 			return h.Fence(p, params.Fences), nil
 		}),
+		methodConfirm: callOf(func(_ context.Context, p *Peer, message json.RawMessage) (any, error) {
+			var params confirmParams
+			if err := decode(message, &params); err != nil {
+				return nil, err
+			}
+			return confirmResult{Refusal: h.Confirm(p, params.Fence)}, nil
+		}),
 		methodReconcile: callOf(func(_ context.Context, p *Peer, message json.RawMessage) (any, error) {
 			var params reconcileParams
 			if err := decode(message, &params); err != nil {
--- a/io/inner/slot.go
+++ b/io/inner/slot.go
@@ -56,7 +56,9 @@
 func (p *Peer) Grant(g allocator.Grant) bool { return p.notify(methodGrant, grantParams{Grant: g}) }
 
 // Refuse tells the owner that asked that no more slots will be granted.
-func (p *Peer) Refuse(r allocator.Refuse) bool { return p.notify(methodRefuse, refuseParams{Refuse: r}) }
+func (p *Peer) Refuse(r allocator.Refuse) bool {
+	return p.notify(methodRefuse, refuseParams{Refuse: r})
+}
 
 // Release tells the allocator that the slot of a grant is free.
 func (p *Peer) Release(r allocator.Release) bool {
