Fix a deadlock in the handshake of the inner protocol

Cause: the listener sent its first notifications before the reply to Hello; the dialler handles nothing before that reply, so both waited. Found by the site test under the race detector, which hung.

--- a/io/inner/hello.go
+++ b/io/inner/hello.go
@@ -112,14 +112,26 @@
 func (s *server) accept(conn net.Conn) {
 	ready := make(chan struct{})
 	greeted := make(chan struct{})
-	var once sync.Once
+	var once, started sync.Once
 	handlers := gated(ready, methodsOf(s.handler))
-	handlers[methodHello] = method{isCall: true, handle: func(
-		_ context.Context, p *Peer, message json.RawMessage,
-	) (any, error) {
-		err := s.greet(p, message, func() { once.Do(func() { close(greeted) }) }, ready)
-		return hello{Version: Version, Identity: s.local.Identity}, err
-	}}
+	accepted := false
+	handlers[methodHello] = method{
+		isCall: true,
+		handle: func(_ context.Context, p *Peer, message json.RawMessage) (any, error) {
+			var err error
+			once.Do(func() { accepted, err = s.greet(p, message) })
+			return hello{Version: Version, Identity: s.local.Identity}, err
+		},
+		// The dialler handles no message before the reply, so nothing may be sent ahead of it.
+		replied: func(p *Peer) {
+			started.Do(func() {
+				close(greeted)
+				if accepted {
+					connected(p, s.handler, ready)
+				}
+			})
+		},
+	}
 	p := newPeer(conn, s.local, handlers)
 	s.mu.Lock()
 	s.peers[p] = struct{}{}
@@ -133,23 +145,13 @@
 
 // greet checks the first message of a dialler. A dialler of another version gets this process's version in
 // an ordinary reply, so that it can report the mismatch.
-func (s *server) greet(p *Peer, message json.RawMessage, greeted func(), ready chan struct{}) error {
+func (s *server) greet(p *Peer, message json.RawMessage) (accepted bool, err error) {
 	var h hello
 	if err := json.Unmarshal(message, &h); err != nil || h.Identity.Name == "" || h.Identity.Incarnation == "" {
-		return errors.WithStack(&HandshakeError{Peer: "dialler", Want: "a Hello with name and incarnation"})
-	}
-	if h.Version != Version {
-		return nil
-	}
-	select {
-	case <-ready:
-		return errors.WithStack(&HandshakeError{Peer: h.Identity.Name, Want: "one Hello"})
-	default:
+		return false, errors.WithStack(&HandshakeError{Peer: "dialler", Want: "a Hello with name and incarnation"})
 	}
 	p.Identity = h.Identity
-	greeted()
-	connected(p, s.handler, ready)
-	return nil
+	return h.Version == Version, nil
 }
 
 // watch closes connections that send no valid Hello in time, and forgets closed ones.
--- a/io/inner/peer.go
+++ b/io/inner/peer.go
@@ -54,8 +54,9 @@
 
 // method handles one kind of message. Notifications are handled in order, calls concurrently.
 type method struct {
-	isCall bool
-	handle func(ctx context.Context, p *Peer, message json.RawMessage) (any, error)
+	isCall  bool
+	handle  func(ctx context.Context, p *Peer, message json.RawMessage) (any, error)
+	replied func(p *Peer) // called after the reply was written; may be nil
 }
 
 type methods map[string]method
@@ -192,6 +193,10 @@
 	}
 	if conn.Reply(ctx, request.ID, p.seal(result)) != nil {
 		p.Close()
+		return
+	}
+	if m.replied != nil {
+		m.replied(p)
 	}
 }
 
