Add settings with strict decoding

A process must refuse bad settings with all faults at once.

internal/strict decodes YAML and JSON into structs and reports unknown keys, wrong types and missing values with file, line and key. setting has Entry, Agent and Platform with Defaults, Validate and Load.

--- /dev/null
+++ b/setting/load_test.go
@@ -0,0 +1,49 @@
+package setting
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// Guards against settings files whose faults are accepted, reported one at a time, or without their place.
+func TestDecode(t *testing.T) {
+	datadriven.RunTest(t, "testdata/settings", func(t *testing.T, d *datadriven.TestData) string {
+		var settings any
+		var err error
+		switch d.Cmd {
+		case "entry":
+			settings, err = Decode[Entry]("f.yaml", []byte(d.Input))
+		case "agent":
+			settings, err = Decode[Agent]("f.yaml", []byte(d.Input))
+		case "platform":
+			settings, err = Decode[Platform]("f.yaml", []byte(d.Input))
+		default:
+			t.Fatalf("unknown command %q", d.Cmd)
+		}
+		if err != nil {
+			return err.Error() + "\n"
+		}
+		return strings.ReplaceAll(fmt.Sprintf("%+v\n", settings), " Platform:", "\nPlatform:")
+	})
+}
+
+// Guards against processes that cannot run without a settings file.
+func TestDefaultsAreValid(t *testing.T) {
+	entry, _ := Load[Entry]("")
+	agent, _ := Load[Agent]("")
+	service, _ := Load[Platform]("")
+	for _, settings := range []interface{ Validate() error }{entry, agent, service} {
+		if err := settings.Validate(); err != nil {
+			t.Errorf("%T: %v", settings, err)
+		}
+	}
+	if agent.Entries[0] != entry.InnerAddress || entry.Platform != service.Address || agent.Platform != service.Address {
+		t.Error("the default addresses do not fit together")
+	}
+	if got := entry.Defaults().OtherPeers(); len(got) != 0 {
+		t.Errorf("got peers %q", got)
+	}
+}
--- /dev/null
+++ b/setting/setting.go
@@ -0,0 +1,115 @@
+// Package setting owns the settings of the processes.
+//
+// The commands that start a process load its settings from a YAML file, or run with the defaults, which
+// make one entry, one agent and the stand-in of the platform work together on the loopback interface. A
+// file with faults is refused as a whole, and all faults are reported with file, line and key.
+package setting
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodglade/core/route"
+)
+
+// Default addresses.
+const (
+	DefaultCallerAddress   = "127.0.0.1:7100"
+	DefaultOperatorAddress = "127.0.0.1:7200"
+	DefaultInnerAddress    = "127.0.0.1:7300"
+	DefaultPlatformAddress = "127.0.0.1:7400"
+	DefaultBackendAddress  = "127.0.0.1:7500"
+)
+
+// Defaults and bounds of the settings of all processes.
+const (
+	DefaultPlace         = "local" // region, data centre and rack
+	DefaultLogLevel      = "info"
+	DefaultEventCapacity = 20_000 // events
+	DefaultDrainTimeout  = 30 * time.Second
+
+	minEventCapacity = 100
+	maxEventCapacity = 10_000_000
+	minDrainTimeout  = time.Second
+	maxDrainTimeout  = time.Hour
+)
+
+// Process has the settings that every process has.
+type Process struct {
+	// Name identifies the process among all of its region. Default: the kind of process and "-1".
+	Name string `yaml:"Name"`
+	// Region, DataCentre and Rack say where the process runs. Default: "local".
+	Region     string `yaml:"Region"`
+	DataCentre string `yaml:"DataCentre"`
+	Rack       string `yaml:"Rack"`
+	// LogLevel is the least severe level that is logged: debug, info, warn or error. Default: info.
+	LogLevel string `yaml:"LogLevel"`
+	// EventCapacity is the number of recent events kept in memory, at about 250 bytes each. Default: 20000.
+	EventCapacity int `yaml:"EventCapacity"`
+	// DrainTimeout is the longest time a planned stop waits for open work, from 1s to 1h. Default: 30s.
+	DrainTimeout time.Duration `yaml:"DrainTimeout"`
+}
+
+func (p Process) defaults(name string) Process {
+	setText(&p.Name, name)
+	setText(&p.Region, DefaultPlace)
+	setText(&p.DataCentre, DefaultPlace)
+	setText(&p.Rack, DefaultPlace)
+	setText(&p.LogLevel, DefaultLogLevel)
+	if p.EventCapacity == 0 {
+		p.EventCapacity = DefaultEventCapacity
+	}
+	if p.DrainTimeout == 0 {
+		p.DrainTimeout = DefaultDrainTimeout
+	}
+	return p
+}
+
+func setText(s *string, value string) {
+	if *s == "" {
+		*s = value
+	}
+}
+
+// KeyError reports a setting with a bad value.
+type KeyError struct {
+	Key   string
+	Value string
+	Want  string
+}
+
+// Error implements error.
+func (e *KeyError) Error() string { return fmt.Sprintf("%s: %s", e.Key, e.message()) }
+
+func (e *KeyError) message() string { return fmt.Sprintf("got %s, want %s", e.Value, e.Want) }
+
+// validation collects the faults of settings.
+type validation struct{ errs []error }
+
+func (v *validation) check(ok bool, key string, value any, want string) {
+	if !ok {
+		v.errs = append(v.errs, &KeyError{Key: key, Value: fmt.Sprint(value), Want: want})
+	}
+}
+
+func (v *validation) err() error { return errors.Join(v.errs...) }
+
+func (v *validation) process(p Process) {
+	const nameRule = "1 to 64 letters, digits, dots, dashes or underscores"
+	for _, name := range []struct{ key, value string }{
+		{"Name", p.Name}, {"Region", p.Region}, {"DataCentre", p.DataCentre}, {"Rack", p.Rack},
+	} {
+		v.check(route.ValidName(name.value), name.key, fmt.Sprintf("%q", name.value), nameRule)
+	}
+	switch p.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		v.check(false, "LogLevel", fmt.Sprintf("%q", p.LogLevel), "debug, info, warn or error")
+	}
+	v.check(p.EventCapacity >= minEventCapacity && p.EventCapacity <= maxEventCapacity, "EventCapacity",
+		p.EventCapacity, fmt.Sprintf("%d to %d events", minEventCapacity, maxEventCapacity))
+	v.check(p.DrainTimeout >= minDrainTimeout && p.DrainTimeout <= maxDrainTimeout, "DrainTimeout",
+		p.DrainTimeout, fmt.Sprintf("%v to %v", minDrainTimeout, maxDrainTimeout))
+}
