Add the operators' HTTP interface and its client

Operators list, show, apply and delete rows, and read metrics, events, health and readiness of a process.

io/operator has the handlers with bounded bodies and typed errors that say what to do, the decoding of rows and of files with both tables, and the client, which repeats an edit whose answer was lost with its ID.

--- /dev/null
+++ b/io/operator/error.go
@@ -0,0 +1,82 @@
+package operator
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodglade/core/table"
+	"dogwoodglade/internal/strict"
+	"dogwoodglade/io/tables"
+)
+
+// Types of errors. Errors of edits have the types that tables.Reason returns.
+const (
+	Invalid        = "Invalid"
+	NotFound       = "NotFound"
+	Conflict       = "Conflict"
+	TooLarge       = "TooLarge"
+	Unavailable    = "Unavailable"
+	OutcomeUnknown = "OutcomeUnknown"
+	Unreachable    = "Unreachable" // the process did not answer
+)
+
+// Error is a failure as operators see it.
+type Error struct {
+	Status  int `json:"-"`
+	Type    string
+	Message string // says what to do
+	Version uint64 `json:",omitempty"` // current version of the table, of a conflict
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Type + ": " + e.Message }
+
+func badRequest(format string, values ...any) error {
+	return errors.WithStack(&Error{Status: http.StatusBadRequest, Type: Invalid, Message: fmt.Sprintf(format, values...)})
+}
+
+var statuses = map[string]int{
+	Invalid:        http.StatusUnprocessableEntity,
+	"MissingPool":  http.StatusUnprocessableEntity,
+	"TableFull":    http.StatusUnprocessableEntity,
+	NotFound:       http.StatusNotFound,
+	Conflict:       http.StatusConflict,
+	"PoolInUse":    http.StatusConflict,
+	"EditIDReused": http.StatusConflict,
+	TooLarge:       http.StatusRequestEntityTooLarge,
+	"RateLimited":  http.StatusServiceUnavailable,
+	"StaleStore":   http.StatusServiceUnavailable,
+	Unavailable:    http.StatusServiceUnavailable,
+	OutcomeUnknown: http.StatusGatewayTimeout,
+}
+
+func encodeError(err error) *Error {
+	var (
+		known    *Error
+		faults   *strict.FaultsError
+		tooLarge *http.MaxBytesError
+		conflict *table.ConflictError
+	)
+	switch {
+	case errors.As(err, &known):
+		return known
+	case errors.As(err, &faults):
+		return &Error{Status: statuses[Invalid], Type: Invalid, Message: faults.Error()}
+	case errors.As(err, &tooLarge):
+		return &Error{Status: statuses[TooLarge], Type: TooLarge, Message: fmt.Sprintf("the row is over %d bytes; "+
+			"send a smaller one", tooLarge.Limit)}
+	}
+	e := &Error{Type: tables.Reason(err), Message: err.Error(), Status: http.StatusInternalServerError}
+	if status, ok := statuses[e.Type]; ok {
+		e.Status = status
+	}
+	if e.Type == Unavailable {
+		e.Message = "no edit was made, because the platform is unavailable; repeat the edit later: " + e.Message
+	}
+	if errors.As(err, &conflict) {
+		e.Version = conflict.Current
+	}
+	return e
+}
