Hold the queue short in an overload and keep spare slots for short work

A queue as long as the deadlines allow drains for many times the length of the burst, and long work that takes the last free slots makes short work wait for its end. An overload that lasts now limits the delay to 150 ms; long work waits for a quarter of its run time before it takes a slot beyond the reserved number of free ones.

--- a/core/allocator/admission.go
+++ b/core/allocator/admission.go
@@ -12,12 +12,12 @@
 	// from the first heartbeat of each agent, and predicts nothing before that.
 	warmUp = time.Second
 
-	// overloadDelay and overloadAfter define an overload: the delay stays above the one for the other. Jobs
-	// of many tasks cause such a delay for a moment at a moderate load.
+	// overloadDelay and overloadAfter define an overload: the delay stays above the one for the other, or
+	// deadlines cannot be met. Jobs of many tasks cause such a delay for a moment at a moderate load.
 	overloadDelay = 400 * time.Millisecond
-	overloadAfter = 500 * time.Millisecond
+	overloadAfter = 1000 * time.Millisecond
 	// overloadDemand is the offered load above which a delay counts as overload.
-	overloadDemand = 1.3
+	overloadDemand = 1.5
 	// overloadHold is the delay allowed in an overload. It keeps the slots busy, lets short deadlines be
 	// met, and drains within 1 s at 80% load.
 	overloadHold = 150 * time.Millisecond
@@ -28,7 +28,7 @@
 	recoveredShare  = 0.25
 	recoveredDemand = 1.1
 	// demandWindow is the time constant of the offered load.
-	demandWindow = time.Second
+	demandWindow = 2 * time.Second
 
 	// waitMargin allows for run times that turn out longer than predicted.
 	waitMargin = 1.2
@@ -92,9 +92,8 @@
 	a.decayDemand()
 	o := &a.overload
 	delay := a.delay()
-	offered := o.demand / demandWindow.Seconds() / float64(max(a.capacity, 1))
 	if o.active {
-		o.active = offered > recoveredDemand || float64(delay) > recoveredShare*float64(a.delayLimit(a.overall.mean))
+		o.active = a.offered() > recoveredDemand || float64(delay) > recoveredShare*float64(a.delayLimit(a.overall.mean))
 		o.aboveSince = 0
 		return
 	}
@@ -104,10 +103,15 @@
 	case o.aboveSince == 0:
 		o.aboveSince = a.now
 	case a.now-o.aboveSince >= int64(overloadAfter):
-		o.active = offered > overloadDemand
+		o.active = a.offered() > overloadDemand
 	}
 }
 
+// offered is the offered load as a multiple of the capacity.
+func (a *Allocator) offered() float64 {
+	return a.overload.demand / demandWindow.Seconds() / float64(max(a.capacity, 1))
+}
+
 // delayLimit is the delay allowed in an overload. Work that runs longer needs a longer queue to keep the
 // slots busy.
 func (a *Allocator) delayLimit(mean time.Duration) time.Duration {
@@ -160,8 +164,8 @@
 	return all
 }
 
-// shareWait is the time that the given number of slots need for the customer's work of a range of classes
-// at the customer's share, or for the work of all customers if that is shorter.
+// shareWait is the time that the customer's part of the given number of slots needs for its work of a
+// range of classes. Without fairness, all customers' work is one queue.
 func (a *Allocator) shareWait(
 	c *customer, arrival int64, own time.Duration, slots int, from, to class,
 ) time.Duration {
@@ -170,34 +174,40 @@
 		total += a.slotTime(a.total.work[i], a.total.tasks[i])
 		mine += a.slotTime(c.demand[i].work, c.demand[i].tasks)
 	}
-	older := c.olderShare(a.now, arrival)
 	if !a.options.Fairness {
-		older = 1
-		if first := a.eligible.top(); first != nil {
-			older = olderShare(first.head.arrival, a.now, arrival)
+		older := 1.0
+		if first := a.eligible[spareSlots].top(); first != nil {
+			older = olderShare(first.heads[spareSlots].arrival, a.now, arrival)
 		}
+		return time.Duration((float64(total)*older + float64(own)) / float64(max(slots, 1)))
 	}
-	capacity := float64(max(slots, 1))
-	wait := (float64(total)*older + float64(own)) / capacity
-	if a.options.Fairness {
-		weight := a.total.weight
-		if !c.eligible {
-			weight += c.weight
-		}
-		share := float64(c.weight) / float64(weight)
-		wait = min(
-			(float64(total)+float64(own))/capacity,
-			(float64(mine)*older+float64(own))/(capacity*share))
+	return time.Duration((float64(mine)*c.olderShare(a.now, arrival) + float64(own)) / a.slotsFor(c, slots))
+}
+
+// slotsFor is the part of the slots that a customer gets when it waits: its share, or what the others do
+// not use if that is more.
+func (a *Allocator) slotsFor(c *customer, slots int) float64 {
+	active := a.total.active
+	if c.counted.active == 0 {
+		active += c.weight
+	}
+	part := float64(c.weight) / float64(active)
+	if a.capacity > 0 {
+		others := max(a.capacity-a.free-c.inUse, 0)
+		part = max(part, 1-float64(others)/float64(a.capacity))
+	}
+	if !a.options.Fairness {
+		part = 1
 	}
-	return time.Duration(min(wait, float64(math.MaxInt64/2)))
+	return float64(max(slots, 1)) * part
 }
 
 // olderShare is the estimated share of the customer's queue that is older than an arrival.
 func (c *customer) olderShare(now, arrival int64) float64 {
-	if c.head == nil {
+	if c.heads[spareSlots] == nil {
 		return 1
 	}
-	return olderShare(c.head.arrival, now, arrival)
+	return olderShare(c.heads[spareSlots].arrival, now, arrival)
 }
 
 func olderShare(oldest, now, arrival int64) float64 {
@@ -222,12 +232,13 @@
 	a.offer(time.Duration(q.Count) * r.mean)
 	if a.predicts() && !a.fits(c, q.Count) {
 		f := a.predict(c, r, q.Count, arrival)
-		late := time.Duration(waitMargin*float64(f.last)) - (q.Deadline - a.expected(r))
+		late := time.Duration(waitMargin*float64(f.last)) - (q.Deadline - a.allowance(r, q.Deadline))
 		switch {
 		case late > 0 && f.quota:
 			a.refuseAsk(q, QuotaExceeded, a.retryAfter(late))
 			return false
 		case late > 0:
+			a.overload.active = a.overload.active || a.offered() > overloadDemand
 			a.refuseAsk(q, Overloaded, a.retryAfter(late))
 			return false
 		case a.overload.active && !c.atQuota() && f.ahead > a.delayLimit(r.mean):
@@ -289,7 +300,7 @@
 	var most *customer
 	load := float64(c.tasks()+count) / float64(c.weight)
 	for _, other := range a.customers {
-		if other == c || other.head == nil {
+		if other == c || other.heads[spareSlots] == nil {
 			continue
 		}
 		l := float64(other.tasks()) / float64(other.weight)
@@ -317,15 +328,12 @@
 	}
 	c, r := k.lane.customer, k.lane.route
 	slots := a.capacity
-	if r.class == long && k != c.reserved {
+	if r.class == long && k != c.heads[reservedSlots] {
 		slots = a.longLimit()
 	}
 	rest := k.count - a.free
-	share := float64(c.weight) / float64(max(a.total.weight, c.weight))
-	wait := min(
-		float64(a.slotTime(int64(rest)*int64(r.mean), rest))/share,
-		float64(a.slotTime(a.total.allWork(), a.total.allTasks())))
-	return addTime(a.now, time.Duration(wait/float64(slots))) > k.latestStart
+	wait := float64(a.slotTime(int64(rest)*int64(r.mean), rest)) / a.slotsFor(c, slots)
+	return addTime(a.now, time.Duration(wait)) > k.latestStart
 }
 
 // predicts reports whether waits are predicted now.
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -40,9 +40,8 @@
 	waiting   int // asks
 
 	// Fairness between customers.
-	eligible indexedHeap[*customer]
-	reserved indexedHeap[*customer]
-	aging    indexedHeap[*customer]
+	eligible [accessCount]indexedHeap[*customer]
+	ripening indexedHeap[*customer]
 	total    total
 	virtual  float64
 
@@ -264,7 +263,7 @@
 	a.startProbes()
 	a.expire()
 	a.refuseEmpty()
-	a.age()
+	a.ripen()
 	a.assess()
 }
 
--- a/core/allocator/estimate.go
+++ b/core/allocator/estimate.go
@@ -20,7 +20,8 @@
 	coldSamples     = 16
 	// cappedShare of the samples, the longest ones, count in the mean like the next shorter one, so that a
 	// few stragglers do not make a route long.
-	cappedShare = 0.05
+	cappedShare  = 0.05
+	tailQuantile = 0.9
 	// longHysteresis keeps a route whose estimate is close to the threshold in its class.
 	longHysteresis = 0.8
 )
@@ -41,6 +42,7 @@
 	pending int           // samples since the last summary
 	mean    time.Duration // with the longest samples capped; 0 if nothing was observed
 	median  time.Duration
+	tail    time.Duration // exceeded by one of ten
 }
 
 func bucketOf(d time.Duration) int {
@@ -87,6 +89,9 @@
 		if seen <= e.total/2 {
 			e.median = time.Duration(value)
 		}
+		if seen <= e.total*tailQuantile {
+			e.tail = time.Duration(value)
+		}
 		seen += weight
 		if seen >= full {
 			sum += (e.total - seen + weight) * value
@@ -128,11 +133,14 @@
 	return a.overall.median
 }
 
-// expected is the run time that admission control allows for: between the median and the mean, because the
-// mean of a route with two kinds of tasks says little about either.
-func (a *Allocator) expected(r *routeState) time.Duration {
-	median := a.median(r)
-	return max(median, min(r.mean, 2*median))
+// allowance is the run time that admission control allows for: one that few tasks exceed, but no more than
+// half of the deadline unless the typical task needs more.
+func (a *Allocator) allowance(r *routeState, deadline time.Duration) time.Duration {
+	tail := r.estimate.tail
+	if r.estimate.total == 0 {
+		tail = a.overall.tail
+	}
+	return min(tail, max(a.median(r), deadline/2))
 }
 
 // observe learns from a finished grant. Failures and cancellations that ended early say nothing about the
--- a/core/allocator/fairness.go
+++ b/core/allocator/fairness.go
@@ -1,6 +1,11 @@
 package allocator
 
+import "time"
+
 const (
+	// patienceShare of its run time is what long work waits for a slot beyond the reserved number of free
+	// slots. Free slots keep short work from waiting; long work gains little from a start that much earlier.
+	patienceShare = 0.25
 	// nominalRunTime is the charge for a task, in seconds, while no run time is known.
 	nominalRunTime = 0.1
 	// correctionLimit bounds the charge for a task in multiples of its estimate, so that a straggler does
@@ -40,22 +45,37 @@
 
 	eligible bool // has work and is below its quota
 	counted  total
-	head     *ask // the oldest ask
-	reserved *ask // the oldest ask that may use reserved slots
-	longHead *ask // the oldest ask of long work
+	heads    [accessCount]*ask // the oldest ask with that access
+	ripensAt int64             // when the oldest long work gets the next access
 
-	eligibleAt, reservedAt, agingAt int // positions in heaps
+	accessAt   [accessCount]int // positions in heaps
+	ripeningAt int
 }
 
-// total sums the demand of the eligible customers.
+// access is what work may use of the free slots. Each kind of work that has one access has all before it.
+type access int
+
+const (
+	// spareSlots are free while more slots are free than are reserved. Any work may use them.
+	spareSlots access = iota
+	// unreservedSlots may be used by short work, and by long work that waited for a part of its run time.
+	unreservedSlots
+	// reservedSlots may be used by short work, and by long work that waited for LongMaxWait.
+	reservedSlots
+	accessCount
+)
+
+// total sums over customers. Weight, tasks and work are those of the eligible customers.
 type total struct {
 	weight int
+	active int // weight of customers with work or grants
 	tasks  [classCount]int
 	work   [classCount]int64
 }
 
 func (t *total) add(other total, sign int) {
 	t.weight += sign * other.weight
+	t.active += sign * other.active
 	for c := range classCount {
 		t.tasks[c] += sign * other.tasks[c]
 		t.work[c] += int64(sign) * other.work[c]
@@ -87,55 +107,67 @@
 	return c
 }
 
-// customerHeap orders customers by virtual time, then by the age of the ask that the heap is about.
-func (a *Allocator) customerHeap(of func(*customer) *ask, at func(*customer) *int) indexedHeap[*customer] {
+// initFairness makes a heap of customers for each access, in the order of virtual time, then of age.
+func (a *Allocator) initFairness() {
 	fair := a.options.Fairness
-	return newHeap(func(x, y *customer) bool {
-		if fair && x.virtual != y.virtual {
-			return x.virtual < y.virtual
+	for i := range a.eligible {
+		a.eligible[i] = newHeap(func(x, y *customer) bool {
+			if fair && x.virtual != y.virtual {
+				return x.virtual < y.virtual
+			}
+			return x.heads[i].before(y.heads[i])
+		}, func(c *customer) *int { return &c.accessAt[i] })
+	}
+	a.ripening = newHeap(func(x, y *customer) bool {
+		if x.ripensAt != y.ripensAt {
+			return x.ripensAt < y.ripensAt
 		}
-		return of(x).before(of(y))
-	}, at)
-}
-
-func (a *Allocator) initFairness() {
-	a.eligible = a.customerHeap(
-		func(c *customer) *ask { return c.head },
-		func(c *customer) *int { return &c.eligibleAt })
-	a.reserved = a.customerHeap(
-		func(c *customer) *ask { return c.reserved },
-		func(c *customer) *int { return &c.reservedAt })
-	a.aging = newHeap(
-		func(x, y *customer) bool { return x.longHead.before(y.longHead) },
-		func(c *customer) *int { return &c.agingAt })
+		return x.name < y.name
+	}, func(c *customer) *int { return &c.ripeningAt })
 }
 
 // refresh renews the place of a customer among all customers after its queue or its grants changed.
 func (a *Allocator) refresh(c *customer) {
 	shortHead, longHead := c.demand[short].head(), c.demand[long].head()
-	aged := longHead != nil && a.now-longHead.arrival >= int64(a.pool.LongMaxWait)
-	c.head, c.longHead = older(shortHead, longHead), longHead
-	c.reserved = shortHead
-	if aged {
-		c.reserved = c.head
+	both := older(shortHead, longHead)
+	c.heads = [accessCount]*ask{both, shortHead, shortHead}
+	c.ripensAt = 0
+	if longHead != nil {
+		patience := min(time.Duration(patienceShare*float64(longHead.lane.route.mean)), a.pool.LongMaxWait)
+		for i, wait := range [...]time.Duration{unreservedSlots: patience, reservedSlots: a.pool.LongMaxWait} {
+			if at := longHead.arrival + int64(wait); at <= a.now {
+				c.heads[i] = both
+			} else if c.ripensAt == 0 {
+				c.ripensAt = at
+			}
+		}
 	}
-	eligible := c.head != nil && !c.atQuota()
+	eligible := both != nil && !c.atQuota()
 	if eligible && !c.eligible {
 		c.virtual = max(c.virtual, a.virtual)
 	}
 	c.eligible = eligible
+	a.recount(c)
+	for i := range a.eligible {
+		a.eligible[i].set(c, eligible && c.heads[i] != nil)
+	}
+	a.ripening.set(c, c.ripensAt != 0)
+}
+
+// recount renews the customer's part in the totals.
+func (a *Allocator) recount(c *customer) {
 	a.total.add(c.counted, -1)
 	c.counted = total{}
-	if eligible {
-		c.counted = total{weight: c.weight}
+	if c.inUse > 0 || c.heads[spareSlots] != nil {
+		c.counted.active = c.weight
+	}
+	if c.eligible {
+		c.counted.weight = c.weight
 		for i := range c.demand {
 			c.counted.tasks[i], c.counted.work[i] = c.demand[i].tasks, c.demand[i].work
 		}
 	}
 	a.total.add(c.counted, 1)
-	a.eligible.set(c, eligible)
-	a.reserved.set(c, eligible && c.reserved != nil)
-	a.aging.set(c, longHead != nil && !aged)
 }
 
 func (c *customer) atQuota() bool { return c.quota > 0 && c.inUse >= c.quota }
@@ -147,28 +179,26 @@
 	return x
 }
 
-// age lets long work that waited for LongMaxWait use reserved slots.
-func (a *Allocator) age() {
-	for a.aging.len() > 0 {
-		c := a.aging.top()
-		if a.now-c.longHead.arrival < int64(a.pool.LongMaxWait) {
-			return
-		}
-		a.refresh(c)
+// ripen gives long work the accesses that it has waited for.
+func (a *Allocator) ripen() {
+	for a.ripening.len() > 0 && a.ripening.top().ripensAt <= a.now {
+		a.refresh(a.ripening.top())
 	}
 }
 
-// next returns the ask that the next free slot goes to, or nil. When the unreserved slots are used up by
-// long work, only short and aged work remains.
+// next returns the ask that the next free slot goes to, or nil.
 func (a *Allocator) next() *ask {
-	if a.longInUse < a.longLimit() {
-		if c := a.eligible.top(); c != nil {
-			return c.head
-		}
-		return nil
+	limit := a.longLimit()
+	level := reservedSlots
+	switch {
+	case a.longInUse >= limit:
+	case a.free > a.capacity-limit:
+		level = spareSlots
+	default:
+		level = unreservedSlots
 	}
-	if c := a.reserved.top(); c != nil {
-		return c.reserved
+	if c := a.eligible[level].top(); c != nil {
+		return c.heads[level]
 	}
 	return nil
 }
@@ -209,7 +239,7 @@
 		}
 	}
 	for _, c := range a.customers {
-		if c.head == nil && c.inUse == 0 && c.virtual <= a.virtual {
+		if c.heads[spareSlots] == nil && c.inUse == 0 && c.virtual <= a.virtual {
 			for r := range c.lanes {
 				r.dropLane(c)
 			}
