Probe ejected servers first and judge them against the other servers

A server on probation had the fewest free slots and got no probe at half load, so it stayed out after its repair; at a failure rate of 50% on all servers one healthy server was ejected within 4,000 tasks. A probe now goes before other grants, and a server has to fail clearly more often than the mean of the others.

--- a/core/allocator/ejection.go
+++ b/core/allocator/ejection.go
@@ -12,17 +12,17 @@
 	consecutiveFailures = 5
 	// chanceOfEjection is the greatest chance that as many consecutive failures occur on a server that
 	// fails as often as the other servers. A burst of jobs that fail everywhere must not eject servers.
-	chanceOfEjection = 1e-4
-	// poolFailureLimit bounds the failure rate of the pool in that comparison, so that a server can be
-	// ejected whatever the others do.
+	chanceOfEjection = 1e-6
+	// poolFailureLimit is the failure rate of the other servers above which nothing tells a server from
+	// them.
 	poolFailureLimit = 0.9
 
 	// outcomeWeight is the weight of the latest outcome in the failure rate of a server.
-	outcomeWeight = 0.05
+	outcomeWeight = 0.03
 	// rateOutcomes are needed before the failure rate of a server counts.
-	rateOutcomes = 20
+	rateOutcomes = 100
 	// excessRate ejects a server: the part of the tasks that fail there beyond the rate of the others.
-	excessRate = 0.5
+	excessRate = 0.6
 
 	firstEjection = time.Second
 	maxEjection   = 30 * time.Second
@@ -107,9 +107,12 @@
 	if a.members > 1 {
 		others = min(max((a.rateSum-h.rate())/float64(a.members-1), 0), 1)
 	}
+	if others > poolFailureLimit {
+		return false
+	}
 	needed := consecutiveFailures
 	if others > 0 {
-		chance := math.Log(chanceOfEjection) / math.Log(min(others, poolFailureLimit))
+		chance := math.Log(chanceOfEjection) / math.Log(others)
 		needed = max(needed, int(math.Ceil(chance)))
 	}
 	if h.consecutive >= needed {
--- a/core/allocator/membership.go
+++ b/core/allocator/membership.go
@@ -161,7 +161,11 @@
 	if now.members != old.members && a.members == 0 {
 		a.emptySince = a.now
 	}
-	a.slots.move(s, now.free)
+	level := now.free
+	if level > 0 && s.health.state == probing {
+		level = probeLevel
+	}
+	a.slots.move(s, level)
 	a.ejected.set(s, now.members > 0 && s.health.state == ejected)
 	a.probed.set(s, now.members > 0 && s.health.state == probing)
 }
--- a/core/allocator/slots.go
+++ b/core/allocator/slots.go
@@ -13,6 +13,10 @@
 const (
 	maxSlots = 1024 // of a backend server, the bound of the pool's column
 
+	// probeLevel is the bucket of the servers that wait for a probe. They come first: at a moderate load,
+	// a server with few free slots would never get its probe.
+	probeLevel = maxSlots + 1
+
 	// startGrace is how long the start of a grant may be in transit before the agent's heartbeats list it.
 	startGrace = time.Second
 
@@ -41,14 +45,14 @@
 // slotIndex finds the backend server with the most free slots in constant time: servers are kept in one
 // bucket for each number of free slots.
 type slotIndex struct {
-	buckets [maxSlots + 1][]*server
-	levels  [maxSlots/64 + 1]uint64 // bit set: the bucket is not empty
+	buckets [probeLevel + 1][]*server
+	levels  [probeLevel/64 + 1]uint64 // bit set: the bucket is not empty
 	cursor  int
 }
 
-// move puts the server into the bucket of its number of free slots; 0 removes it.
-func (x *slotIndex) move(s *server, free int) {
-	if s.level == free {
+// move puts the server into the bucket of a level, which is its number of free slots; 0 removes it.
+func (x *slotIndex) move(s *server, level int) {
+	if s.level == level {
 		return
 	}
 	if s.level > 0 {
@@ -62,25 +66,18 @@
 			x.levels[s.level/64] &^= 1 << (s.level % 64)
 		}
 	}
-	s.level = free
-	if free > 0 {
-		s.bucketAt = len(x.buckets[free])
-		x.buckets[free] = append(x.buckets[free], s)
-		x.levels[free/64] |= 1 << (free % 64)
+	s.level = level
+	if level > 0 {
+		s.bucketAt = len(x.buckets[level])
+		x.buckets[level] = append(x.buckets[level], s)
+		x.levels[level/64] |= 1 << (level % 64)
 	}
 }
 
 // below returns the highest level that is lower than the given one and not empty, or 0.
 func (x *slotIndex) below(level int) int {
-	word := level / 64
-	if word >= len(x.levels) {
-		word = len(x.levels) - 1
-	}
-	mask := ^uint64(0)
-	if level < len(x.levels)*64 {
-		mask = 1<<(level%64) - 1
-	}
-	for ; word >= 0; word-- {
+	mask := uint64(1)<<(level%64) - 1
+	for word := level / 64; word >= 0; word-- {
 		if set := x.levels[word] & mask; set != 0 {
 			return word*64 + bits.Len64(set) - 1
 		}
@@ -94,7 +91,7 @@
 func (x *slotIndex) pick(avoid []string) *server {
 	x.cursor++
 	var fallback *server
-	for level := x.below(maxSlots + 1); level > 0; level = x.below(level) {
+	for level := x.below(probeLevel + 1); level > 0; level = x.below(level) {
 		bucket := x.buckets[level]
 		for i := range bucket {
 			s := bucket[(x.cursor+i)%len(bucket)]
