Test the queue, the shares, the classes and the overload of the allocator

Long work that waited for LongMaxWait counted against the unreserved slots, so that in a lasting excess of long work everything waited for LongMaxWait; a customer with 10 of 110 tasks/s got 19% of the grants. Such grants no longer count. The tests run on a fake clock with fixed seeds.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -280,7 +280,7 @@
 // dispatch grants free slots while there is work for them, and returns the actions of the call.
 func (a *Allocator) dispatch() []Action {
 	for a.free > 0 {
-		k := a.next()
+		k, level := a.next()
 		if k == nil {
 			break
 		}
@@ -288,7 +288,7 @@
 			a.refuse(k, Overloaded, a.retryAfter(a.delay()))
 			continue
 		}
-		a.grantSlot(k, a.slots.pick(k.avoid))
+		a.grantSlot(k, level, a.slots.pick(k.avoid))
 	}
 	actions := a.actions
 	a.actions = nil
--- a/core/allocator/fairness.go
+++ b/core/allocator/fairness.go
@@ -186,8 +186,8 @@
 	}
 }
 
-// next returns the ask that the next free slot goes to, or nil.
-func (a *Allocator) next() *ask {
+// next returns the ask that the next free slot goes to, or nil, and its access.
+func (a *Allocator) next() (*ask, access) {
 	limit := a.longLimit()
 	level := reservedSlots
 	switch {
@@ -198,9 +198,9 @@
 		level = unreservedSlots
 	}
 	if c := a.eligible[level].top(); c != nil {
-		return c.heads[level]
+		return c.heads[level], level
 	}
-	return nil
+	return nil, level
 }
 
 // longLimit is the number of slots that long work may use.
--- a/core/allocator/membership.go
+++ b/core/allocator/membership.go
@@ -33,7 +33,7 @@
 	present     bool // heard within agentSilence
 	heard       int64
 	grants      []*grant
-	long        int              // grants of long work
+	long        int              // grants of long work in unreserved slots
 	replaced    map[string]int64 // earlier incarnations, by the time of their replacement
 	health      health
 	counted     counted
--- /dev/null
+++ b/core/allocator/policy_test.go
@@ -0,0 +1,203 @@
+package allocator_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dogwoodglade/core/allocator"
+	"dogwoodglade/core/pool"
+)
+
+const siteSlots = 80 // 10 servers with 8 slots each
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// waits returns the waits of the tasks of a customer and a route, "" for all, submitted in a time span.
+func (s *site) waits(customer, route string, from, to time.Duration) []time.Duration {
+	var found []time.Duration
+	for _, w := range s.done {
+		at := w.at.Sub(epoch)
+		if (customer == "" || w.customer == customer) && (route == "" || w.route == route) && at >= from && at < to {
+			found = append(found, w.granted.Sub(w.at))
+		}
+	}
+	return found
+}
+
+// A queue that is served to its end after an overload, or work served past its deadline, would waste the
+// slots when they are needed most.
+func TestOverloadKeepsGoodputAndEndsQuickly(t *testing.T) {
+	const deadline = 2 * time.Second
+	for _, factor := range []float64{2, 4} {
+		t.Run(fmt.Sprint(factor), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			s := newSite(t, pool.New("p"), allocator.DefaultOptions(), 10, 8)
+			s.runTime = func(*work) time.Duration { return milliseconds(50 + 300*random.ExpFloat64()) }
+			const capacity = siteSlots / 0.352 // tasks per second, with the messages
+			load := work{customer: "c", route: "r", deadline: deadline}
+			s.poisson(random, 0, 5*time.Second, 0.8*capacity, load)
+			s.poisson(random, 5*time.Second, 15*time.Second, factor*capacity, load)
+			s.poisson(random, 15*time.Second, 25*time.Second, 0.8*capacity, load)
+			s.run(40 * time.Second)
+			inTime, early := 0, 0
+			for _, w := range s.done {
+				end := w.ended.Sub(epoch)
+				if end >= 5*time.Second && end < 15*time.Second && w.ended.Sub(w.at) <= deadline {
+					inTime++
+				}
+			}
+			for _, w := range s.refused {
+				if w.ended.Sub(w.at) <= 50*time.Millisecond {
+					early++
+				}
+			}
+			if ratio := float64(inTime) / (10 * capacity); ratio < 0.95 {
+				t.Errorf("answered %.3f of the capacity in time, want 0.95", ratio)
+			}
+			if share := float64(early) / float64(len(s.refused)); share < 0.99 {
+				t.Errorf("refused %.3f within 50 ms, want 0.99", share)
+			}
+			before, after := s.waits("", "", time.Second, 5*time.Second), s.waits("", "", 17*time.Second, 25*time.Second)
+			if got, want := quantile(after, 0.9), quantile(before, 0.9)+50*time.Millisecond; got > want {
+				t.Errorf("p90 wait 2 s after the overload is %v, want at most %v", got, want)
+			}
+		})
+	}
+}
+
+// The burst of a customer would take slots from another one that stays within its share.
+func TestBurstLeavesOtherCustomersTheirShare(t *testing.T) {
+	tests := map[string]struct {
+		weight   int
+		load     float64 // of the modest customer, part of the capacity
+		wantWait time.Duration
+	}{
+		"equal weights":  {1, 0.4, 150 * time.Millisecond},
+		"threefold":      {3, 0.65, 150 * time.Millisecond},
+		"far from share": {1, 0.1, 30 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			s := newSite(t, pool.New("p").WithShare("modest", test.weight), allocator.DefaultOptions(), 10, 8)
+			s.runTime = func(*work) time.Duration { return milliseconds(50 + 150*random.ExpFloat64()) }
+			const capacity = siteSlots / 0.202
+			modest := work{customer: "modest", route: "r", deadline: 2 * time.Second}
+			burst := work{customer: "burst", route: "r", deadline: 2 * time.Second, count: 20}
+			s.poisson(random, 0, 20*time.Second, test.load*capacity, modest)
+			s.poisson(random, 5*time.Second, 15*time.Second, 4*capacity/20, burst)
+			s.run(30 * time.Second)
+			for _, w := range s.refused {
+				if w.customer == "modest" {
+					t.Fatalf("refused work of the modest customer: %s", w.reason)
+				}
+			}
+			if got := quantile(s.waits("modest", "", 0, time.Minute), 0.99); got > test.wantWait {
+				t.Errorf("p99 wait of the modest customer is %v, want at most %v", got, test.wantWait)
+			}
+			want := int((1 - test.load) * 10 * capacity * 0.9)
+			if got := len(s.waits("burst", "", 0, time.Minute)); got < want {
+				t.Errorf("served %d tasks of the burst, want %d, the rest of the capacity", got, want)
+			}
+		})
+	}
+}
+
+// Short tasks would wait for the end of long ones, or long ones for a gap between short ones that never
+// comes.
+func TestLongWorkNeitherBlocksNorStarves(t *testing.T) {
+	tests := map[string]struct{ shortLoad, longLoad float64 }{
+		"moderate":                 {0.4, 0.4},
+		"long work near its limit": {0.15, 0.7},
+		"full of short work":       {1.0, 0.1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			p := pool.New("p")
+			s := newSite(t, p, allocator.DefaultOptions(), 10, 8)
+			s.runTime = func(w *work) time.Duration {
+				if w.route == "long" {
+					return milliseconds(3000 + 3000*random.Float64())
+				}
+				if random.IntN(100) == 0 {
+					return 4 * time.Second // a straggler
+				}
+				return milliseconds(50 + 150*random.ExpFloat64())
+			}
+			const shortRate, longRate = siteSlots / 0.24, siteSlots / 4.5
+			s.poisson(random, 0, 40*time.Second, test.shortLoad*shortRate,
+				work{customer: "c", route: "short", deadline: 10 * time.Second})
+			s.poisson(random, 0, 40*time.Second, test.longLoad*longRate,
+				work{customer: "c", route: "long", deadline: time.Minute})
+			s.run(2 * time.Minute)
+			if got := quantile(s.waits("c", "short", 0, time.Minute), 0.99); test.shortLoad < 1 && got > 50*time.Millisecond {
+				t.Errorf("p99 wait of short work is %v, want at most 50 ms", got)
+			}
+			longWaits := s.waits("c", "long", 0, time.Minute)
+			if got, want := quantile(longWaits, 1), p.LongMaxWait+time.Second; got > want || len(longWaits) < 50 {
+				t.Errorf("served %d long tasks, with a wait of up to %v, want at most %v", len(longWaits), got, want)
+			}
+		})
+	}
+}
+
+// Long work of a route that nobody has seen before would fill every slot as short work again and again.
+func TestNewRouteBecomesLongBeforeItsFirstTaskEnds(t *testing.T) {
+	r := newRig(t, pool.New("p"))
+	r.announce("s1", 10)
+	first := wantGrants(t, 4, r.ask("first", "c", 4))
+	for range 4 {
+		r.sleep(500 * time.Millisecond)
+		r.announce("s1", 10, listing(first...))
+	}
+	wantGrants(t, 4, r.ask("second", "c", 10)) // two slots are reserved
+	if got := r.a.Stats().LongGrants; got != 4 {
+		t.Fatalf("got %d long grants, want 4", got)
+	}
+	wantGrants(t, 1, r.ask("short", "c", 1, func(q *allocator.Ask) { q.Route = "short" }))
+}
+
+// A mechanism that stays in force when it is switched off would falsify the comparison in the bench.
+func TestMechanismsSwitchOff(t *testing.T) {
+	tests := map[string]allocator.Options{
+		"fairness":  allocator.DefaultOptions().WithFairness(false),
+		"classes":   allocator.DefaultOptions().WithClasses(false),
+		"admission": allocator.DefaultOptions().WithAdmission(false),
+		"ejection":  allocator.DefaultOptions().WithEjection(false),
+		"none":      allocator.DefaultOptions(),
+	}
+	for name, options := range tests {
+		t.Run(name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			s := newSite(t, pool.New("p"), options, 10, 8)
+			s.runTime = func(*work) time.Duration { return 2 * time.Second }
+			s.outcome = func(server string) allocator.Outcome {
+				if server == "server1" {
+					return allocator.Errored
+				}
+				return allocator.Succeeded
+			}
+			for _, customer := range []string{"a", "b"} {
+				rate := map[string]float64{"a": 100, "b": 10}[customer]
+				s.poisson(random, 0, 20*time.Second, rate, work{customer: customer, route: "r", deadline: 8 * time.Second})
+			}
+			s.run(19 * time.Second)
+			stats := s.a.Stats()
+			served := float64(len(s.waits("b", "", 0, time.Minute))) / float64(len(s.waits("a", "", 0, time.Minute)))
+			got := map[string]bool{
+				"fairness":  served > 0.25,
+				"classes":   stats.LongGrants > 0,
+				"admission": stats.Refused[allocator.Overloaded] > 0,
+				"ejection":  stats.Ejected > 0,
+			}
+			for mechanism, on := range got {
+				if on != (mechanism != name) {
+					t.Errorf("%s in force: %v (%.2f %+v)", mechanism, on, served, stats)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/allocator/queue_test.go
@@ -0,0 +1,135 @@
+package allocator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dogwoodglade/core/allocator"
+	"dogwoodglade/core/pool"
+)
+
+// Younger work that overtakes older work of another owner would make waits unbounded.
+func TestOldestAskIsServedFirstAcrossOwners(t *testing.T) {
+	r := newRig(t, pool.New("p"))
+	for i, age := range []time.Duration{time.Second, 3 * time.Second, 2 * time.Second} {
+		r.ask(fmt.Sprint(age), "c", 1, func(q *allocator.Ask) { q.Age, q.Owner = age, fmt.Sprint("owner", i) })
+	}
+	for i, g := range wantGrants(t, 3, r.announce("s1", 3)) {
+		if want := fmt.Sprint(time.Duration(3-i) * time.Second); g.Ask != want {
+			t.Errorf("grant %d went to the work of age %s, want %s", i, g.Ask, want)
+		}
+	}
+}
+
+// A withdrawn or replaced ask that stays in the queue would get slots that nobody uses.
+func TestAsksChangeWhileTheyWait(t *testing.T) {
+	tests := map[string]struct {
+		change func(r *rig) []allocator.Action
+		want   int // queued tasks
+	}{
+		"withdraw some":          {func(r *rig) []allocator.Action { return r.a.Withdraw(r.now, "owner", "a", 2) }, 3},
+		"withdraw more":          {func(r *rig) []allocator.Action { return r.a.Withdraw(r.now, "owner", "a", 9) }, 0},
+		"withdraw all":           {func(r *rig) []allocator.Action { return r.a.Withdraw(r.now, "owner", "a", 0) }, 0},
+		"withdraw unknown":       {func(r *rig) []allocator.Action { return r.a.Withdraw(r.now, "owner", "b", 0) }, 5},
+		"withdraw another owner": {func(r *rig) []allocator.Action { return r.a.Withdraw(r.now, "x", "a", 0) }, 5},
+		"replace":                {func(r *rig) []allocator.Action { return r.ask("a", "c", 7) }, 7},
+		"replace with nothing":   {func(r *rig) []allocator.Action { return r.ask("a", "c", 0) }, 0},
+		"owner lost":             {func(r *rig) []allocator.Action { return r.a.OwnerLost(r.now, "owner") }, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, pool.New("p"))
+			r.ask("a", "c", 5)
+			if actions := test.change(r); len(actions) > 0 {
+				t.Errorf("got %+v", actions)
+			}
+			if got := r.a.Stats().QueuedTasks; got != test.want {
+				t.Errorf("got %d queued tasks, want %d", got, test.want)
+			}
+			wantGrants(t, test.want, r.announce("s1", 8))
+		})
+	}
+}
+
+// Work that can never run would wait until its deadline, and a short gap between two servers would refuse
+// work.
+func TestEmptyPoolRefusesAfterItsWait(t *testing.T) {
+	r := newRig(t, pool.New("p").WithEmptyPoolWait(3*time.Second))
+	r.announce("s1", 0)
+	r.announce("s1", 0, leaving)
+	r.ask("a", "c", 2)
+	if got := refusals(r.sleep(2900 * time.Millisecond)); len(got) > 0 {
+		t.Fatalf("refused too early: %+v", got)
+	}
+	got := append(refusals(r.sleep(100*time.Millisecond)), refusals(r.ask("b", "c", 1))...)
+	if len(got) != 2 || got[0].Reason != allocator.EmptyPool || got[1].Reason != allocator.EmptyPool {
+		t.Fatalf("got %+v", got)
+	}
+	r.announce("s1", 1)
+	wantGrants(t, 1, r.ask("c", "c", 1))
+}
+
+// An unbounded queue would exhaust memory; one that the burst of a customer fills would shut out the others.
+func TestFullQueueKeepsEachCustomersShare(t *testing.T) {
+	r := newRig(t, pool.New("p").WithQueueLimit(10))
+	r.announce("s1", 0)
+	for i := range 12 {
+		r.ask(fmt.Sprint("burst", i), "flooding", 1)
+	}
+	if got := r.a.Stats(); got.QueuedTasks != 10 || got.Refused[allocator.Overloaded] != 2 {
+		t.Fatalf("got %+v", got)
+	}
+	for i := range 5 {
+		got := refusals(r.ask(fmt.Sprint("modest", i), "modest", 1))
+		if len(got) != 1 || got[0].Ask != fmt.Sprint("burst", 9-i) {
+			t.Fatalf("modest ask %d: got %+v, want the youngest ask of the burst refused", i, got)
+		}
+	}
+	if got := refusals(r.ask("beyond", "modest", 1)); len(got) != 1 || got[0].Ask != "beyond" {
+		t.Fatalf("got %+v, want the ask beyond the share refused", got)
+	}
+}
+
+// Work refused late, or not at all, keeps its caller waiting for nothing.
+func TestAsksThatMissTheirDeadlineAreRefused(t *testing.T) {
+	deadline := func(d time.Duration) func(*allocator.Ask) {
+		return func(q *allocator.Ask) { q.Deadline = d }
+	}
+	r := newRig(t, pool.New("p").WithQuota("limited", 1))
+	r.announce("s1", 4)
+	r.sleep(1500 * time.Millisecond)
+	r.announce("s1", 4)
+	for _, g := range wantGrants(t, 4, r.ask("warm", "c", 4)) {
+		r.release(g, allocator.Succeeded) // 100 ms each
+	}
+	wantGrants(t, 4, r.ask("running", "c", 4))
+	tests := []struct {
+		id, customer string
+		count        int
+		deadline     time.Duration
+		want         allocator.Reason
+	}{
+		{"passed", "c", 1, 0, allocator.DeadlineExceeded},
+		{"too short", "c", 1, 100 * time.Millisecond, allocator.Overloaded},
+		{"too many", "c", 40, time.Second, allocator.Overloaded},
+		{"quota", "limited", 20, time.Second, allocator.QuotaExceeded},
+		{"enough", "c", 4, time.Second, ""},
+	}
+	for _, test := range tests {
+		got := refusals(r.ask(test.id, test.customer, test.count, deadline(test.deadline)))
+		if test.want == "" && len(got) > 0 {
+			t.Errorf("%s: got %+v", test.id, got)
+		}
+		if test.want != "" && (len(got) != 1 || got[0].Reason != test.want || got[0].Count != test.count) {
+			t.Errorf("%s: got %+v, want %s", test.id, got, test.want)
+		}
+	}
+	if got := refusals(r.sleep(850 * time.Millisecond)); len(got) != 0 {
+		t.Errorf("got %+v before the latest start", got)
+	}
+	got := refusals(r.sleep(100 * time.Millisecond))
+	if len(got) != 1 || got[0].Reason != allocator.DeadlineExceeded || got[0].Count != 4 {
+		t.Errorf("got %+v, want the rest refused when a task can no longer end in time", got)
+	}
+}
--- a/core/allocator/slots.go
+++ b/core/allocator/slots.go
@@ -32,7 +32,7 @@
 	owner    *owner    // nil if rebuilt
 	customer *customer // nil if unknown
 	route    *routeState
-	class    class
+	limited  bool // long work in an unreserved slot
 	at       int64
 	charge   float64
 	listed   bool   // by a heartbeat
@@ -107,13 +107,14 @@
 }
 
 // grantSlot gives a slot of the server to the ask.
-func (a *Allocator) grantSlot(k *ask, s *server) {
+func (a *Allocator) grantSlot(k *ask, level access, s *server) {
 	l := k.lane
 	c, r := l.customer, l.route
 	g := &grant{
 		id:     a.newGrantID(c, r.class),
-		server: s, owner: k.owner, customer: c, route: r, class: r.class, at: a.now,
-		probe: s.health.state == probing,
+		server: s, owner: k.owner, customer: c, route: r, at: a.now,
+		limited: r.class == long && level != reservedSlots,
+		probe:   s.health.state == probing,
 	}
 	g.charge = a.charge(c, r)
 	r.link(g)
@@ -165,7 +166,7 @@
 	s := g.server
 	g.index = len(s.grants)
 	s.grants = append(s.grants, g)
-	if g.class == long {
+	if g.limited {
 		s.long++
 	}
 	if g.probe {
@@ -182,7 +183,7 @@
 	s.grants[g.index].index = g.index
 	s.grants[end] = nil
 	s.grants = s.grants[:end]
-	if g.class == long {
+	if g.limited {
 		s.long--
 	}
 	if s.health.probe == g {
@@ -244,9 +245,7 @@
 	delete(a.reclaimed, id)
 	g := &grant{id: id, server: s, at: a.now}
 	if of, name, ok := parseGrantID(id); ok {
-		if a.options.Classes {
-			g.class = of
-		}
+		g.limited = of == long && a.options.Classes
 		g.customer = a.customerOf(name)
 		g.customer.inUse++
 		a.refresh(g.customer)
