--- a/core/allocator/membership.go
+++ b/core/allocator/membership.go
@@ -33,7 +33,7 @@
 	present     bool // heard within agentSilence
 	heard       int64
 	grants      []*grant
-	long        int              // grants of long work
+	long        int              // grants of long work in unreserved slots
 	replaced    map[string]int64 // earlier incarnations, by the time of their replacement
 	health      health
 	counted     counted
@@ -161,7 +161,11 @@
 	if now.members != old.members && a.members == 0 {
 		a.emptySince = a.now
 	}
-	a.slots.move(s, now.free)
+	level := now.free
+	if level > 0 && s.health.state == probing {
+		level = probeLevel
+	}
+	a.slots.move(s, level)
 	a.ejected.set(s, now.members > 0 && s.health.state == ejected)
 	a.probed.set(s, now.members > 0 && s.health.state == probing)
 }
