--- /dev/null
+++ b/core/job/limits_test.go
@@ -0,0 +1,131 @@
+package job_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"dogwoodglade/core/allocator"
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/pool"
+	"dogwoodglade/core/route"
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/table"
+	"dogwoodglade/core/task"
+)
+
+var (
+	start  = time.Unix(1_000_000, 0)
+	tables = table.New(table.Versions{}, []route.Route{
+		route.New("r", "p").WithMaxTasks(2).WithMaxBody(1 << 20), route.New("lost", "no such pool"),
+	}, []pool.Pool{pool.New("p")})
+)
+
+func newOwner(id task.JobID) *job.Owner {
+	epoch := shard.Epoch{Counter: 1, Incarnation: "e"}
+	return job.New("e", id.Shard(), epoch, true, rand.New(rand.NewPCG(1, 1)), func(event.Event) {})
+}
+
+func answerOf(t *testing.T, actions []job.Action) job.Answer {
+	t.Helper()
+	for _, a := range actions {
+		if r, ok := a.(job.Reply); ok {
+			return r.Answer
+		}
+	}
+	t.Fatalf("no reply in %+v", actions)
+	return job.Answer{}
+}
+
+// A job that can never run must fail at once and name the reason, and must not take the key.
+func TestImpossibleJobsFailAtOnce(t *testing.T) {
+	body := []byte("body")
+	for _, c := range []struct {
+		route  string
+		bodies [][]byte
+		want   job.Reason
+	}{
+		{"unknown", [][]byte{body}, job.ReasonUnknownRoute},
+		{"lost", [][]byte{body}, job.ReasonUnknownRoute},
+		{"r", nil, job.ReasonNoTasks},
+		{"r", [][]byte{body, body, body}, job.ReasonTooManyTasks},
+		{"r", [][]byte{make([]byte, 1<<20+1)}, job.ReasonBodyTooLarge},
+	} {
+		o := newOwner(keys[0])
+		s := job.Submission{ID: keys[0], Route: c.route, Bodies: c.bodies}
+		if a := answerOf(t, o.Submit(start, s, "w", tables)); a.State != job.Failed || a.Reason != c.want {
+			t.Errorf("route %q with %d tasks: got %+v", c.route, len(c.bodies), a)
+		}
+		if a := o.Lookup(start, keys[0]); a.Reason != job.ReasonNotFound {
+			t.Errorf("the key was taken: %+v", a)
+		}
+	}
+}
+
+// Answers without a bound exhaust the entry's memory; one that is dropped too early runs the job again.
+func TestAnswersAreBoundedAndRetained(t *testing.T) {
+	o := newOwner(keys[0])
+	var ids []task.JobID
+	for i := 0; len(ids) < 6; i++ {
+		if id := (task.JobID{Customer: "c", Key: fmt.Sprint(i)}); id.Shard() == keys[0].Shard() {
+			ids = append(ids, id)
+		}
+	}
+	for i, id := range ids {
+		s := job.Submission{ID: id, Route: "r", Bodies: [][]byte{{1}}}
+		ask, ok := o.Submit(start, s, "w", tables)[0].(job.AskSlots)
+		if !ok {
+			t.Fatal("no ask")
+		}
+		grant := allocator.Grant{ID: fmt.Sprint(i), Ask: ask.Ask.ID, Agent: "a", BackendServer: "b"}
+		sent, ok := o.Granted(start, grant)[0].(job.SendStart)
+		if !ok {
+			t.Fatal("no start")
+		}
+		r := task.Record{Attempt: sent.Start.Attempt, Agent: "a", TaskCount: 1, State: task.Ended}
+		r.Result = task.Result{Status: 200, Body: make([]byte, job.MaxAnswerBytes/4)}
+		if a := answerOf(t, o.Outcome(start, r)); a.State != job.Complete {
+			t.Fatalf("got %+v", a)
+		}
+	}
+	o.Tick(start.Add(job.RetentionWindow - 1))
+	for i, id := range ids {
+		if a := o.Lookup(start, id); (a.Reason == job.ReasonResultEvicted) != (i < 2) || (a.State == job.Complete) != (i >= 2) {
+			t.Errorf("answer %d: %s %s", i, a.State, a.Reason)
+		}
+	}
+	o.Tick(start.Add(job.RetentionWindow))
+	if a := o.Lookup(start, ids[5]); a.Reason != job.ReasonNotFound {
+		t.Fatalf("after the retention window: %+v", a)
+	}
+}
+
+// An ask whose age restarts, or that outlives its job, is granted in the wrong order or for nothing.
+func TestAsksCarryAgeDeadlineAndCount(t *testing.T) {
+	o := newOwner(keys[0])
+	s := job.Submission{ID: keys[0], Route: "r", Deadline: 3 * time.Second, Bodies: [][]byte{{1}, {2}}}
+	o.Submit(start, s, "w", tables)
+	later := start.Add(time.Second)
+	ask, ok := o.AllocatorLost(later, "p")[0].(job.AskSlots)
+	if !ok || ask.Ask.Age != time.Second || ask.Ask.Deadline != 2*time.Second || ask.Ask.Count != 2 {
+		t.Fatalf("got %+v", ask)
+	}
+	grant := allocator.Grant{ID: "1", Ask: ask.Ask.ID, Allocator: "x", Agent: "a", BackendServer: "b"}
+	sent, ok := o.Granted(later, grant)[0].(job.SendStart)
+	if !ok || sent.Start.Deadline != 2*time.Second || sent.Start.Grant != "1" {
+		t.Fatalf("got %+v", sent)
+	}
+	actions := o.StartRefused(later, sent.Start.Attempt, task.RefusedLeaving)
+	again, ok := actions[1].(job.AskSlots)
+	if actions[0] != (job.ReturnGrant{Allocator: "x", Grant: "1"}) || !ok || len(again.Ask.Avoid) != 1 || again.Ask.Count != 1 {
+		t.Fatalf("got %+v", actions)
+	}
+	for _, a := range o.Tick(start.Add(3 * time.Second)) {
+		if _, ok := a.(job.WithdrawAsk); ok {
+			return
+		}
+	}
+	t.Fatal("the asks outlived their job")
+}
