Fix a race between the first message of a connection and its set-up

Cause: the JSON-RPC library reads from its own goroutine before it returns the connection. Found by the race detector in the tests of io/inner.

--- a/core/executor/executor_test.go
+++ b/core/executor/executor_test.go
@@ -85,7 +85,7 @@
 // Work sent to a leaving backend server is interrupted when it exits (P6). A late heartbeat undoes nothing.
 func TestLeavingBackendServerGetsNoWork(t *testing.T) {
 	e := newExecutor(t, 2)
-	if got := e.Leave(now, "b"); len(got) != 1 || got[0] != (executor.SendHeartbeat{}) {
+	if got := e.Leave(now, "b", "9"); len(got) != 1 || got[0] != (executor.SendHeartbeat{}) {
 		t.Fatalf("leave: got %v", got)
 	}
 	announce(t, e, 2, "9")
@@ -187,3 +187,12 @@
 		t.Fatal("the agent is not drained after its last task")
 	}
 }
+
+// A goodbye that arrives after its backend server restarted would stop work for the new run.
+func TestLateGoodbyeOfAnEarlierRunIsIgnored(t *testing.T) {
+	e := newExecutor(t, 2)
+	if got := e.Leave(now, "b", "8"); len(got) != 0 {
+		t.Fatalf("leave: got %v", got)
+	}
+	want(t, e, start(0), task.Accepted)
+}
--- a/core/executor/server.go
+++ b/core/executor/server.go
@@ -119,7 +119,7 @@
 	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
 }
 
-// Leave stops new work for a backend server until its next incarnation, and announces that at once. A
+// Leave stops new work for a run of a backend server, and announces that at once. A
 // heartbeat that arrives late does not undo it.
 func (e *Executor) Leave(_ time.Time, backendServer, incarnation string) []Action {
 	s, ok := e.servers[backendServer]
--- a/core/job/machine_test.go
+++ b/core/job/machine_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -53,7 +54,7 @@
 		w.live(func(a *agent) {
 			a.left = true
 			if w.fault != noLeave {
-				w.runAgent(a, a.Leave(w.now, "b"+a.name))
+				w.runAgent(a, a.Leave(w.now, "b"+a.name, strconv.Itoa(a.inc)))
 			}
 		})
 	}),
--- a/dev/sample.go
+++ b/dev/sample.go
@@ -40,9 +40,12 @@
 func RunSample(id string) func(ctx context.Context, t backend.Task) ([]byte, error) {
 	return func(ctx context.Context, t backend.Task) ([]byte, error) {
 		var sample sampleTask
-		if json.Unmarshal(t.Body, &sample) != nil {
+		if !json.Valid(t.Body) {
 			return t.Body, nil
 		}
+		if err := json.Unmarshal(t.Body, &sample); err != nil {
+			return nil, errors.Wrapf(err, "read sample task %s", t.Attempt)
+		}
 		run := min(time.Duration(sample.RunMilliseconds)*time.Millisecond, maxSampleRun)
 		select {
 		case <-time.After(run):
--- a/io/inner/inner_test.go
+++ b/io/inner/inner_test.go
@@ -1,8 +1,10 @@
 package inner
 
 import (
+	"bufio"
+	"bytes"
 	"context"
-	"encoding/json"
+	"encoding/binary"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -140,21 +142,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := startPair(t)
 		peer := p.dial(t)
-		peer.Outcome(task.Record{Result: task.Result{Body: make([]byte, MaxFrame)}})
+		peer.Outcome(task.Record{Result: task.Result{Body: make([]byte, MaxFrame*3/4)}})
 		<-peer.Done()
 	})
 	var codec boundedCodec
-	err := codec.WriteObject(discardWriter{}, json.RawMessage(`"`+string(make([]byte, MaxFrame))+`"`))
+	frame := binary.AppendUvarint(nil, MaxFrame+1)
+	err := codec.ReadObject(bufio.NewReader(bytes.NewReader(frame)), new(any))
 	var tooLarge *FrameError
-	if err == nil || errors.As(err, &tooLarge) && tooLarge.Size <= MaxFrame {
+	if !errors.As(err, &tooLarge) || tooLarge.Size != MaxFrame+1 {
 		t.Fatalf("got %v", err)
 	}
 }
 
-type discardWriter struct{}
-
-func (discardWriter) Write(b []byte) (int, error) { return len(b), nil }
-
 // A start that is handled after the agent reconnected would run although the owner was told that it cannot.
 func TestClosedConnectionHandlesNothingMore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/io/inner/peer.go
+++ b/io/inner/peer.go
@@ -33,6 +33,7 @@
 
 	local   Local
 	conn    *jsonrpc2.Conn
+	opened  chan struct{} // closed when conn is set; the library reads before it returns conn
 	outbox  chan notification
 	methods methods
 
@@ -66,10 +67,12 @@
 		local:   local,
 		outbox:  make(chan notification, outboxCapacity),
 		methods: handlers,
+		opened:  make(chan struct{}),
 		done:    make(chan struct{}),
 	}
 	stream := jsonrpc2.NewBufferedStream(conn, boundedCodec{})
 	p.conn = jsonrpc2.NewConn(context.Background(), stream, p, jsonrpc2.SetLogger(discard{}))
+	close(p.opened)
 	go p.send()
 	go func() {
 		<-p.conn.DisconnectNotify()
@@ -160,6 +163,7 @@
 
 // Handle implements jsonrpc2.Handler.
 func (p *Peer) Handle(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
+	<-p.opened
 	m, ok := p.methods[request.Method]
 	if !ok || m.isCall == request.Notif {
 		p.refuse(ctx, conn, request, jsonrpc2.CodeMethodNotFound, "unknown method "+request.Method)
