--- a/core/table/prepare.go
+++ b/core/table/prepare.go
@@ -55,11 +55,15 @@
 
 // UncertainError reports an edit whose answer was lost and which can no longer be found among the recent
 // edits, so that it is unknown whether it was accepted.
-type UncertainError struct{ ID string }
+type UncertainError struct {
+	ID   string
+	Base uint64 // version of the table that the edit was based on
+}
 
 // Error implements error.
 func (e *UncertainError) Error() string {
-	return fmt.Sprintf("edit %q: the platform's answer was lost; read the row to see whether it was accepted", e.ID)
+	return fmt.Sprintf("edit %q: the platform's answer was lost; read the row to see whether the edit was accepted, "+
+		"or send it again with the same ID and expected version %d", e.ID, e.Base)
 }
 
 // FullError reports a table that cannot take another row.
@@ -132,7 +136,7 @@
 	}
 	switch {
 	case d.Sent && !known:
-		return &UncertainError{ID: d.Edit.ID}
+		return &UncertainError{ID: d.Edit.ID, Base: d.Base}
 	case d.Expected > 0 && d.Expected != head.Version:
 		conflict.Expected = d.Expected
 		return conflict
--- a/core/table/prepare_test.go
+++ b/core/table/prepare_test.go
@@ -116,7 +116,7 @@
 		t.Fatal(err)
 	}
 	_, err = Prepare(snapshot, heads, Draft{Edit: SetRoute("x", route.New("r9", "p1")), Prepared: true, Sent: true})
-	checkDecision(t, nil, err, &UncertainError{"x"})
+	checkDecision(t, nil, err, &UncertainError{"x", 0})
 	wide := pool.New("p5")
 	for i := range 3000 {
 		wide = wide.WithShare(fmt.Sprintf("customer-%d", i), 1)
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -68,8 +68,36 @@
 	positions map[string]token.Position // of keys, by path
 }
 
+// maxNesting bounds the depth of lists and mappings in brackets. The parser's time grows with the square of
+// the depth: 64 KiB of opening brackets took 17 s.
+const maxNesting = 64
+
+// tooDeep returns the line of the first bracket that is nested too deeply. Brackets in text and comments
+// count as well.
+func tooDeep(data []byte) (line int, found bool) {
+	depth := 0
+	line = 1
+	for _, c := range data {
+		switch c {
+		case '\n':
+			line++
+		case '[', '{':
+			if depth++; depth > maxNesting {
+				return line, true
+			}
+		case ']', '}':
+			depth = max(0, depth-1)
+		}
+	}
+	return 0, false
+}
+
 // Parse parses the documents of a file. Documents without content are left out.
 func Parse(file string, data []byte) ([]*Document, error) {
+	if line, found := tooDeep(data); found {
+		message := fmt.Sprintf("more than %d brackets are nested", maxNesting)
+		return nil, AsError([]Fault{{File: file, Line: line, Column: 1, Message: message}})
+	}
 	parsed, err := parser.ParseBytes(data, 0)
 	if err != nil {
 		fault := Fault{File: file, Line: 1, Column: 1, Message: err.Error()}
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -86,23 +86,19 @@
 // Edit sends an edit. If expected is not 0, the table must have that version. An edit whose answer is lost
 // is sent again with the same ID.
 func (c *Client) Edit(ctx context.Context, e table.Edit, expected uint64) (Accepted, error) {
-	query := url.Values{"EditID": {e.ID}}
-	if expected > 0 {
-		query.Set("ExpectedVersion", strconv.FormatUint(expected, 10))
-	}
-	target := rowPath(e.Table, e.Row) + "?" + query.Encode()
-	method, body, err := encodeEdit(e)
-	if err != nil {
-		return Accepted{}, err
-	}
 	for attempt := 1; ; attempt++ {
-		var accepted Accepted
-		err := c.call(ctx, method, target, body, &accepted)
+		accepted, err := c.edit(ctx, e, expected)
 		var failure *Error
-		if err == nil || attempt == editAttempts || !errors.As(err, &failure) || failure.Type != Unreachable &&
-			failure.Type != OutcomeUnknown {
+		if attempt == editAttempts || !errors.As(err, &failure) {
 			return accepted, err
 		}
+		switch failure.Type {
+		case Unreachable:
+		case OutcomeUnknown: // the edit must not be made again over later ones
+			expected = max(expected, failure.Version)
+		default:
+			return Accepted{}, err
+		}
 		select {
 		case <-ctx.Done():
 			return Accepted{}, err
@@ -111,6 +107,20 @@
 	}
 }
 
+func (c *Client) edit(ctx context.Context, e table.Edit, expected uint64) (Accepted, error) {
+	query := url.Values{"EditID": {e.ID}}
+	if expected > 0 {
+		query.Set("ExpectedVersion", strconv.FormatUint(expected, 10))
+	}
+	method, body, err := encodeEdit(e)
+	if err != nil {
+		return Accepted{}, err
+	}
+	var accepted Accepted
+	err = c.call(ctx, method, rowPath(e.Table, e.Row)+"?"+query.Encode(), body, &accepted)
+	return accepted, err
+}
+
 func encodeEdit(e table.Edit) (method string, body []byte, err error) {
 	r, p := rowOf(e)
 	switch {
--- a/io/operator/error.go
+++ b/io/operator/error.go
@@ -27,7 +27,9 @@
 	Status  int `json:"-"`
 	Type    string
 	Message string // says what to do
-	Version uint64 `json:",omitempty"` // current version of the table, of a conflict
+	// Version is the current version of the table for a conflict, and the version to expect when the edit
+	// is sent again for an unknown outcome.
+	Version uint64 `json:",omitempty"`
 }
 
 // Error implements error.
@@ -54,10 +56,11 @@
 
 func encodeError(err error) *Error {
 	var (
-		known    *Error
-		faults   *strict.FaultsError
-		tooLarge *http.MaxBytesError
-		conflict *table.ConflictError
+		known     *Error
+		faults    *strict.FaultsError
+		tooLarge  *http.MaxBytesError
+		conflict  *table.ConflictError
+		uncertain *table.UncertainError
 	)
 	switch {
 	case errors.As(err, &known):
@@ -78,5 +81,8 @@
 	if errors.As(err, &conflict) {
 		e.Version = conflict.Current
 	}
+	if errors.As(err, &uncertain) {
+		e.Version = uncertain.Base
+	}
 	return e
 }
--- a/io/tables/edit.go
+++ b/io/tables/edit.go
@@ -24,7 +24,8 @@
 //
 // An edit without an expected version is repeated on top of other operators' edits of other rows, until
 // the context ends. An edit whose answer was lost is read back; if that fails until the context ends, the
-// result is table.UncertainError, and the same edit with the same ID may be sent again.
+// result is table.UncertainError, and the same edit may be sent again with the same ID and the error's
+// version as the expected one. Without it, the edit is made again if it is no longer among the recent edits.
 func (t *Tables) Edit(ctx context.Context, e table.Edit, expected uint64) (table.Edit, error) {
 	accepted, err := t.edit(ctx, table.Draft{Edit: e, Expected: expected})
 	record := event.Event{Number: event.EditAccepted, Task: -1, Key: e.ID, State: string(e.Table), Version: accepted.Version}
@@ -60,7 +61,7 @@
 	var conflict *platform.ConflictError
 	switch {
 	case d.Sent:
-		return errors.WithSecondaryError(&table.UncertainError{ID: d.Edit.ID}, last)
+		return errors.WithSecondaryError(&table.UncertainError{ID: d.Edit.ID, Base: d.Base}, last)
 	case errors.As(last, &conflict):
 		return errors.WithStack(&table.ConflictError{
 			Table: d.Edit.Table, Row: d.Edit.Row, Expected: d.Base, Current: t.Current().Versions.Of(d.Edit.Table),
--- a/io/tables/tables.go
+++ b/io/tables/tables.go
@@ -61,9 +61,7 @@
 
 // New starts polling and pulling. The returned function stops both and waits for them.
 func New(config Config) (*Tables, func()) {
-	t := &Tables{config: config, wake: make(chan struct{}, 1), replica: table.NewReplica()}
-	snapshot := t.replica.Snapshot()
-	t.current.Store(&snapshot)
+	t := newTables(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() {
@@ -96,6 +94,13 @@
 	}
 }
 
+func newTables(config Config) *Tables {
+	t := &Tables{config: config, wake: make(chan struct{}, 1), replica: table.NewReplica()}
+	snapshot := t.replica.Snapshot()
+	t.current.Store(&snapshot)
+	return t
+}
+
 // Current returns the current snapshot.
 func (t *Tables) Current() table.Snapshot { return *t.current.Load() }
 
--- a/io/tables/tables_test.go
+++ b/io/tables/tables_test.go
@@ -142,13 +142,15 @@
 // Guards against an accepted edit that stays unknown to other entries because the store fails right after
 // it, or that is lost when the store returns.
 func TestEditIsInForceEverywhereDespiteOutage(t *testing.T) {
+	var longest time.Duration
+	defer func() { t.Logf("longest time until an edit was in force: %v", longest) }()
 	for seed := range uint64(10) {
 		synctest.Test(t, func(t *testing.T) {
 			s := newSite(t, seed, true)
 			s.startMany(5)
 			accepted := s.edit(s.entries[0], table.SetPool("e1", pool.New("p1")))
 			s.fault(platform.Faults{Down: true})
-			s.inForce(accepted.Version)
+			longest = max(longest, s.inForce(accepted.Version))
 			time.Sleep(30 * time.Second)
 			s.fault(platform.Faults{})
 			time.Sleep(5 * time.Second)
@@ -167,15 +169,17 @@
 // Guards against entries that depend on their peers to learn of an edit, and against a backoff that is too
 // long for an edit accepted right after an outage.
 func TestEditIsInForceByPollingAlone(t *testing.T) {
+	var longest time.Duration
+	defer func() { t.Logf("longest time until an edit was in force: %v", longest) }()
 	for seed := range uint64(10) {
 		synctest.Test(t, func(t *testing.T) {
 			s := newSite(t, seed, false)
 			s.startMany(5)
-			s.inForce(s.edit(s.entries[0], table.SetPool("e1", pool.New("p1"))).Version)
+			longest = max(longest, s.inForce(s.edit(s.entries[0], table.SetPool("e1", pool.New("p1"))).Version))
 			s.fault(platform.Faults{Down: true})
 			time.Sleep(time.Minute)
 			s.fault(platform.Faults{})
-			s.inForce(s.edit(s.entries[1], table.SetPool("e2", pool.New("p2"))).Version)
+			longest = max(longest, s.inForce(s.edit(s.entries[1], table.SetPool("e2", pool.New("p2"))).Version))
 			for i := range 3 * table.RecentEdits { // more than the head keeps: all rows are read
 				s.edit(s.entries[2], table.SetPool(fmt.Sprint("n", i), pool.New("p3").WithSlots(i)))
 			}
