--- a/core/allocator/admission.go
+++ b/core/allocator/admission.go
@@ -128,11 +128,8 @@
 	if a.capacity == 0 {
 		return forecast{}
 	}
-	free := 0
-	if a.total.weight == 0 {
-		free = a.free
-	}
-	own := a.slotTime(r.mean.Nanoseconds()*int64(max(count-free, 0)), max(count-free, 0))
+	rest := max(count-a.atOnce(c, r), 0)
+	own := a.slotTime(r.mean.Nanoseconds()*int64(rest), rest)
 	var f forecast
 	f.ahead = a.classWait(c, r, arrival, 0)
 	f.last = a.classWait(c, r, arrival, own)
@@ -230,7 +227,7 @@
 	c, r := a.customerOf(q.Customer), a.routeOf(q.Route)
 	arrival := a.now - int64(max(q.Age, 0))
 	a.offer(time.Duration(q.Count) * r.mean)
-	if a.predicts() && !a.fits(c, q.Count) {
+	if a.predicts() && q.Count > a.atOnce(c, r) {
 		f := a.predict(c, r, q.Count, arrival)
 		late := time.Duration(waitMargin*float64(f.last)) - (q.Deadline - a.allowance(r, q.Deadline))
 		switch {
@@ -246,25 +243,33 @@
 			return false
 		}
 	}
-	if !a.makeRoom(c, q.Count) {
+	if !a.makeRoom(c, q.Count-a.atOnce(c, r)) {
 		a.refuseAsk(q, Overloaded, a.retryAfter(a.delay()))
 		return false
 	}
 	return true
 }
 
-// fits reports whether an ask can be granted at once.
-func (a *Allocator) fits(c *customer, count int) bool {
-	return a.total.weight == 0 && count <= a.free && (c.quota == 0 || c.inUse+count <= c.quota)
+// atOnce is the number of slots that new work can get without a wait.
+func (a *Allocator) atOnce(c *customer, r *routeState) int {
+	if a.total.weight > 0 {
+		return 0
+	}
+	slots := a.free
+	if c.quota > 0 {
+		slots = min(slots, c.quota-c.inUse)
+	}
+	if r.class == long {
+		limit := a.longLimit()
+		slots = min(slots, limit-a.longInUse, a.free-(a.capacity-limit))
+	}
+	return max(slots, 0)
 }
 
 // makeRoom keeps the queue within its limit. Work that misses its deadline is refused first, then the
 // youngest work of the customer that exceeds its share of the queue most.
 func (a *Allocator) makeRoom(c *customer, count int) bool {
-	if a.total.weight == 0 {
-		count -= a.free
-	}
-	for a.queued+count > a.pool.QueueLimit {
+	for count > 0 && a.queued+count > a.pool.QueueLimit {
 		if k := a.doomed(); k != nil {
 			a.refuse(k, Overloaded, a.retryAfter(a.delay()))
 			continue
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -120,13 +120,12 @@
 
 // Ask adds the demand to the queue. An ask with the ID of one that waits replaces it.
 func (a *Allocator) Ask(now time.Time, q Ask) []Action {
-	a.advance(now)
-	old := a.ownerOf(q.Owner).asks[q.ID]
 	admitted, granted := false, 0
-	if old != nil {
+	if old := a.ownerOf(q.Owner).asks[q.ID]; old != nil { // before it expires, which would end both
 		admitted, granted = q.Count <= old.count && q.Deadline > 0, old.granted
 		a.shrink(old, old.count)
 	}
+	a.advance(now)
 	if q.Count > 0 && (admitted || a.admit(q)) {
 		a.push(q, granted)
 	}
@@ -290,6 +289,7 @@
 		}
 		a.grantSlot(k, level, a.slots.pick(k.avoid))
 	}
+	a.expire()
 	actions := a.actions
 	a.actions = nil
 	return actions
