Let a stale estimate refuse no work, and spread retries in an overload

An estimate of 60 s learnt from the first four tasks refused every ask larger than the free slots for ever, because nothing ran that could correct it. An estimate without a sample for 5 s now refuses nothing.

--- a/core/allocator/admission.go
+++ b/core/allocator/admission.go
@@ -230,6 +230,9 @@
 	if a.predicts() && q.Count > a.atOnce(c, r) {
 		f := a.predict(c, r, q.Count, arrival)
 		late := time.Duration(waitMargin*float64(f.last)) - (q.Deadline - a.allowance(r, q.Deadline))
+		if !a.known(r) {
+			late = 0
+		}
 		switch {
 		case late > 0 && f.quota:
 			a.refuseAsk(q, QuotaExceeded, a.retryAfter(late))
@@ -328,10 +331,10 @@
 // misses reports whether an ask of several tasks can no longer get its last slot in time. Granting only a
 // part of it would waste the slots.
 func (a *Allocator) misses(k *ask) bool {
-	if k.granted > 0 || k.count <= a.free || !a.predicts() {
+	c, r := k.lane.customer, k.lane.route
+	if k.granted > 0 || k.count <= a.free || !a.predicts() || !a.known(r) {
 		return false
 	}
-	c, r := k.lane.customer, k.lane.route
 	slots := a.capacity
 	if r.class == long && k != c.heads[reservedSlots] {
 		slots = a.longLimit()
@@ -358,8 +361,12 @@
 	}
 }
 
-// retryAfter bounds the advice when to try again.
+// retryAfter bounds the advice when to try again. In an overload, it grows with the offered load, so that
+// repeated submissions do not add to it.
 func (a *Allocator) retryAfter(d time.Duration) time.Duration {
+	if a.overload.active {
+		d = max(d, time.Duration(a.offered()*float64(time.Second)))
+	}
 	return min(max(d, minRetryAfter), maxRetryAfter)
 }
 
--- a/core/allocator/estimate.go
+++ b/core/allocator/estimate.go
@@ -20,8 +20,11 @@
 	coldSamples     = 16
 	// cappedShare of the samples, the longest ones, count in the mean like the next shorter one, so that a
 	// few stragglers do not make a route long.
-	cappedShare  = 0.05
-	tailQuantile = 0.9
+	cappedShare = 0.05
+	// estimateLifetime is how long an estimate may refuse work without a new sample. A far too high one
+	// would otherwise refuse all work that could correct it.
+	estimateLifetime = 5 * time.Second
+	tailQuantile     = 0.9
 	// longHysteresis keeps a route whose estimate is close to the threshold in its class.
 	longHysteresis = 0.8
 )
@@ -112,6 +115,7 @@
 	newest   *grant
 	running  int
 	used     int64
+	observed int64         // time of the latest sample
 	mean     time.Duration // estimate that the lanes' work is counted with
 }
 
@@ -143,12 +147,21 @@
 	return min(tail, max(a.median(r), deadline/2))
 }
 
+// known reports whether the run time of the route is known well enough to refuse work for it.
+func (a *Allocator) known(r *routeState) bool {
+	if r.estimate.total == 0 {
+		return a.overall.total > 0
+	}
+	return a.now-r.observed <= int64(estimateLifetime)
+}
+
 // observe learns from a finished grant. Failures and cancellations that ended early say nothing about the
 // run time.
 func (a *Allocator) observe(r *routeState, outcome Outcome, runTime time.Duration) {
 	if outcome == Unused || (outcome != Succeeded && runTime <= r.mean) {
 		return
 	}
+	r.observed = a.now
 	a.overall.observe(runTime)
 	if r.estimate.observe(runTime) {
 		a.reclassify(r)
--- a/core/allocator/queue.go
+++ b/core/allocator/queue.go
@@ -124,7 +124,7 @@
 		sequence: a.sequence,
 	}
 	k.latestStart = k.deadline
-	if a.options.Admission {
+	if a.options.Admission && a.known(l.route) {
 		k.latestStart -= int64(a.median(l.route))
 	}
 	l.customer.uncount(l)
--- a/core/allocator/queue_test.go
+++ b/core/allocator/queue_test.go
@@ -91,6 +91,25 @@
 	}
 }
 
+// An estimate that is far too high would refuse all work that could correct it.
+func TestWrongEstimateDoesNotRefuseForEver(t *testing.T) {
+	r := newRig(t, pool.New("p"))
+	r.announce("s1", 4)
+	for _, g := range wantGrants(t, 4, r.ask("slow", "c", 4)) {
+		r.a.Release(r.now, allocator.Release{
+			Grant: g.ID, Route: "r", Outcome: allocator.Succeeded, RunTime: time.Minute,
+		})
+	}
+	r.sleep(1100 * time.Millisecond)
+	r.announce("s1", 4)
+	if got := refusals(r.ask("at once", "c", 8)); len(got) != 1 {
+		t.Fatalf("got %+v, want the ask refused by the estimate", got)
+	}
+	r.sleep(5 * time.Second)
+	r.announce("s1", 4)
+	wantGrants(t, 4, r.ask("later", "c", 8))
+}
+
 // Work refused late, or not at all, keeps its caller waiting for nothing.
 func TestAsksThatMissTheirDeadlineAreRefused(t *testing.T) {
 	deadline := func(d time.Duration) func(*allocator.Ask) {
