--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,6 +60,8 @@
 	address     string
 	client      *backend.Client
 
+	aborted atomic.Bool
+
 	mu       sync.Mutex // guards executor, peers and cancels
 	executor *executor.Executor
 	peers    map[string]*inner.Peer // by name of the entry
@@ -102,6 +105,9 @@
 		cut := a.drain()
 		stop()
 		running.Wait()
+		if a.aborted.Load() {
+			closeConnector()
+		}
 		a.cancelTasks()
 		a.tasks.Wait()
 		closeConnector()
@@ -115,6 +121,23 @@
 // Address returns the address on which backend servers announce themselves.
 func (a *Agent) Address() string { return a.address }
 
+// Unready returns why the agent cannot run tasks.
+func (a *Agent) Unready() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var reasons []string
+	if len(a.peers) == 0 {
+		reasons = append(reasons, "no entry is connected")
+	}
+	if len(a.executor.Heartbeat(time.Now())) == 0 {
+		reasons = append(reasons, "no backend server is announced")
+	}
+	return reasons
+}
+
+// Abort makes the clean-up stop the agent at once, as a failure of its host would.
+func (a *Agent) Abort() { a.aborted.Store(true) }
+
 func (a *Agent) connect() (cleanUp func()) {
 	local := inner.Local{
 		Identity: inner.Identity{
@@ -233,6 +256,9 @@
 // drain refuses new starts, waits for running tasks and leaves the start records in the object store. It
 // returns the number of tasks that the drain timeout cut off.
 func (a *Agent) drain() (cut int) {
+	if a.aborted.Load() {
+		return 0
+	}
 	a.decide(func(now time.Time) []executor.Action { return a.executor.Drain(now) })
 	deadline := time.Now().Add(a.options.DrainTimeout)
 	for !a.drained() && time.Now().Before(deadline) {
--- a/dev/site.go
+++ b/dev/site.go
@@ -104,13 +104,22 @@
 	Recorder *event.Recorder
 	Metrics  metrics.Registry
 
-	stop func()
-	once sync.Once
+	stop  func()
+	abort func()
+	once  sync.Once
 }
 
 // Stop stops the part as a planned stop does.
 func (p *Part[T]) Stop() { p.once.Do(p.stop) }
 
+// Kill stops the part at once, as a failure of its host would.
+func (p *Part[T]) Kill() {
+	p.once.Do(func() {
+		p.abort()
+		p.stop()
+	})
+}
+
 // NotReadyError reports a site that did not become ready in time.
 type NotReadyError struct{ Waited time.Duration }
 
@@ -212,7 +221,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.Process, p.stop = process, stop
+	p.Process, p.stop, p.abort = process, stop, process.Abort
 	s.Entries = append(s.Entries, p)
 	return p, nil
 }
@@ -230,7 +239,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.Process, p.stop = process, stop
+	p.Process, p.stop, p.abort = process, stop, process.Abort
 	s.Agents = append(s.Agents, p)
 	return p, nil
 }
@@ -246,7 +255,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Part[*backend.Server]{Name: name, Process: server, stop: stop}
+	p := &Part[*backend.Server]{Name: name, Process: server, stop: stop, abort: server.Kill}
 	s.Servers = append(s.Servers, p)
 	return p, nil
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,6 +75,7 @@
 	waiters    waiters
 
 	draining    atomic.Bool
+	aborted     atomic.Bool
 	submissions atomic.Int64 // of callers, in progress
 	missed      map[registration]time.Time
 	background  background
@@ -113,6 +114,9 @@
 	options.Recorder.Record(event.Event{Number: event.ProcessStarted, Task: -1, State: e.incarnation})
 	cleanUp := func() {
 		cut := e.drain()
+		if e.aborted.Load() {
+			stopConnections()
+		}
 		stopServer()
 		e.background.stop()
 		stopConnections()
@@ -132,7 +136,22 @@
 func (e *Entry) Tables() *tables.Tables { return e.tables }
 
 // Ready implements caller.Dispatcher.
-func (e *Entry) Ready() bool { return !e.draining.Load() && e.tables.Ready() }
+func (e *Entry) Ready() bool { return len(e.Unready()) == 0 }
+
+// Unready returns why the entry should not be offered work.
+func (e *Entry) Unready() []string {
+	var reasons []string
+	if e.draining.Load() {
+		reasons = append(reasons, "the entry is stopping")
+	}
+	if !e.tables.Ready() {
+		reasons = append(reasons, "the tables were not read yet")
+	}
+	return reasons
+}
+
+// Abort makes the clean-up stop the entry at once, as a failure of its host would.
+func (e *Entry) Abort() { e.aborted.Store(true) }
 
 func (e *Entry) startTables() (cleanUp func()) {
 	var cleanUpTables func()
--- a/entry/front.go
+++ b/entry/front.go
@@ -36,7 +36,7 @@
 	defer e.submissions.Add(-1)
 	limit := e.deadlineOf(s)
 	until := time.Now().Add(limit)
-	ctx, cancel := context.WithTimeout(ctx, limit+answerGrace)
+	ctx, cancel := e.bound(ctx, limit+answerGrace)
 	defer cancel()
 	remaining := func() job.Submission {
 		s := s
@@ -52,6 +52,16 @@
 	})
 }
 
+// bound returns a context that also ends when the entry stops.
+func (e *Entry) bound(ctx context.Context, limit time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	forget := context.AfterFunc(e.background.ctx, cancel)
+	return ctx, func() {
+		forget()
+		cancel()
+	}
+}
+
 func (e *Entry) deadlineOf(s job.Submission) time.Duration {
 	limit := route.LimitDeadline
 	if r, ok := e.tables.Current().Routes[s.Route]; ok {
@@ -65,7 +75,7 @@
 
 // Lookup implements caller.Dispatcher.
 func (e *Entry) Lookup(ctx context.Context, id task.JobID) job.Answer {
-	ctx, cancel := context.WithTimeout(ctx, requestLimit)
+	ctx, cancel := e.bound(ctx, requestLimit)
 	defer cancel()
 	return e.askOwner(ctx, ask{
 		id:     id,
@@ -76,7 +86,7 @@
 
 // Cancel implements caller.Dispatcher.
 func (e *Entry) Cancel(ctx context.Context, id task.JobID) job.Answer {
-	ctx, cancel := context.WithTimeout(ctx, requestLimit)
+	ctx, cancel := e.bound(ctx, requestLimit)
 	defer cancel()
 	return e.askOwner(ctx, ask{
 		id:     id,
@@ -87,7 +97,7 @@
 
 // IssueTicket implements caller.Dispatcher.
 func (e *Entry) IssueTicket(ctx context.Context, id task.JobID) job.Answer {
-	ctx, cancel := context.WithTimeout(ctx, requestLimit)
+	ctx, cancel := e.bound(ctx, requestLimit)
 	defer cancel()
 	return e.askOwner(ctx, ask{
 		id:     id,
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -105,6 +105,9 @@
 // drain hands all shards over and waits until the open jobs of this entry have ended. It returns the number
 // of submissions that the drain timeout cut off.
 func (e *Entry) drain() (cut int) {
+	if e.aborted.Load() {
+		return e.waiters.count()
+	}
 	e.draining.Store(true)
 	e.record(event.Event{Number: event.ProcessDraining, Task: -1, Count: e.waiters.count()})
 	e.decideOwnership(func(now time.Time) []ownership.Action { return e.ownership.state.Drain(now) })
