Bound the tables to what fits into a message between entries

An entry that starts during an outage pulls all rows from a peer in one message of at most 4 MiB, but tables could grow without bound.

core/table refuses edits beyond LimitBytes of a table (upper estimates of the JSON) and answers a pull with all rows if its edits are larger. Names of customers in Shares and Quotas are validated like other names. The client of the platform checks that it got the rows it asked for.

--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -149,11 +149,14 @@
 	check(p.LongMaxWait > 0 && p.LongMaxWait <= time.Hour, "LongMaxWait", "up to 1h", p.LongMaxWait)
 	check(p.EmptyPoolWait > 0 && p.EmptyPoolWait <= time.Hour, "EmptyPoolWait", "up to 1h", p.EmptyPoolWait)
 	check(p.QueueLimit >= 1 && p.QueueLimit <= 1_000_000, "QueueLimit", "1 to 1000000 tasks", p.QueueLimit)
+	const nameRule = "a customer of 1 to 64 letters, digits, dots, dashes or underscores"
 	for _, customer := range slices.Sorted(maps.Keys(p.Shares)) {
+		check(route.ValidName(customer), "Shares."+customer, nameRule, fmt.Sprintf("%q", customer))
 		check(p.Shares[customer] >= 1 && p.Shares[customer] <= 1000, "Shares."+customer, "1 to 1000",
 			p.Shares[customer])
 	}
 	for _, customer := range slices.Sorted(maps.Keys(p.Quotas)) {
+		check(route.ValidName(customer), "Quotas."+customer, nameRule, fmt.Sprintf("%q", customer))
 		check(p.Quotas[customer] >= 1, "Quotas."+customer, "1 or more tasks", p.Quotas[customer])
 	}
 	return errors.Join(errs...)
--- a/core/table/edit.go
+++ b/core/table/edit.go
@@ -27,9 +27,6 @@
 	RecentBytes = 256 << 10 // in JSON
 )
 
-// LimitRows is the number of rows that one table can hold.
-const LimitRows = 20_000
-
 // Of returns the version of one table.
 func (v Versions) Of(n Name) uint64 {
 	if n == Routes {
--- a/core/table/prepare.go
+++ b/core/table/prepare.go
@@ -66,12 +66,16 @@
 		"or send it again with the same ID and expected version %d", e.ID, e.Base)
 }
 
-// FullError reports a table that cannot take another row.
-type FullError struct{ Table Name }
+// FullError reports a table that would be over LimitBytes.
+type FullError struct {
+	Table Name
+	Bytes int // after the edit
+}
 
 // Error implements error.
 func (e *FullError) Error() string {
-	return fmt.Sprintf("%s: the table has %d rows, which is the limit; delete a row first", e.Table, LimitRows)
+	return fmt.Sprintf("%s: the table would take %d bytes, over the limit of %d; delete rows first", e.Table, e.Bytes,
+		LimitBytes)
 }
 
 // Draft is an edit that is not accepted yet.
@@ -146,22 +150,19 @@
 	return nil
 }
 
-// allows reports whether the edit keeps the join of routes to pools and the number of rows within its limit.
+// allows reports whether the edit keeps the join of routes to pools and the size of the table within its
+// limit.
 func (s Snapshot) allows(e Edit) error {
-	var exists bool
-	var rows int
+	_, exists := s.Pools[e.Row]
 	if e.Table == Routes {
 		_, exists = s.Routes[e.Row]
-		rows = len(s.Routes)
-	} else {
-		_, exists = s.Pools[e.Row]
-		rows = len(s.Pools)
 	}
+	size := s.sizeAfter(e)
 	switch {
 	case e.Deletes() && !exists:
 		return &RowNotFoundError{Table: e.Table, Row: e.Row}
-	case !e.Deletes() && !exists && rows >= LimitRows:
-		return &FullError{Table: e.Table}
+	case !e.Deletes() && size > LimitBytes:
+		return &FullError{Table: e.Table, Bytes: size}
 	case e.Route != nil:
 		if _, ok := s.Pools[e.Route.Pool]; !ok {
 			return &MissingPoolError{Route: e.Row, Pool: e.Route.Pool}
--- a/core/table/replica.go
+++ b/core/table/replica.go
@@ -115,12 +115,14 @@
 	return changed, err != nil
 }
 
-// Answer returns what a peer at the given versions misses. It is empty if the peer is not behind.
+// Answer returns what a peer at the given versions misses. It is empty if the peer is not behind, and has
+// all rows if the edits are no longer known or would not fit into a message.
 func (r *Replica) Answer(peer Versions) Answer {
 	answer := Answer{Versions: r.current.Versions}
 	for _, n := range r.current.Versions.Newer(peer) {
 		edits, ok := since(r.log[n], r.current.Versions.Of(n), peer.Of(n))
-		if !ok {
+		answer.Edits = append(answer.Edits, edits...)
+		if !ok || editsSize(answer.Edits) > LimitBytes {
 			return Answer{
 				Versions: r.current.Versions,
 				All:      true,
@@ -128,7 +130,6 @@
 				Pools:    sortedRows(r.current.Pools),
 			}
 		}
-		answer.Edits = append(answer.Edits, edits...)
 	}
 	return answer
 }
--- /dev/null
+++ b/core/table/size_test.go
@@ -0,0 +1,57 @@
+package table
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodglade/core/pool"
+	"dogwoodglade/core/route"
+)
+
+// Guards against tables, or edits between two pulls, that do not fit into a frame of the inner protocol.
+func TestAnswersFitIntoAFrame(t *testing.T) {
+	const frame = 4 << 20
+	name := func(i int) string { return fmt.Sprintf("%s%05d", strings.Repeat("n", 59), i) }
+	fill := func(edit func(name string) Edit) (edits []Edit, next Edit) {
+		for size := 0; ; {
+			next = edit(name(len(edits)))
+			next.Version = uint64(len(edits) + 1)
+			if size += next.size(); size > LimitBytes {
+				return edits, next
+			}
+			edits = append(edits, next)
+		}
+	}
+	const share = 0.12345678901234567
+	wide := pool.New("").WithSlots(1024).WithReservedSlots(share).WithRetryBudget(share).WithMaxEjectedShare(share).
+		WithLongThreshold(time.Hour).WithLongMaxWait(time.Hour).WithEmptyPoolWait(time.Hour).WithQueueLimit(1_000_000)
+	for i := range 50 {
+		wide = wide.WithShare(name(i), 1000).WithQuota(name(i), math.MaxInt)
+	}
+	pools, _ := fill(func(name string) Edit { p := wide; p.Name = name; return SetPool(name, p) })
+	row := route.New("", name(0)).WithAttempts(10).WithDeadline(5 * time.Minute).WithMaxBody(1 << 20)
+	routes, next := fill(func(name string) Edit { r := row; r.Name = name; return SetRoute(name, r) })
+	replica := NewReplica()
+	if _, err := replica.Apply(slices.Concat(pools, routes)); err != nil {
+		t.Fatal(err)
+	}
+	var full *FullError
+	if err := replica.current.allows(next); !errors.As(err, &full) {
+		t.Errorf("got %v for a route beyond %d", err, len(routes))
+	}
+	for _, peer := range []Versions{{}, {Routes: uint64(len(routes)), Pools: 9}, {Routes: uint64(len(routes) - 1000), Pools: 99}} {
+		answer := replica.Answer(peer)
+		data, err := json.Marshal(answer)
+		if err != nil || len(data) > frame-frame/100 {
+			t.Errorf("the answer to a peer at %v has %d bytes, %v", peer, len(data), err)
+		}
+		t.Logf("%d pools, %d routes, peer at %v: %d bytes, all rows %t", len(pools), len(routes), peer, len(data), answer.All)
+	}
+}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
@@ -27,8 +28,13 @@
 // Get implements Table.
 func (c *Client) Get(ctx context.Context, keys ...string) ([]Row, error) {
 	var answer rowsAnswer
-	err := c.post(ctx, "get rows", "/v1/rows/get", getRequest{keys}, &answer, false)
-	return answer.Rows, err
+	if err := c.post(ctx, "get rows", "/v1/rows/get", getRequest{keys}, &answer, false); err != nil {
+		return nil, err
+	}
+	if !slices.EqualFunc(answer.Rows, keys, func(row Row, key string) bool { return row.Key == key }) {
+		return nil, lostAnswer("get rows", errors.New("the answer has other rows"), false)
+	}
+	return answer.Rows, nil
 }
 
 // List implements Table.
