--- a/core/ownership/bid.go
+++ b/core/ownership/bid.go
@@ -15,22 +15,18 @@
 	needRegistry bool                // no agent answered: only an empty registry lets the bid pass
 }
 
-// advanceBid starts a bid for the free shards of which this entry is the first live entry.
-func (o *Ownership) advanceBid(now time.Time, actions []Action) []Action {
-	if b := o.bid; b != nil {
-		if now.Sub(b.asked) < RequestTimeout {
-			return actions
-		}
+// startBid starts a bid for the free shards of which this entry is the first live entry.
+func (o *Ownership) startBid(now time.Time) []Action {
+	if b := o.bid; b != nil && now.Sub(b.asked) >= RequestTimeout {
 		o.bid = nil
 		o.backOff(now)
-		return actions
 	}
-	if !o.settled || now.Before(o.nextBid) || !o.store.known {
-		return actions
+	if o.bid != nil || !o.settled || now.Before(o.nextBid) || !o.store.known {
+		return nil
 	}
 	free := o.free(now)
 	if len(free) == 0 {
-		return actions
+		return nil
 	}
 	owners := map[string]bool{}
 	ask := AskVotes{ID: o.nextID()}
@@ -42,10 +38,10 @@
 	}
 	if len(ask.Owners) == 0 {
 		o.takeOver(now, sortedShards(free))
-		return actions
+		return nil
 	}
 	o.bid = &bid{id: ask.ID, asked: now, shards: free}
-	return append(actions, ask)
+	return []Action{ask}
 }
 
 // free returns the shards to bid for, each with the owner to vote about.
--- a/core/ownership/handover.go
+++ b/core/ownership/handover.go
@@ -137,8 +137,12 @@
 	}
 	heirs := o.heirs(now)
 	for _, id := range sortedShards(o.owned) {
-		// A shard with open keys of its former owner stays until that owner has finished them.
-		if t := o.owned[id]; o.departures[id] == nil && len(t.open) == 0 && len(heirs) > 0 {
+		t := o.owned[id]
+		// A shard with open keys of its former owner stays until that owner has finished them, or until the
+		// agents are fenced because it failed.
+		_, s := o.recovering(id)
+		kept := len(t.open) > 0 || s != nil && s.epoch != t.epoch
+		if !kept && o.departures[id] == nil && len(heirs) > 0 {
 			o.departures[id] = &departure{epoch: t.epoch, complete: t.complete}
 			actions = append(actions, DrainShard{Shard: id, Epoch: t.epoch})
 		}
--- a/core/ownership/message.go
+++ b/core/ownership/message.go
@@ -17,6 +17,7 @@
 	Sequence    uint64 // grows with each ping of the incarnation
 	Draining    bool
 	Shards      []Claim
+	Superseded  []shard.Fence // higher epochs of shards that a peer claimed under a lower one
 	Tables      table.Versions
 }
 
--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -103,12 +103,14 @@
 	peers  map[string]*peer
 	agents map[string]string // incarnation by name of each connected agent
 	known  [shard.Count]claim
+	stale  map[shard.ID]bool // claimed by a peer under an epoch lower than the known one
 	owned  map[shard.ID]*tenure
 
 	bid        *bid
 	nextBid    time.Time
 	recoveries []*recovery
 	departures map[shard.ID]*departure
+	reading    map[agentID]time.Time // last read of the records object of a drained agent
 	store      storeState
 }
 
@@ -126,7 +128,9 @@
 		peers:       map[string]*peer{},
 		agents:      map[string]string{},
 		owned:       map[shard.ID]*tenure{},
+		stale:       map[shard.ID]bool{},
 		departures:  map[shard.ID]*departure{},
+		reading:     map[agentID]time.Time{},
 	}
 }
 
@@ -172,13 +176,12 @@
 	o.resume(now)
 	o.settle(now)
 	o.missPeers(now)
-	return o.advance(now, nil)
+	return o.advance(now, o.startBid(now))
 }
 
 // advance takes every step that the current state allows. Each event method ends with it.
 func (o *Ownership) advance(now time.Time, actions []Action) []Action {
 	actions = o.advanceHandovers(now, actions)
-	actions = o.advanceBid(now, actions)
 	actions = o.advanceStore(now, actions)
 	actions = o.advanceFences(now, actions)
 	return o.advanceRecoveries(now, actions)
--- a/core/ownership/peer.go
+++ b/core/ownership/peer.go
@@ -31,6 +31,10 @@
 			}
 		}
 	}
+	for _, id := range sortedShards(o.stale) {
+		p.Superseded = append(p.Superseded, shard.Fence{Shard: id, Epoch: o.known[id].epoch})
+	}
+	clear(o.stale)
 	return p
 }
 
@@ -40,7 +44,13 @@
 		return nil
 	}
 	var actions []Action
+	for _, f := range p.Superseded {
+		actions = o.learn(now, f.Shard, claim{epoch: f.Epoch, heard: now}, actions)
+	}
 	for _, c := range p.Shards {
+		if c.Epoch.Less(o.known[c.Shard].epoch) {
+			o.stale[c.Shard] = true
+		}
 		actions = o.learn(now, c.Shard, claim{
 			epoch: c.Epoch, from: c.From, entry: p.From, heard: now, pinged: true, active: c.Active,
 		}, actions)
@@ -131,7 +141,8 @@
 
 // missPeers records peers that fell silent and forgets them after the retention window.
 func (o *Ownership) missPeers(now time.Time) {
-	for name, p := range o.peers {
+	for _, name := range sortedKeys(o.peers) {
+		p := o.peers[name]
 		silence := now.Sub(p.heard)
 		if !p.lost && silence >= SilenceLimit {
 			p.lost = true
--- a/core/ownership/recovery.go
+++ b/core/ownership/recovery.go
@@ -1,6 +1,8 @@
 package ownership
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -11,6 +13,10 @@
 
 type agentID struct{ agent, incarnation string }
 
+func (a agentID) compare(b agentID) int {
+	return cmp.Or(cmp.Compare(a.agent, b.agent), cmp.Compare(a.incarnation, b.incarnation))
+}
+
 // recovering is one shard of a recovery.
 type recovering struct {
 	epoch   shard.Epoch
@@ -33,8 +39,8 @@
 	required    map[agentID]AgentRow // registry as read after the write; nil until then
 	registered  time.Time            // of the last registry read
 	fenced      map[agentID]bool
-	objects     map[agentID]bool // records objects that were read
-	sent        map[agentID]time.Time
+	objects     map[agentID]bool           // records objects that were read
+	sent        map[agentID]time.Time      // of the last Fence message
 	held        map[shard.ID][]task.Record // records not yet passed on
 }
 
@@ -123,8 +129,10 @@
 }
 
 // AgentLost reports that an agent's connection ended. Its fences are repeated when it connects again.
-func (o *Ownership) AgentLost(now time.Time, agent string) []Action {
-	delete(o.agents, agent)
+func (o *Ownership) AgentLost(now time.Time, agent, incarnation string) []Action {
+	if o.agents[agent] == incarnation {
+		delete(o.agents, agent)
+	}
 	return o.advance(now, nil)
 }
 
@@ -159,19 +167,23 @@
 	return !ok || now.Sub(sent) >= FenceInterval
 }
 
+// advanceObjects reads each object once for all recoveries that need it.
 func (o *Ownership) advanceObjects(now time.Time, actions []Action) []Action {
+	wanted := map[agentID]string{}
 	for _, r := range o.recoveries {
 		for a, row := range r.required {
-			if !row.Left || row.Records == "" || r.fenced[a] || r.objects[a] {
-				continue
-			}
-			if sent, ok := r.sent[a]; ok && now.Sub(sent) < StoreInterval {
-				continue
+			if row.Left && row.Records != "" && !r.fenced[a] && !r.objects[a] {
+				wanted[a] = row.Records
 			}
-			r.sent[a] = now
-			actions = append(actions, ReadRecords{Agent: a.agent, Incarnation: a.incarnation, Object: row.Records})
 		}
 	}
+	for _, a := range slices.SortedFunc(maps.Keys(wanted), agentID.compare) {
+		if asked, ok := o.reading[a]; ok && now.Sub(asked) < StoreInterval {
+			continue
+		}
+		o.reading[a] = now
+		actions = append(actions, ReadRecords{Agent: a.agent, Incarnation: a.incarnation, Object: wanted[a]})
+	}
 	return actions
 }
 
@@ -220,6 +232,7 @@
 // RecordsRead answers ReadRecords.
 func (o *Ownership) RecordsRead(now time.Time, agent, incarnation string, records []task.Record) []Action {
 	a := agentID{agent, incarnation}
+	delete(o.reading, a)
 	for _, r := range o.recoveries {
 		if row, ok := r.required[a]; ok && row.Left && !r.objects[a] {
 			r.objects[a] = true
