Adapt the headroom of short work to its demand

A pool with long work only kept its reserved number of slots free twice, and an excess of long work still made short work wait for its age. Long work now waits for slots beyond the fluctuation of running short tasks, and the longer the more long work is queued.

--- a/core/allocator/admission.go
+++ b/core/allocator/admission.go
@@ -30,6 +30,10 @@
 	// demandWindow is the time constant of the offered load.
 	demandWindow = 2 * time.Second
 
+	// leastLongShare of the unreserved slots is what long work gets, by its age, however much short work there
+	// is.
+	leastLongShare = 0.25
+
 	// waitMargin allows for run times that turn out longer than predicted.
 	waitMargin = 1.2
 
@@ -147,13 +151,14 @@
 
 // classWait is the wait for the work ahead of an ask and for own work of the ask itself. Short work waits
 // for all work or, in the reserved slots, for short work. Long work waits for all work and, in the
-// unreserved slots, for long work, until it has waited for LongMaxWait.
+// unreserved slots that short work leaves to it, for long work, until it has waited for LongMaxWait.
 func (a *Allocator) classWait(c *customer, r *routeState, arrival int64, own time.Duration) time.Duration {
 	unreserved := a.longLimit()
 	all := a.shareWait(c, arrival, own, a.capacity, short, long)
 	if r.class == long {
 		untilAged := max(a.pool.LongMaxWait-time.Duration(a.now-arrival), 0)
-		return min(max(all, a.shareWait(c, arrival, own, unreserved, long, long)), all+untilAged)
+		slots := max(unreserved-a.shortInUse(), int(leastLongShare*float64(unreserved)))
+		return min(max(all, a.shareWait(c, arrival, own, slots, long, long)), all+untilAged)
 	}
 	if reserved := a.capacity - unreserved; reserved > 0 {
 		return min(all, a.shareWait(c, arrival, own, reserved, short, short))
@@ -264,7 +269,7 @@
 	}
 	if r.class == long {
 		limit := a.longLimit()
-		slots = min(slots, limit-a.longInUse, a.free-(a.capacity-limit))
+		slots = min(slots, limit-a.limitedInUse, a.free-a.headroom())
 	}
 	return max(slots, 0)
 }
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -57,9 +57,11 @@
 	capacity   int // slots that may be granted
 	free       int
 	longInUse  int
-	emptySince int64
-	warmSince  int64 // when the pool got its first server, or the allocator started
-	sweptAt    int64
+	// limitedInUse counts the grants of long work in unreserved slots.
+	limitedInUse int
+	emptySince   int64
+	warmSince    int64 // when the pool got its first server, or the allocator started
+	sweptAt      int64
 
 	// Ejection and admission control.
 	ejected  indexedHeap[*server]
--- a/core/allocator/bench_test.go
+++ b/core/allocator/bench_test.go
@@ -54,12 +54,10 @@
 
 func (l *load) ask() {
 	l.next++
-	for _, g := range grants(l.a.Ask(l.now, allocator.Ask{
+	l.running = append(l.running, grants(l.a.Ask(l.now, allocator.Ask{
 		ID: fmt.Sprint(l.next), Owner: "owner", Customer: customers[l.next%benchCustomers],
 		Route: routes[l.next%benchRoutes], Count: 1, Deadline: time.Hour,
-	})) {
-		l.running = append(l.running, g)
-	}
+	}))...)
 }
 
 var customers, routes = names("customer", benchCustomers), names("route", benchRoutes)
--- a/core/allocator/fairness.go
+++ b/core/allocator/fairness.go
@@ -1,11 +1,20 @@
 package allocator
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// patienceShare of its run time is what long work waits for a slot beyond the reserved number of free
-	// slots. Free slots keep short work from waiting; long work gains little from a start that much earlier.
+	// headroomDeviations of the number of running short tasks, taken as Poisson, are kept free for further
+	// short work, up to the reserved number of slots.
+	headroomDeviations = 3
+	// patienceShare of its run time is what long work waits for a slot beyond that headroom. Free slots keep
+	// short work from waiting; long work gains little from a start that much earlier.
 	patienceShare = 0.25
+	// backlogPatience is added for each second of queued long work per slot, so that an excess of long work
+	// waits for its own slots.
+	backlogPatience = 1
 	// nominalRunTime is the charge for a task, in seconds, while no run time is known.
 	nominalRunTime = 0.1
 	// correctionLimit bounds the charge for a task in multiples of its estimate, so that a straggler does
@@ -56,7 +65,7 @@
 type access int
 
 const (
-	// spareSlots are free while more slots are free than are reserved. Any work may use them.
+	// spareSlots are free beyond the headroom of short work. Any work may use them.
 	spareSlots access = iota
 	// unreservedSlots may be used by short work, and by long work that waited for a part of its run time.
 	unreservedSlots
@@ -133,7 +142,7 @@
 	c.heads = [accessCount]*ask{both, shortHead, shortHead}
 	c.ripensAt = 0
 	if longHead != nil {
-		patience := min(time.Duration(patienceShare*float64(longHead.lane.route.mean)), a.pool.LongMaxWait)
+		patience := a.patience(longHead.lane.route)
 		for i, wait := range [...]time.Duration{unreservedSlots: patience, reservedSlots: a.pool.LongMaxWait} {
 			if at := longHead.arrival + int64(wait); at <= a.now {
 				c.heads[i] = both
@@ -170,6 +179,15 @@
 	a.total.add(c.counted, 1)
 }
 
+// patience is how long work of a long route waits for spare slots before it takes any unreserved one.
+func (a *Allocator) patience(r *routeState) time.Duration {
+	patience := patienceShare * float64(r.mean)
+	if a.capacity > 0 {
+		patience += backlogPatience * float64(a.total.work[long]) / float64(a.capacity)
+	}
+	return time.Duration(min(patience, float64(a.pool.LongMaxWait)))
+}
+
 func (c *customer) atQuota() bool { return c.quota > 0 && c.inUse >= c.quota }
 
 func older(x, y *ask) *ask {
@@ -188,11 +206,10 @@
 
 // next returns the ask that the next free slot goes to, or nil, and its access.
 func (a *Allocator) next() (*ask, access) {
-	limit := a.longLimit()
 	level := reservedSlots
 	switch {
-	case a.longInUse >= limit:
-	case a.free > a.capacity-limit:
+	case a.limitedInUse >= a.longLimit():
+	case a.free > a.headroom():
 		level = spareSlots
 	default:
 		level = unreservedSlots
@@ -203,7 +220,14 @@
 	return nil, level
 }
 
-// longLimit is the number of slots that long work may use.
+// headroom is the number of slots to be kept free for the fluctuation of short work.
+func (a *Allocator) headroom() int {
+	return min(a.capacity-a.longLimit(), int(headroomDeviations*math.Sqrt(float64(a.shortInUse()))))
+}
+
+func (a *Allocator) shortInUse() int { return max(a.capacity-a.free-a.longInUse, 0) }
+
+// longLimit is the number of slots that are not reserved for short work.
 func (a *Allocator) longLimit() int {
 	return a.capacity - int(float64(a.capacity)**a.pool.ReservedSlots)
 }
--- a/core/allocator/membership.go
+++ b/core/allocator/membership.go
@@ -33,7 +33,8 @@
 	present     bool // heard within agentSilence
 	heard       int64
 	grants      []*grant
-	long        int              // grants of long work in unreserved slots
+	long        int              // grants of long work
+	limited     int              // of them, those in unreserved slots
 	replaced    map[string]int64 // earlier incarnations, by the time of their replacement
 	health      health
 	counted     counted
@@ -49,6 +50,7 @@
 	capacity int
 	free     int
 	long     int
+	limited  int
 }
 
 func newSilenceHeap() indexedHeap[*server] {
@@ -136,13 +138,13 @@
 	s.slots = min(max(s.slots, 0), maxSlots)
 	var now counted
 	if s.present && !s.leaving {
-		now = counted{members: 1, capacity: s.slots, free: max(s.slots-len(s.grants), 0), long: s.long}
+		now = counted{members: 1, capacity: s.slots, free: max(s.slots-len(s.grants), 0), long: s.long, limited: s.limited}
 		switch s.health.state {
 		case healthy:
 		case ejected:
-			now.capacity, now.free, now.long = 0, 0, 0
+			now = counted{members: 1}
 		case probing:
-			now.capacity, now.long = min(s.slots, 1), 0
+			now.capacity, now.long, now.limited = min(s.slots, 1), 0, 0
 			now.free = min(now.free, 1)
 			if s.health.probe != nil {
 				now.free = 0
@@ -158,6 +160,7 @@
 	a.capacity += now.capacity - old.capacity
 	a.free += now.free - old.free
 	a.longInUse += now.long - old.long
+	a.limitedInUse += now.limited - old.limited
 	if now.members != old.members && a.members == 0 {
 		a.emptySince = a.now
 	}
--- a/core/allocator/slots.go
+++ b/core/allocator/slots.go
@@ -32,6 +32,7 @@
 	owner    *owner    // nil if rebuilt
 	customer *customer // nil if unknown
 	route    *routeState
+	class    class
 	limited  bool // long work in an unreserved slot
 	at       int64
 	charge   float64
@@ -112,7 +113,7 @@
 	c, r := l.customer, l.route
 	g := &grant{
 		id:     a.newGrantID(c, r.class),
-		server: s, owner: k.owner, customer: c, route: r, at: a.now,
+		server: s, owner: k.owner, customer: c, route: r, class: r.class, at: a.now,
 		limited: r.class == long && level != reservedSlots,
 		probe:   s.health.state == probing,
 	}
@@ -166,9 +167,12 @@
 	s := g.server
 	g.index = len(s.grants)
 	s.grants = append(s.grants, g)
-	if g.limited {
+	if g.class == long {
 		s.long++
 	}
+	if g.limited {
+		s.limited++
+	}
 	if g.probe {
 		s.health.probe = g
 	}
@@ -183,9 +187,12 @@
 	s.grants[g.index].index = g.index
 	s.grants[end] = nil
 	s.grants = s.grants[:end]
-	if g.limited {
+	if g.class == long {
 		s.long--
 	}
+	if g.limited {
+		s.limited--
+	}
 	if s.health.probe == g {
 		s.health.probe = nil
 	}
@@ -245,7 +252,9 @@
 	delete(a.reclaimed, id)
 	g := &grant{id: id, server: s, at: a.now}
 	if of, name, ok := parseGrantID(id); ok {
-		g.limited = of == long && a.options.Classes
+		if a.options.Classes {
+			g.class, g.limited = of, of == long
+		}
 		g.customer = a.customerOf(name)
 		g.customer.inUse++
 		a.refresh(g.customer)
--- a/core/allocator/stats.go
+++ b/core/allocator/stats.go
@@ -14,7 +14,7 @@
 	Slots          int // that may be granted to, used or not
 	FreeSlots      int
 	Grants         int // in use, on any backend server
-	LongGrants     int // of long work, without those in reserved slots
+	LongGrants     int // of long work
 	Overloaded     bool
 	Delay          time.Duration // until the present queue is served
 
