--- a/core/executor/executor_test.go
+++ b/core/executor/executor_test.go
@@ -49,6 +49,17 @@
 	}
 }
 
+// A start that was under way when the owner cancelled or reconciled it must not run when it arrives (P4).
+func TestUnseenAttemptsNeverStart(t *testing.T) {
+	e := newExecutor(t, 2)
+	e.Cancel(now, start(0).Attempt)
+	want(t, e, start(0), task.RefusedReconciled)
+	if _, unseen := e.Reconcile(now, []task.AttemptID{start(1).Attempt}); len(unseen) != 1 {
+		t.Fatalf("reconcile: got unseen %v", unseen)
+	}
+	want(t, e, start(1), task.RefusedReconciled)
+}
+
 // A slot that is free before the backend server ended the request overloads the backend server.
 func TestSlotIsHeldUntilTheRequestEnds(t *testing.T) {
 	e := newExecutor(t, 1)
--- a/core/job/scenario_test.go
+++ b/core/job/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -17,15 +18,21 @@
 // Each script shows one failure after which a task could start twice or a caller could get a wrong answer.
 // A command prints the starts and answers that it caused, and fails on a broken promise.
 func TestScenarios(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		w := newWorld(func(int) int { return 0 }, func(text string) { t.Fatal(text) }, noFault)
-		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			w.log = nil
-			w.command(t, d)
-			return strings.Join(w.log, "\n")
+	paths, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("find scripts: %v, %v", paths, err)
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			w := newWorld(func(int) int { return 0 }, func(text string) { t.Fatal(text) }, noFault)
+			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+				w.log = nil
+				w.command(t, d)
+				return strings.Join(w.log, "\n")
+			})
+			w.settle()
 		})
-		w.settle()
-	})
+	}
 }
 
 func (w *world) command(t *testing.T, d *datadriven.TestData) {
