--- a/entry/peer.go
+++ b/entry/peer.go
@@ -71,7 +71,7 @@
 		return a.AgentLost(now, p.Name)
 	})
 	e.decideOwnership(func(now time.Time) []ownership.Action {
-		return e.ownership.state.AgentLost(now, p.Name)
+		return e.ownership.state.AgentLost(now, p.Name, p.Incarnation)
 	})
 }
 
