Add the commands, settings examples and the one-command site

Cause: the processes could not be started from a command line. Change: dev, entry, agent, platform, backend and submit commands; events as numbered log lines; examples for separate processes.

--- /dev/null
+++ b/cmd/dogwoodglade/agent.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"net"
+
+	"github.com/urfave/cli/v3"
+
+	"dogwoodglade/agent"
+	"dogwoodglade/io/operator"
+	"dogwoodglade/setting"
+)
+
+const agentUsage = `dogwoodglade agent [-f FILE]
+
+Runs the agent beside the backend servers of a host. Backend servers announce themselves at BackendAddress;
+the agent connects to the entries. On an interrupt it accepts no new tasks, finishes the running ones, at
+most until DrainTimeout, and exits.
+
+EXAMPLES:
+   dogwoodglade agent
+   dogwoodglade agent -f examples/agent-1.yaml
+` + exitCodes
+
+// agentCommand runs an agent.
+func agentCommand() *cli.Command {
+	return &cli.Command{
+		Name: "agent", Usage: "run the agent of a backend server host", UsageText: agentUsage,
+		Flags: []cli.Flag{settingsFlag()}, OnUsageError: onUsageError, Action: runAgent,
+	}
+}
+
+func runAgent(ctx context.Context, cmd *cli.Command) error {
+	settings, err := loadSettings[setting.Agent](cmd)
+	if err != nil {
+		return err
+	}
+	p := newProcess(cmd, settings.Process)
+	a, stop, err := agent.New(agent.Options{
+		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Rack: settings.Rack,
+		Entries: settings.Entries, BackendAddress: settings.BackendAddress, DrainTimeout: settings.DrainTimeout,
+		Platform: newPlatform(settings.Platform), Recorder: p.recorder, Metrics: p.metrics,
+		Dial: (&net.Dialer{}).DialContext, Listen: listenTCP,
+	})
+	if err != nil {
+		return withExitCode(err)
+	}
+	defer stop()
+	stopOperators, err := serveOperators(settings.OperatorAddress, operator.Config{
+		Process: settings.Name, Recorder: p.recorder, Metrics: p.metrics, Unready: a.Unready,
+	})
+	if err != nil {
+		return withExitCode(err)
+	}
+	defer stopOperators()
+	untilSignal(ctx)
+	return nil
+}
--- /dev/null
+++ b/cmd/dogwoodglade/entry.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"net"
+
+	"github.com/urfave/cli/v3"
+
+	"dogwoodglade/entry"
+	"dogwoodglade/io/operator"
+	"dogwoodglade/setting"
+)
+
+const entryUsage = `dogwoodglade entry [-f FILE]
+
+Runs an entry: it accepts submissions, owns some key shards and allocates the slots of some pools. Callers
+connect to CallerAddress, operators to OperatorAddress, agents and other entries to InnerAddress. On an
+interrupt it hands its shards over, finishes its open jobs, at most until DrainTimeout, and exits.
+
+EXAMPLES:
+   dogwoodglade entry
+   dogwoodglade entry -f examples/entry-1.yaml
+` + exitCodes
+
+// entryCommand runs an entry.
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name: "entry", Usage: "run an entry", UsageText: entryUsage,
+		Flags: []cli.Flag{settingsFlag()}, OnUsageError: onUsageError, Action: runEntry,
+	}
+}
+
+func runEntry(ctx context.Context, cmd *cli.Command) error {
+	settings, err := loadSettings[setting.Entry](cmd)
+	if err != nil {
+		return err
+	}
+	p := newProcess(cmd, settings.Process)
+	e, stop, err := entry.New(entry.Options{
+		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Rack: settings.Rack,
+		InnerAddress: settings.InnerAddress, CallerAddress: settings.CallerAddress,
+		Peers: settings.OtherPeers(), DrainTimeout: settings.DrainTimeout,
+		Platform: newPlatform(settings.Platform), Recorder: p.recorder, Metrics: p.metrics,
+		Dial: (&net.Dialer{}).DialContext, Listen: listenTCP,
+	})
+	if err != nil {
+		return withExitCode(err)
+	}
+	defer stop()
+	stopOperators, err := serveOperators(settings.OperatorAddress, operator.Config{
+		Process: settings.Name, Tables: e.Tables(), Recorder: p.recorder, Metrics: p.metrics, Unready: e.Unready,
+	})
+	if err != nil {
+		return withExitCode(err)
+	}
+	defer stopOperators()
+	untilSignal(ctx)
+	return nil
+}
+
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
--- /dev/null
+++ b/cmd/dogwoodglade/main.go
@@ -0,0 +1,48 @@
+// Command dogwoodglade dispatches sub-second tasks. See README.md.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+const usage = `dogwoodglade COMMAND [options]
+
+EXAMPLES:
+   dogwoodglade dev                  run a whole small site, and print what to try next
+   dogwoodglade dev --once           run a sample job on such a site and print its answer
+   dogwoodglade entry -f entry.yaml  run an entry
+   dogwoodglade submit -r sample -c atlas -k key-1 hello world`
+
+func rootCommand() *cli.Command {
+	return &cli.Command{
+		Name: "dogwoodglade", Usage: "dispatch sub-second tasks", UsageText: usage,
+		Action: unknownCommand, OnUsageError: onUsageError,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			devCommand(), entryCommand(), agentCommand(), platformCommand(), backendCommand(),
+			submitCommand(), routeCommand(), poolCommand(), timelineCommand(), checkCommand(),
+		},
+	}
+}
+
+func main() { os.Exit(execute(os.Args)) }
+
+func execute(arguments []string) int {
+	root := rootCommand()
+	root.ErrWriter = os.Stderr
+	err := root.Run(context.Background(), arguments)
+	if err == nil {
+		return 0
+	}
+	_, _ = fmt.Fprintln(os.Stderr, "dogwoodglade:", err)
+	var exit cli.ExitCoder
+	if errors.As(err, &exit) {
+		return exit.ExitCode()
+	}
+	return exitFailure
+}
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -21,6 +21,8 @@
 	DefaultInnerAddress    = "127.0.0.1:7300"
 	DefaultPlatformAddress = "127.0.0.1:7400"
 	DefaultBackendAddress  = "127.0.0.1:7500"
+
+	DefaultAgentOperatorAddress = "127.0.0.1:7600"
 )
 
 // Defaults and bounds of the settings of all processes.
