--- a/dev/site.go
+++ b/dev/site.go
@@ -38,6 +38,7 @@
 	readyTimeout  = 10 * time.Second
 	readyPoll     = 10 * time.Millisecond
 	place         = "dev"
+	platformName  = "platform"
 )
 
 // Settings are the sizes of a site.
@@ -46,8 +47,8 @@
 	Agents        int
 	Slots         int // of each backend server
 	Seed          uint64
-	CallerAddress string // of the first entry; a random port if empty
-	Network       Network
+	CallerAddress string                    // of the first entry; a random port if empty
+	Host          func(process string) Host // loopback sockets if nil
 	Log           func(event.Event)
 }
 
@@ -61,8 +62,8 @@
 	setCount(&s.Entries, 2)
 	setCount(&s.Agents, 3)
 	setCount(&s.Slots, 8)
-	if s.Network == nil {
-		s.Network = loopback{}
+	if s.Host == nil {
+		s.Host = func(string) Host { return loopback{} }
 	}
 	if s.Log == nil {
 		s.Log = func(event.Event) {}
@@ -70,8 +71,8 @@
 	return s
 }
 
-// Network opens the connections of a site. Tests on a paused clock bring one in memory.
-type Network interface {
+// Host opens the connections of one process. Tests on a paused clock bring hosts in memory.
+type Host interface {
 	Listen(address string) (net.Listener, error)
 	Dial(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -94,7 +95,8 @@
 	Servers         []*Part[*backend.Server]
 
 	settings Settings
-	service  platform.Service
+
+	transports []*http.Transport // to the platform
 }
 
 // Part is a process of the site.
@@ -180,7 +182,7 @@
 }
 
 func (s *Site) startPlatform() (func(), error) {
-	listener, err := s.settings.Network.Listen("127.0.0.1:0")
+	listener, err := s.settings.Host(platformName).Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "start platform stand-in")
 	}
@@ -190,15 +192,22 @@
 	server := &http.Server{Handler: platform.Handler(s.Platform), ReadHeaderTimeout: time.Second}
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
-	transport := &http.Transport{DialContext: s.settings.Network.Dial}
-	s.service = platform.NewClient(s.PlatformAddress, &http.Client{Transport: transport})
 	return func() {
-		transport.CloseIdleConnections()
+		for _, transport := range s.transports {
+			transport.CloseIdleConnections()
+		}
 		_ = server.Close()
 		running.Wait()
 	}, nil
 }
 
+// service returns the platform's services as a process reaches them.
+func (s *Site) service(process string) platform.Service {
+	transport := &http.Transport{DialContext: s.settings.Host(process).Dial}
+	s.transports = append(s.transports, transport)
+	return platform.NewClient(s.PlatformAddress, &http.Client{Transport: transport})
+}
+
 func (s *Site) recorder(name string) *event.Recorder {
 	return event.NewRecorder(name, eventCapacity, time.Now, s.settings.Log)
 }
@@ -206,6 +215,7 @@
 // StartEntry starts one more entry.
 func (s *Site) StartEntry() (*Part[*entry.Entry], error) {
 	name := fmt.Sprintf("entry-%d", len(s.Entries)+1)
+	host := s.settings.Host(name)
 	p := &Part[*entry.Entry]{Name: name, Recorder: s.recorder(name), Metrics: metrics.NewRegistry()}
 	callerAddress := "127.0.0.1:0"
 	if len(s.Entries) == 0 && s.settings.CallerAddress != "" {
@@ -215,8 +225,8 @@
 		Name: name, Region: place, DataCentre: place, Rack: place,
 		InnerAddress: "127.0.0.1:0", CallerAddress: callerAddress,
 		Peers: s.entryAddresses(), DrainTimeout: drainTimeout,
-		Platform: s.service, Recorder: p.Recorder, Metrics: p.Metrics,
-		Dial: s.settings.Network.Dial, Listen: s.settings.Network.Listen,
+		Platform: s.service(name), Recorder: p.Recorder, Metrics: p.Metrics,
+		Dial: host.Dial, Listen: host.Listen,
 	})
 	if err != nil {
 		return nil, err
@@ -229,12 +239,13 @@
 // StartAgent starts one more agent.
 func (s *Site) StartAgent() (*Part[*agent.Agent], error) {
 	name := fmt.Sprintf("agent-%d", len(s.Agents)+1)
+	host := s.settings.Host(name)
 	p := &Part[*agent.Agent]{Name: name, Recorder: s.recorder(name), Metrics: metrics.NewRegistry()}
 	process, stop, err := agent.New(agent.Options{
 		Name: name, Region: place, DataCentre: place, Rack: place,
 		Entries: s.entryAddresses(), BackendAddress: "127.0.0.1:0", DrainTimeout: drainTimeout,
-		Platform: s.service, Recorder: p.Recorder, Metrics: p.Metrics,
-		Dial: s.settings.Network.Dial, DialBackend: s.settings.Network.Dial, Listen: s.settings.Network.Listen,
+		Platform: s.service(name), Recorder: p.Recorder, Metrics: p.Metrics,
+		Dial: host.Dial, DialBackend: host.Dial, Listen: host.Listen,
 	})
 	if err != nil {
 		return nil, err
@@ -247,10 +258,11 @@
 // StartServer starts one more sample backend server beside an agent.
 func (s *Site) StartServer(agentAddress string) (*Part[*backend.Server], error) {
 	name := fmt.Sprintf("server-%d", len(s.Servers)+1)
+	host := s.settings.Host(name)
 	server, stop, err := backend.NewServer(backend.ServerSettings{
 		ID: name, Pool: SamplePool, Agent: agentAddress,
 		Slots: s.settings.Slots, Connections: 64, Run: RunSample(name),
-		ListenFunc: s.settings.Network.Listen, Dial: s.settings.Network.Dial,
+		ListenFunc: host.Listen, Dial: host.Dial,
 	})
 	if err != nil {
 		return nil, err
--- a/dev/site_test.go
+++ b/dev/site_test.go
@@ -29,12 +29,12 @@
 func startSite(t *testing.T, settings dev.Settings) *site {
 	t.Helper()
 	network := memnet.New()
-	settings.Network = network
+	settings.Host = func(process string) dev.Host { return network.Host(process) }
 	s, cleanUp, err := dev.New(settings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	transport := &http.Transport{DialContext: network.Dial}
+	transport := &http.Transport{DialContext: network.Host("caller").Dial}
 	t.Cleanup(func() {
 		transport.CloseIdleConnections()
 		cleanUp()
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -1,4 +1,7 @@
 // Package memnet is an in-memory network for tests on a paused clock, where real sockets do not work.
+//
+// It connects hosts by address. Links between hosts can be cut, which breaks their connections, or stalled,
+// which holds messages back until the link works again, as for a paused process.
 package memnet
 
 import (
@@ -9,27 +12,59 @@
 	"sync"
 )
 
-// Network connects listeners and dialers by address.
+// Network connects hosts.
 type Network struct {
 	mu        sync.Mutex
 	nextPort  int
 	listeners map[string]*listener
-	cut       map[string]bool // addresses that cannot be dialled
+	links     map[pair]*link
+	conns     map[*conn]struct{}
 }
 
-// New returns a network without listeners.
+// pair is an unordered pair of hosts.
+type pair struct{ a, b string }
+
+func pairOf(a, b string) pair {
+	if a > b {
+		a, b = b, a
+	}
+	return pair{a, b}
+}
+
+// link is the state of the connections between two hosts.
+type link struct {
+	cut     bool
+	stalled chan struct{} // closed when the link works again; nil while it works
+}
+
+// New returns a network without hosts.
 func New() *Network {
-	return &Network{nextPort: 10_000, listeners: map[string]*listener{}, cut: map[string]bool{}}
+	return &Network{
+		nextPort:  10_000,
+		listeners: map[string]*listener{},
+		links:     map[pair]*link{},
+		conns:     map[*conn]struct{}{},
+	}
 }
 
-// RefusedError reports an address without a listener.
+// RefusedError reports an address that cannot be reached.
 type RefusedError struct{ Address string }
 
 // Error implements error.
 func (e *RefusedError) Error() string { return fmt.Sprintf("dial %s: connection refused", e.Address) }
 
+// Host is the network as one host sees it.
+type Host struct {
+	network *Network
+	name    string
+}
+
+// Host returns the host with the name.
+func (n *Network) Host(name string) *Host { return &Host{network: n, name: name} }
+
 // Listen listens on the address. Port 0 gets a free port.
-func (n *Network) Listen(address string) (net.Listener, error) {
+func (h *Host) Listen(address string) (net.Listener, error) {
+	n := h.network
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	host, port, err := net.SplitHostPort(address)
@@ -40,41 +75,127 @@
 		n.nextPort++
 		port = strconv.Itoa(n.nextPort)
 	}
-	l := &listener{network: n, address: net.JoinHostPort(host, port), conns: make(chan net.Conn), done: make(chan struct{})}
+	l := &listener{
+		network: n, host: h.name, address: net.JoinHostPort(host, port),
+		conns: make(chan net.Conn), done: make(chan struct{}),
+	}
 	n.listeners[l.address] = l
 	return l, nil
 }
 
-// Cut makes dials to the address fail, or work again.
-func (n *Network) Cut(address string, cut bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cut[address] = cut
-}
-
 // Dial connects to the listener of the address.
-func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+func (h *Host) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n := h.network
 	n.mu.Lock()
 	l := n.listeners[address]
-	cut := n.cut[address]
-	n.mu.Unlock()
 	refused := &net.OpError{Op: "dial", Net: "tcp", Err: &RefusedError{Address: address}}
-	if l == nil || cut {
+	if l == nil || n.link(h.name, l.host).cut {
+		n.mu.Unlock()
 		return nil, refused
 	}
 	near, far := net.Pipe()
+	dialled, accepted := n.newConn(near, h.name, l.host), n.newConn(far, h.name, l.host)
+	n.mu.Unlock()
 	select {
-	case l.conns <- far:
-		return near, nil
+	case l.conns <- accepted:
+		return dialled, nil
 	case <-l.done:
+		_ = dialled.Close()
+		_ = accepted.Close()
 		return nil, refused
 	case <-ctx.Done():
+		_ = dialled.Close()
+		_ = accepted.Close()
 		return nil, ctx.Err()
 	}
 }
 
+func (n *Network) link(a, b string) *link {
+	p := pairOf(a, b)
+	l := n.links[p]
+	if l == nil {
+		l = &link{}
+		n.links[p] = l
+	}
+	return l
+}
+
+// Cut breaks all connections between two hosts and refuses new ones, or heals the link.
+func (n *Network) Cut(a, b string, cut bool) {
+	n.mu.Lock()
+	n.link(a, b).cut = cut
+	var broken []*conn
+	for c := range n.conns {
+		if cut && c.hosts == pairOf(a, b) {
+			broken = append(broken, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		_ = c.Close()
+	}
+}
+
+// Stall holds back everything that is sent between two hosts, or lets it arrive.
+func (n *Network) Stall(a, b string, stalled bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.link(a, b)
+	switch {
+	case stalled && l.stalled == nil:
+		l.stalled = make(chan struct{})
+	case !stalled && l.stalled != nil:
+		close(l.stalled)
+		l.stalled = nil
+	}
+}
+
+// conn is one end of a connection.
+type conn struct {
+	net.Conn
+	network *Network
+	hosts   pair
+	once    sync.Once
+	done    chan struct{}
+}
+
+func (n *Network) newConn(c net.Conn, a, b string) *conn {
+	wrapped := &conn{Conn: c, network: n, hosts: pairOf(a, b), done: make(chan struct{})}
+	n.conns[wrapped] = struct{}{}
+	return wrapped
+}
+
+// Write waits while the link is stalled.
+func (c *conn) Write(data []byte) (int, error) {
+	for {
+		c.network.mu.Lock()
+		stalled := c.network.link(c.hosts.a, c.hosts.b).stalled
+		c.network.mu.Unlock()
+		if stalled == nil {
+			return c.Conn.Write(data)
+		}
+		select {
+		case <-stalled:
+		case <-c.done:
+			return 0, net.ErrClosed
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.done)
+		c.network.mu.Lock()
+		delete(c.network.conns, c)
+		c.network.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
 type listener struct {
 	network *Network
+	host    string
 	address string
 	conns   chan net.Conn
 	once    sync.Once
--- a/io/inner/inner_test.go
+++ b/io/inner/inner_test.go
@@ -64,7 +64,7 @@
 		entry:   &fakeEntry{connected: make(chan *Peer, 8), outcomes: make(chan task.Record, 1024)},
 		agent:   &fakeAgent{addresses: make(chan []string, 8)},
 	}
-	listener, err := p.network.Listen("127.0.0.1:1")
+	listener, err := p.network.Host("entry").Listen("127.0.0.1:1")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -74,7 +74,7 @@
 
 func (p pair) dial(t *testing.T) *Peer {
 	t.Helper()
-	peer, err := Dial(context.Background(), p.network.Dial, "127.0.0.1:1", newLocal(RoleAgent, "agent"), p.agent)
+	peer, err := Dial(context.Background(), p.network.Host("agent").Dial, "127.0.0.1:1", newLocal(RoleAgent, "agent"), p.agent)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -115,7 +115,7 @@
 func TestOtherVersionIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := startPair(t)
-		conn, err := p.network.Dial(context.Background(), "tcp", "127.0.0.1:1")
+		conn, err := p.network.Host("agent").Dial(context.Background(), "tcp", "127.0.0.1:1")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -176,7 +176,7 @@
 func TestSilentDiallerIsDisconnected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := startPair(t)
-		conn, err := p.network.Dial(context.Background(), "tcp", "127.0.0.1:1")
+		conn, err := p.network.Host("agent").Dial(context.Background(), "tcp", "127.0.0.1:1")
 		if err != nil {
 			t.Fatal(err)
 		}
