Read the tables from a store slower than the poll timeout

An entry without peers whose store answered later than 1.5 s never got the tables, or got them only at its start.

A poll that times out starts one read with a timeout of 30 s beside the polls, which go on and notice first that the store is fast again.

--- a/io/tables/tables.go
+++ b/io/tables/tables.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/table"
 	"dogwoodglade/io/platform"
@@ -21,11 +23,11 @@
 // Times of the poller. An accepted edit must be in force everywhere within 4 s, even on an entry that only
 // learns of it by polling, so the longest wait between polls and the time of a poll stay below that.
 const (
-	pollInterval = time.Second
-	backoffLimit = 2 * time.Second         // longest wait between polls while the platform fails
-	pollTimeout  = 1500 * time.Millisecond // of a poll by a process that has the tables
-	startTimeout = 10 * time.Second        // of a poll by a process that does not have the tables yet
-	pullTimeout  = time.Second             // of a pull from a peer
+	pollInterval   = time.Second
+	backoffLimit   = 2 * time.Second // longest wait between polls while the platform fails
+	pollTimeout    = 1500 * time.Millisecond
+	patientTimeout = 30 * time.Second // of the read that goes on beside the polls while the platform is slow
+	pullTimeout    = time.Second      // of a pull from a peer
 )
 
 // Shares by which the waits vary, so that entries do not poll together. The wide one spreads the polls of
@@ -54,9 +56,10 @@
 	wake    chan struct{} // a peer is ahead
 
 	mu      sync.Mutex
+	patient bool // a patient read is going on
 	replica *table.Replica
 	failure string // why the platform failed, or "" if it works
-	polled  bool   // whether a poll ever succeeded
+	polled  bool   // whether the platform was ever read
 }
 
 // New starts polling and pulling. The returned function stops both and waits for them.
@@ -70,6 +73,9 @@
 			jitter := pollJitter
 			if err := t.poll(ctx); err != nil {
 				wait, jitter = min(2*wait, backoffLimit), backoffJitter
+				if errors.Is(err, context.DeadlineExceeded) && t.beginPatient() {
+					running.Go(func() { t.readPatiently(ctx) })
+				}
 			} else {
 				wait = pollInterval
 			}
@@ -154,11 +160,7 @@
 
 // poll reads the heads and takes over what is new.
 func (t *Tables) poll(ctx context.Context) error {
-	timeout := pollTimeout
-	if !t.Ready() {
-		timeout = startTimeout
-	}
-	limited, cancel := context.WithTimeout(ctx, timeout)
+	limited, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	_, err := t.read(limited)
 	if ctx.Err() == nil {
@@ -167,6 +169,27 @@
 	return err
 }
 
+// beginPatient reports false if a patient read is going on already.
+func (t *Tables) beginPatient() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	began := !t.patient
+	t.patient = true
+	return began
+}
+
+// readPatiently reads the tables from a platform that is too slow for the polls. The polls go on, because
+// they notice first that the platform is fast again.
+func (t *Tables) readPatiently(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, patientTimeout)
+	defer cancel()
+	_, err := t.read(limited)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.patient = false
+	t.polled = t.polled || err == nil
+}
+
 // pull asks peers for what they have beyond the current snapshot until no peer is ahead.
 func (t *Tables) pull(ctx context.Context) {
 	for ctx.Err() == nil {
