--- a/core/ownership/machine_test.go
+++ b/core/ownership/machine_test.go
@@ -213,7 +213,9 @@
 		"owner that ignores fences":                 func(w *world) { w.ignoreFences = true },
 	} {
 		t.Run(name, func(t *testing.T) {
-			for flagName, value := range map[string]string{"rapid.nofailfile": "true", "rapid.shrinktime": "0s"} {
+			for flagName, value := range map[string]string{
+				"rapid.nofailfile": "true", "rapid.shrinktime": "0s", "rapid.seed": "1", "rapid.checks": "1000",
+			} {
 				before := flag.Lookup(flagName).Value.String()
 				if err := flag.Set(flagName, value); err != nil {
 					t.Fatal(err)
