--- a/core/ownership/machine_test.go
+++ b/core/ownership/machine_test.go
@@ -165,6 +165,22 @@
 		}
 	}
 	w.run(15 * time.Second)
+	w.probe()
+	w.run(5 * time.Second)
+}
+
+// probe tells each owner which agents would refuse its starts: an entry that died may have fenced some of
+// them after the owner's recovery.
+func (w *world) probe() {
+	for _, n := range w.nodes {
+		for _, id := range slices.Sorted(maps.Keys(n.jobs)) {
+			for _, a := range w.agents {
+				if j := n.jobs[id]; j != nil && !a.dead && !n.dead && j.epoch.Less(a.epochs[id]) {
+					w.perform(n, n.own.Superseded(w.now, id, a.epochs[id]))
+				}
+			}
+		}
+	}
 }
 
 func (w *world) checkOwners() {
