Test the retry budget, late replies and a record during a bar

Trials with defects in the code showed that no test missed the retry budget, the release of grants, the order of outcome and reply, and the conflict checks of bars. Adds tests for them and removes a check that join makes anyway.

--- a/core/executor/executor_test.go
+++ b/core/executor/executor_test.go
@@ -58,6 +58,11 @@
 		t.Fatalf("reconcile: got unseen %v", unseen)
 	}
 	want(t, e, start(1), task.RefusedReconciled)
+	// A job is not reported as not run if a task of it is on record.
+	want(t, e, start(2), task.Accepted)
+	if why := e.BarJob(now, task.Record{Attempt: start(2).Attempt, Epoch: start(2).Epoch, TaskCount: 3}); why != task.RefusedConflict {
+		t.Fatalf("bar: got %q", why)
+	}
 }
 
 // A slot that is free before the backend server ended the request overloads the backend server.
--- a/core/job/limits_test.go
+++ b/core/job/limits_test.go
@@ -10,6 +10,7 @@
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/job"
 	"dogwoodglade/core/pool"
+	"dogwoodglade/core/retry"
 	"dogwoodglade/core/route"
 	"dogwoodglade/core/shard"
 	"dogwoodglade/core/table"
@@ -89,6 +90,12 @@
 		if a := answerOf(t, o.Outcome(start, r)); a.State != job.Complete {
 			t.Fatalf("got %+v", a)
 		}
+		if len(o.Granted(start, grant)) != 1 {
+			t.Fatal("the owner still counts the grant as in use")
+		}
+		if again := o.Submit(start, s, "w", tables); len(again) != 0 {
+			t.Fatalf("a repeated message was answered again: %v", again)
+		}
 	}
 	o.Tick(start.Add(job.RetentionWindow - 1))
 	for i, id := range ids {
@@ -102,6 +109,50 @@
 	}
 }
 
+// Retries beyond the pool's budget multiply the load of a pool that fails every task.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	o, idempotent, starts := newOwner(keys[0]), true, 0
+	many := tables.WithRoute(route.New("r", "p").WithAttempts(10)).WithPool(pool.New("p").WithRetryBudget(0.1))
+	for _, id := range keys {
+		now := start
+		actions := o.Submit(now, job.Submission{ID: id, Route: "r", Idempotent: &idempotent, Bodies: [][]byte{{1}}}, "w", many)
+		for len(actions) > 0 || o.Lookup(now, id).State == job.Pending {
+			now = now.Add(100 * time.Millisecond)
+			for _, a := range actions {
+				switch a := a.(type) {
+				case job.AskSlots:
+					starts++
+					g := allocator.Grant{ID: fmt.Sprint(starts), Ask: a.Ask.ID, Agent: "a", BackendServer: "b"}
+					sent := o.Granted(now, g)[0].(job.SendStart).Start
+					actions = o.Outcome(now, task.Record{
+						Attempt: sent.Attempt, Agent: "a", TaskCount: 1, State: task.Ended, Result: task.Result{Status: 500},
+					})
+				default:
+					actions = nil
+				}
+			}
+			if len(actions) == 0 {
+				actions = o.Tick(now)
+			}
+		}
+	}
+	if want := len(keys) + retry.Cap; starts != want {
+		t.Fatalf("got %d starts of %d failing tasks, want %d", starts, len(keys), want)
+	}
+}
+
+// A record that arrives while a job is being barred shows that the job ran: it must not be reported as not run.
+func TestRecordDuringBarPreventsNotRun(t *testing.T) {
+	o := newOwner(keys[0])
+	o.Submit(start, job.Submission{ID: keys[0], Route: "r", Bodies: [][]byte{{1}}}, "w", tables)
+	o.Cancel(start, keys[0])
+	attempt := task.AttemptID{Task: task.ID{Job: keys[0]}, Number: 1}
+	o.Recovered(start, "a", []task.Record{{Attempt: attempt, Agent: "a", TaskCount: 1, State: task.Running}})
+	if a := answerOf(t, o.Barred(start, keys[0], task.Accepted)); a.State != job.OutcomeUnknown {
+		t.Fatalf("got %+v", a)
+	}
+}
+
 // An ask whose age restarts, or that outlives its job, is granted in the wrong order or for nothing.
 func TestAsksCarryAgeDeadlineAndCount(t *testing.T) {
 	o := newOwner(keys[0])
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -69,9 +69,6 @@
 
 // resubmit takes the submission of a key in memory.
 func (o *Owner) resubmit(now time.Time, w *work, s Submission, waiter string, t table.Snapshot) {
-	if slices.Contains(w.waiters, waiter) || slices.Contains(w.served, waiter) {
-		return
-	}
 	o.record(o.event(event.JobResubmitted, w))
 	if w.route != s.Route || len(w.parts) != len(s.Bodies) || w.digest != digest(s.Bodies) {
 		o.refuse(s.ID, waiter, Failed, ReasonKeyReused)
