--- a/core/allocator/machine_test.go
+++ b/core/allocator/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -20,36 +21,29 @@
 	pool    pool.Pool
 	now     time.Time
 	servers map[string]*modelServer
-	grants  map[string]*modelGrant
-	asks    map[string]*modelAsk // by owner and ID
+	grants  map[string]modelGrant
+	asks    map[string]*allocator.Ask // by owner and ID, with the count that is left
 	ejected map[string]bool
 	next    int
 }
 
 type modelServer struct {
-	id, agent   string
-	incarnation int
-	announced   []int // incarnations, oldest first
-	slots       int
-	usable      bool // announced, not leaving, its agent not lost
-	heard       time.Time
+	allocator.BackendServer
+	run       int
+	announced []string // incarnations, oldest first
+	heard     time.Time
+	lost      bool
 }
 
 type modelGrant struct {
 	allocator.Grant
 	customer string
-	owned    bool
-}
-
-type modelAsk struct {
-	owner, id, customer string
-	left                int
 }
 
 func newMachine(t *rapid.T) *machine {
 	m := &machine{
-		t: t, now: epoch, servers: map[string]*modelServer{}, grants: map[string]*modelGrant{},
-		asks: map[string]*modelAsk{}, ejected: map[string]bool{},
+		t: t, now: epoch, servers: map[string]*modelServer{}, grants: map[string]modelGrant{},
+		asks: map[string]*allocator.Ask{}, ejected: map[string]bool{},
 	}
 	m.pool = pool.New("p").WithQueueLimit(30).WithQuota("limited", 3).WithShare("heavy", 3).
 		WithReservedSlots(rapid.SampledFrom([]float64{0, 0.2, 1}).Draw(t, "reserved")).
@@ -57,19 +51,17 @@
 	on := func(name string) bool { return rapid.IntRange(0, 4).Draw(t, name) > 0 }
 	options := allocator.DefaultOptions().WithFairness(on("fairness")).WithClasses(on("classes")).
 		WithAdmission(on("admission")).WithEjection(on("ejection"))
-	m.a = allocator.NewWithOptions("entry1", m.pool, m.record, options)
+	m.a = allocator.NewWithOptions("entry1", m.pool, func(e eventlog.Event) {
+		switch e.Number {
+		case eventlog.BackendEjected:
+			m.ejected[e.Peer] = true
+		case eventlog.BackendProbed, eventlog.BackendRestored:
+			delete(m.ejected, e.Peer)
+		}
+	}, options)
 	return m
 }
 
-func (m *machine) record(e eventlog.Event) {
-	switch e.Number {
-	case eventlog.BackendEjected:
-		m.ejected[e.Peer] = true
-	case eventlog.BackendProbed, eventlog.BackendRestored:
-		delete(m.ejected, e.Peer)
-	}
-}
-
 // act checks each action against the model.
 func (m *machine) act(actions []allocator.Action) {
 	for _, action := range actions {
@@ -83,90 +75,71 @@
 }
 
 func (m *machine) granted(g allocator.Grant) {
-	k := m.take(g.Owner, g.Ask, 1)
+	customer := m.take(g.Owner, g.Ask, 1).Customer
 	s := m.servers[g.BackendServer]
-	switch {
-	case s == nil || !s.usable || g.Incarnation != fmt.Sprint(s.incarnation) || g.Agent != s.agent:
+	switch _, again := m.grants[g.ID]; {
+	case s == nil || s.lost || s.Leaving || g.Incarnation != s.Incarnation || g.Agent != s.Agent:
 		m.t.Fatalf("granted %+v on an absent server", g)
 	case m.now.Sub(s.heard) >= 2*time.Second:
 		m.t.Fatalf("granted %+v on a silent server", g)
-	case m.ejected[s.id]:
+	case m.ejected[s.ID]:
 		m.t.Fatalf("granted %+v on an ejected server", g)
-	case m.grants[g.ID] != nil:
+	case again:
 		m.t.Fatalf("granted %s twice", g.ID)
 	}
-	m.grants[g.ID] = &modelGrant{Grant: g, customer: k.customer, owned: true}
+	m.grants[g.ID] = modelGrant{Grant: g, customer: customer}
 	inUse, ofCustomer := 0, 0
 	for _, other := range m.grants {
 		if other.BackendServer == g.BackendServer {
 			inUse++
 		}
-		if other.customer == k.customer {
+		if other.customer == customer {
 			ofCustomer++
 		}
 	}
-	if inUse > s.slots {
-		m.t.Fatalf("%s has %d grants in %d slots", s.id, inUse, s.slots)
-	}
-	if quota := m.pool.Quota(k.customer); quota > 0 && ofCustomer > quota {
-		m.t.Fatalf("%s has %d grants, its quota is %d", k.customer, ofCustomer, quota)
+	if quota := m.pool.Quota(customer); inUse > s.Slots || (quota > 0 && ofCustomer > quota) {
+		m.t.Fatalf("%d grants in %d slots, %d grants in a quota of %d", inUse, s.Slots, ofCustomer, quota)
 	}
 }
 
-func (m *machine) take(owner, id string, count int) *modelAsk {
+func (m *machine) take(owner, id string, count int) *allocator.Ask {
 	k := m.asks[owner+"/"+id]
-	if k == nil || k.left < count {
+	if k == nil || k.Count < count {
 		m.t.Fatalf("ask %s of %s: %d more slots ended than asked for, have %+v", id, owner, count, k)
 	}
-	if k.left -= count; k.left == 0 {
+	if k.Count -= count; k.Count == 0 {
 		delete(m.asks, owner+"/"+id)
 	}
 	return k
 }
 
-func (m *machine) drawKey(name string, keys []string) string {
-	if len(keys) == 0 {
+// draw chooses one of the values, or skips the step if there is none.
+func draw[V any](m *machine, name string, values map[string]V) V {
+	if len(values) == 0 {
 		m.t.Skip("nothing to choose from")
 	}
-	slices.Sort(keys)
-	return rapid.SampledFrom(keys).Draw(m.t, name)
-}
-
-func keysOf[V any](values map[string]V) []string {
-	keys := make([]string, 0, len(values))
-	for key := range values {
-		keys = append(keys, key)
-	}
-	return keys
+	return values[rapid.SampledFrom(slices.Sorted(maps.Keys(values))).Draw(m.t, name)]
 }
 
-// drop ends the grants of a server that is gone.
-func (m *machine) drop(server string) {
-	for id, g := range m.grants {
-		if g.BackendServer == server {
-			delete(m.grants, id)
-		}
-	}
+// restart replaces a server, with which its tasks end.
+func (m *machine) restart(s *modelServer) {
+	s.run++
+	s.Incarnation = fmt.Sprint(s.run)
+	maps.DeleteFunc(m.grants, func(_ string, g modelGrant) bool { return g.BackendServer == s.ID })
 }
 
-func (m *machine) announcement(s *modelServer) allocator.BackendServer {
-	b := allocator.BackendServer{
-		ID: s.id, Agent: s.agent, Incarnation: fmt.Sprint(s.incarnation), Pool: "p", Slots: s.slots, Leaving: !s.usable,
+func (m *machine) heartbeat(s *modelServer) {
+	s.heard, s.lost, s.Grants = m.now, false, nil
+	if !slices.Contains(s.announced, s.Incarnation) {
+		s.announced = append(s.announced, s.Incarnation)
 	}
 	for id, g := range m.grants {
-		if g.BackendServer == s.id {
-			b.Grants = append(b.Grants, id)
+		if g.BackendServer == s.ID {
+			s.Grants = append(s.Grants, id)
 		}
 	}
-	return b
-}
-
-func (m *machine) announce(s *modelServer) {
-	s.heard = m.now
-	if !slices.Contains(s.announced, s.incarnation) {
-		s.announced = append(s.announced, s.incarnation)
-	}
-	m.act(m.a.Announce(m.now, m.announcement(s)))
+	slices.Sort(s.Grants)
+	m.act(m.a.Announce(m.now, s.BackendServer))
 }
 
 func (m *machine) Announce(t *rapid.T) {
@@ -174,36 +147,36 @@
 	id := rapid.SampledFrom([]string{"s1", "s2", "s3"}).Draw(t, "server")
 	s := m.servers[id]
 	if s == nil {
-		s = &modelServer{id: id, agent: "agent-" + id, incarnation: 1, slots: rapid.IntRange(1, 6).Draw(t, "slots")}
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		s = &modelServer{BackendServer: allocator.BackendServer{ID: id, Agent: "agent-" + id, Pool: "p", Slots: slots}}
 		m.servers[id] = s
 	}
-	if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
-		m.drop(id)
-		s.incarnation++
+	if s.run == 0 || rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
+		m.restart(s)
 	}
-	s.usable = rapid.IntRange(0, 4).Draw(t, "leaving") > 0
-	m.announce(s)
+	s.Leaving = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
+	m.heartbeat(s)
 	if len(s.announced) > 1 && rapid.Bool().Draw(t, "outdated") {
-		old := m.announcement(s)
-		old.Incarnation, old.Leaving, old.Slots = fmt.Sprint(s.announced[0]), false, 6
+		old := s.BackendServer
+		old.Incarnation, old.Leaving, old.Slots = s.announced[0], false, 6
 		m.act(m.a.Announce(m.now, old))
 	}
 }
 
 func (m *machine) AgentLost(t *rapid.T) {
 	m.t = t
-	s := m.servers[m.drawKey("server", keysOf(m.servers))]
-	m.drop(s.id)
-	s.usable = false
-	s.incarnation++ // the host was replaced
-	m.act(m.a.AgentLost(m.now, s.agent))
+	s := draw(m, "server", m.servers)
+	m.restart(s)
+	s.lost = true
+	m.act(m.a.AgentLost(m.now, s.Agent))
 }
 
 func (m *machine) Ask(t *rapid.T) {
 	m.t = t
-	owner := rapid.SampledFrom([]string{"owner1", "owner2"}).Draw(t, "owner")
+	m.next++
 	q := allocator.Ask{
-		Owner:    owner,
+		ID:       fmt.Sprint("ask", m.next),
+		Owner:    rapid.SampledFrom([]string{"owner1", "owner2"}).Draw(t, "owner"),
 		Customer: rapid.SampledFrom([]string{"plain", "limited", "heavy"}).Draw(t, "customer"),
 		Route:    rapid.SampledFrom([]string{"fast", "slow"}).Draw(t, "route"),
 		Count:    rapid.IntRange(1, 8).Draw(t, "count"),
@@ -212,41 +185,39 @@
 		Avoid:    rapid.SliceOfN(rapid.SampledFrom([]string{"s1", "s2"}), 0, 2).Draw(t, "avoid"),
 	}
 	if len(m.asks) > 0 && rapid.IntRange(0, 5).Draw(t, "replace") == 0 {
-		k := m.asks[m.drawKey("ask", keysOf(m.asks))]
-		q.Owner, q.ID, q.Customer = k.owner, k.id, k.customer
-	} else {
-		m.next++
-		q.ID = fmt.Sprint("ask", m.next)
+		k := draw(m, "ask", m.asks)
+		q.Owner, q.ID, q.Customer = k.Owner, k.ID, k.Customer
 	}
-	m.asks[q.Owner+"/"+q.ID] = &modelAsk{owner: q.Owner, id: q.ID, customer: q.Customer, left: q.Count}
+	left := q
+	m.asks[q.Owner+"/"+q.ID] = &left
 	m.act(m.a.Ask(m.now, q))
 }
 
 func (m *machine) Withdraw(t *rapid.T) {
 	m.t = t
-	k := m.asks[m.drawKey("ask", keysOf(m.asks))]
-	count := rapid.IntRange(0, k.left).Draw(t, "count")
-	taken := count
-	if count == 0 {
-		taken = k.left
+	k := draw(m, "ask", m.asks)
+	count := rapid.IntRange(0, k.Count).Draw(t, "count")
+	if taken := count; taken > 0 {
+		m.take(k.Owner, k.ID, taken)
+	} else {
+		m.take(k.Owner, k.ID, k.Count)
 	}
-	m.take(k.owner, k.id, taken)
-	m.act(m.a.Withdraw(m.now, k.owner, k.id, count))
+	m.act(m.a.Withdraw(m.now, k.Owner, k.ID, count))
 }
 
 func (m *machine) End(t *rapid.T) {
 	m.t = t
-	g := m.grants[m.drawKey("grant", keysOf(m.grants))]
+	g := draw(m, "grant", m.grants)
 	delete(m.grants, g.ID)
 	if rapid.IntRange(0, 5).Draw(t, "return") == 0 {
 		m.act(m.a.Return(m.now, g.ID))
 		return
 	}
-	route := rapid.SampledFrom([]string{"fast", "slow"}).Draw(t, "route")
 	outcomes := []allocator.Outcome{allocator.Succeeded, allocator.Cancelled, allocator.Unused}
 	if g.BackendServer == "s3" {
 		outcomes = []allocator.Outcome{allocator.Errored}
 	}
+	route := rapid.SampledFrom([]string{"fast", "slow"}).Draw(t, "route")
 	r := allocator.Release{
 		BackendServer: g.BackendServer, Incarnation: g.Incarnation, Grant: g.ID, Route: route,
 		Outcome: rapid.SampledFrom(outcomes).Draw(t, "outcome"),
@@ -259,20 +230,16 @@
 func (m *machine) OwnerLost(t *rapid.T) {
 	m.t = t
 	owner := rapid.SampledFrom([]string{"owner1", "owner2"}).Draw(t, "owner")
-	for key, k := range m.asks {
-		if k.owner == owner {
-			delete(m.asks, key)
-		}
-	}
+	maps.DeleteFunc(m.asks, func(_ string, k *allocator.Ask) bool { return k.Owner == owner })
 	m.act(m.a.OwnerLost(m.now, owner))
 }
 
 func (m *machine) Pass(t *rapid.T) {
 	m.t = t
 	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "milliseconds")) * time.Millisecond)
-	for _, id := range slices.Sorted(slices.Values(keysOf(m.servers))) {
-		if s := m.servers[id]; s.usable && rapid.IntRange(0, 9).Draw(t, "heartbeat") > 0 {
-			m.announce(s)
+	for _, id := range slices.Sorted(maps.Keys(m.servers)) {
+		if s := m.servers[id]; !s.lost && rapid.IntRange(0, 9).Draw(t, "heartbeat") > 0 {
+			m.heartbeat(s)
 		}
 	}
 	m.act(m.a.Tick(m.now))
@@ -282,15 +249,12 @@
 func (m *machine) Check(t *rapid.T) {
 	left := 0
 	for _, k := range m.asks {
-		left += k.left
+		left += k.Count
 	}
 	stats := m.a.Stats()
-	if stats.QueuedTasks != left || stats.QueuedAsks != len(m.asks) {
-		t.Fatalf("got %d tasks of %d asks in the queue, want %d of %d",
-			stats.QueuedTasks, stats.QueuedAsks, left, len(m.asks))
-	}
-	if stats.QueuedTasks > m.pool.QueueLimit {
-		t.Fatalf("got %d tasks in a queue of at most %d", stats.QueuedTasks, m.pool.QueueLimit)
+	if stats.QueuedTasks != left || stats.QueuedAsks != len(m.asks) || left > m.pool.QueueLimit {
+		t.Fatalf("got %d tasks of %d asks in the queue, want %d of %d, at most %d tasks",
+			stats.QueuedTasks, stats.QueuedAsks, left, len(m.asks), m.pool.QueueLimit)
 	}
 	if limit := int(float64(stats.BackendServers) * *m.pool.MaxEjectedShare); stats.Ejected > limit {
 		t.Fatalf("got %d ejected servers, want at most %d", stats.Ejected, limit)
