--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -165,7 +165,7 @@
 	if err != nil {
 		return c.unreachable(err)
 	}
-	defer response.Body.Close() //nolint:errcheck // the body was read or is abandoned
+	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
 		return c.unreachable(err)
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -78,7 +78,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer response.Body.Close() //nolint:errcheck // the body was read
+		defer response.Body.Close()
 		answer, err := io.ReadAll(response.Body)
 		if err != nil {
 			t.Fatal(err)
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return nil, lostAnswer(operation, err, effect && !dialFailed(err))
 	}
-	defer response.Body.Close() //nolint:errcheck // the body was read or is abandoned
+	defer response.Body.Close()
 	data, err := readBounded(operation, response.Body, MaxAnswer)
 	if err != nil {
 		return nil, lostAnswer(operation, err, effect)
