--- a/core/job/owner.go
+++ b/core/job/owner.go
@@ -135,7 +135,8 @@
 }
 
 // Superseded ends the owner's work because another owner acts under a higher epoch. Its starts may already
-// have run, or the new owner's may, so the open jobs are answered as unknown.
+// have run, or the new owner's may, so the open jobs are answered as unknown. The caller does not report the
+// successor of a planned handover, under which a draining owner finishes its jobs.
 func (o *Owner) Superseded(now time.Time, epoch shard.Epoch) []Action {
 	o.observe(now)
 	if o.epoch.Less(epoch) {
