--- a/core/event/event.go
+++ b/core/event/event.go
@@ -101,8 +101,15 @@
 	State    string `json:",omitempty"` // state or reason, by kind of event
 	Version  uint64 `json:",omitempty"` // table version
 	Count    int    `json:",omitempty"`
+	Limit    int    `json:",omitempty"` // starts allowed for each task of an accepted job
 }
 
+// States of JobAccepted and TaskStarted.
+const (
+	Idempotent    = "Idempotent"
+	NonIdempotent = "NonIdempotent"
+)
+
 // Stamp is a time of the hybrid logical clock. Wall is in nanoseconds since 1970; Logical orders stamps
 // of equal wall time.
 type Stamp struct {
--- /dev/null
+++ b/core/event/name.go
@@ -0,0 +1,37 @@
+package event
+
+import "strconv"
+
+var names = map[Number]string{
+	JobAccepted: "JobAccepted", JobResubmitted: "JobResubmitted", JobAnswered: "JobAnswered",
+	JobRefused: "JobRefused", JobCancelled: "JobCancelled", JobRecovered: "JobRecovered",
+	AnswerDelivered: "AnswerDelivered",
+
+	TaskAsked: "TaskAsked", TaskSent: "TaskSent", TaskStarted: "TaskStarted", TaskRefused: "TaskRefused",
+	TaskEnded: "TaskEnded", TaskLost: "TaskLost", TaskRetried: "TaskRetried", OutcomeReceived: "OutcomeReceived",
+	OutcomeDiscarded: "OutcomeDiscarded",
+
+	SlotGranted: "SlotGranted", SlotReturned: "SlotReturned", SlotReleased: "SlotReleased",
+	AskRefused: "AskRefused", BackendEjected: "BackendEjected", BackendProbed: "BackendProbed",
+	BackendRestored: "BackendRestored", AllocatorStarted: "AllocatorStarted",
+
+	ProcessStarted: "ProcessStarted", ProcessStopped: "ProcessStopped", ProcessDraining: "ProcessDraining",
+	BackendAnnounced: "BackendAnnounced", BackendLeaving: "BackendLeaving", BackendLost: "BackendLost",
+	AgentConnected: "AgentConnected", AgentLost: "AgentLost", AgentRegistered: "AgentRegistered",
+	EntryConnected: "EntryConnected", EntryLost: "EntryLost",
+
+	TakeoverStarted: "TakeoverStarted", ShardFenced: "ShardFenced", TakeoverCompleted: "TakeoverCompleted",
+	TakeoverIncomplete: "TakeoverIncomplete", OwnerSuperseded: "OwnerSuperseded", HandoverSent: "HandoverSent",
+	HandoverReceived: "HandoverReceived",
+
+	EditAccepted: "EditAccepted", EditRefused: "EditRefused", TablesAdopted: "TablesAdopted",
+	PlatformFailed: "PlatformFailed", PlatformRestored: "PlatformRestored",
+}
+
+// String returns the name of the kind of event, or its number if it has no name.
+func (n Number) String() string {
+	if name, ok := names[n]; ok {
+		return name
+	}
+	return strconv.Itoa(int(n))
+}
