Test the single steps of ownership on scripted failures

The state machine shows that nothing breaks, not that a takeover is one batch or that a cut link moves nothing.

--- a/core/ownership/entry_test.go
+++ b/core/ownership/entry_test.go
@@ -1,8 +1,10 @@
 package ownership_test
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"dogwoodglade/core/ownership"
@@ -12,6 +14,7 @@
 
 func (w *world) perform(n *node, actions []ownership.Action) {
 	for _, action := range actions {
+		w.counts[strings.TrimPrefix(fmt.Sprintf("%T", action), "ownership.")]++
 		switch a := action.(type) {
 		case ownership.AskVotes:
 			w.askVotes(n, a)
@@ -145,6 +148,7 @@
 			w.fail("the row's epoch of shard %d decreases from %v to %v", id, w.row.Shards[id], row.Shards[id])
 		}
 	}
+	w.loseNext, w.loseWrite = w.loseWrite, false
 	row.Version++
 	w.row = row
 	return true
--- a/core/ownership/world_test.go
+++ b/core/ownership/world_test.go
@@ -89,6 +89,9 @@
 	fault    string
 
 	submitting bool
+	loseWrite  bool // lose the answer of the next write of the row
+	loseNext   bool
+	counts     map[string]int // of actions
 
 	// Mutations of the protocol.
 	noHandshake  bool
@@ -101,6 +104,7 @@
 		nodes: map[string]*node{}, agents: map[string]*fakeAgent{}, cut: map[[2]string]bool{},
 		registry: map[string]ownership.AgentRow{}, objects: map[string][]task.Record{},
 		started: map[task.JobID]string{}, tickets: map[task.JobID]shard.Ticket{},
+		counts: map[string]int{},
 	}
 }
 
@@ -220,8 +224,8 @@
 		}
 		effect()
 		answer := success
-		if w.lossy && w.random.IntN(4) == 0 {
-			answer = failure
+		if w.loseNext || w.lossy && w.random.IntN(4) == 0 {
+			answer, w.loseNext = failure, false
 		}
 		w.after(time.Millisecond, answer)
 	})
