--- a/core/event/event.go
+++ b/core/event/event.go
@@ -101,6 +101,21 @@
 	State    string `json:",omitempty"` // state or reason, by kind of event
 	Version  uint64 `json:",omitempty"` // table version
 	Count    int    `json:",omitempty"`
+	Limit    int    `json:",omitempty"` // starts allowed for each task of an accepted job
+}
+
+// States of JobAccepted and TaskStarted.
+const (
+	Idempotent    = "Idempotent"
+	NonIdempotent = "NonIdempotent"
+)
+
+// StateOf returns the state of an event about a job that is idempotent or not.
+func StateOf(idempotent bool) string {
+	if idempotent {
+		return Idempotent
+	}
+	return NonIdempotent
 }
 
 // Stamp is a time of the hybrid logical clock. Wall is in nanoseconds since 1970; Logical orders stamps
--- a/core/executor/start.go
+++ b/core/executor/start.go
@@ -112,6 +112,7 @@
 	e.running++
 	ev := e.event(event.TaskStarted, s.Attempt)
 	ev.Epoch, ev.Peer, ev.Route = s.Epoch.String(), s.BackendServer, s.Route
+	ev.State = event.StateOf(s.Idempotent)
 	e.record(ev)
 	return Run{Start: s, Address: b.Address}
 }
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -36,6 +36,7 @@
 	o.jobs[s.ID] = w
 	ev := o.event(event.JobAccepted, w)
 	ev.Count, ev.Version = len(w.parts), t.Versions.Routes
+	ev.Limit, ev.State = w.limit, event.StateOf(w.idempotent)
 	o.record(ev)
 	o.join(w, waiter)
 	o.begin(now, w)
--- a/dev/site.go
+++ b/dev/site.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -106,17 +107,27 @@
 	Recorder *event.Recorder
 	Metrics  metrics.Registry
 
-	stop  func()
-	abort func()
-	once  sync.Once
+	stop    func()
+	abort   func()
+	once    sync.Once
+	stopped atomic.Bool
 }
 
+// Stopped reports whether the part was stopped or killed.
+func (p *Part[T]) Stopped() bool { return p.stopped.Load() }
+
 // Stop stops the part as a planned stop does.
-func (p *Part[T]) Stop() { p.once.Do(p.stop) }
+func (p *Part[T]) Stop() {
+	p.once.Do(func() {
+		p.stopped.Store(true)
+		p.stop()
+	})
+}
 
 // Kill stops the part at once, as a failure of its host would.
 func (p *Part[T]) Kill() {
 	p.once.Do(func() {
+		p.stopped.Store(true)
 		p.abort()
 		p.stop()
 	})
--- a/entry/front.go
+++ b/entry/front.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodglade/core/event"
 	"dogwoodglade/core/job"
 	"dogwoodglade/core/route"
 	"dogwoodglade/core/shard"
@@ -43,13 +44,18 @@
 		s.Deadline = max(time.Until(until), time.Millisecond)
 		return s
 	}
-	return e.askOwner(ctx, ask{
+	a := e.askOwner(ctx, ask{
 		id:    s.ID,
 		local: func(ctx context.Context) (inner.OwnerReply, error) { return e.submitLocal(ctx, remaining()) },
 		remote: func(ctx context.Context, p *inner.Peer) (inner.OwnerReply, error) {
 			return p.Submit(ctx, remaining())
 		},
 	})
+	e.record(event.Event{
+		Number: event.AnswerDelivered, Customer: s.ID.Customer, Key: s.ID.Key, Task: -1,
+		Route: s.Route, State: string(a.State), Count: len(a.Results),
+	})
+	return a
 }
 
 // bound returns a context that also ends when the entry stops.
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -10,6 +10,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // Network connects hosts.
@@ -132,7 +133,7 @@
 	}
 	n.mu.Unlock()
 	for _, c := range broken {
-		_ = c.Close()
+		c.breakOff()
 	}
 }
 
@@ -150,47 +151,103 @@
 	}
 }
 
-// conn is one end of a connection.
+// conn is one end of a connection. Writes go to a buffer, as they do with sockets, so that a writer does not
+// hold its locks while the link is stalled.
 type conn struct {
 	net.Conn
 	network *Network
 	hosts   pair
-	once    sync.Once
-	done    chan struct{}
+	done    chan struct{} // closed by Close
+	wake    chan struct{} // has an element if there is something to send or to close
+
+	mu     sync.Mutex
+	buffer []byte
+	closed bool
 }
 
 func (n *Network) newConn(c net.Conn, a, b string) *conn {
-	wrapped := &conn{Conn: c, network: n, hosts: pairOf(a, b), done: make(chan struct{})}
+	wrapped := &conn{
+		Conn: c, network: n, hosts: pairOf(a, b), done: make(chan struct{}), wake: make(chan struct{}, 1),
+	}
 	n.conns[wrapped] = struct{}{}
+	go wrapped.send()
 	return wrapped
 }
 
-// Write waits while the link is stalled.
+// Write implements net.Conn.
 func (c *conn) Write(data []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	c.buffer = append(c.buffer, data...)
+	c.signal()
+	return len(data), nil
+}
+
+func (c *conn) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// send delivers what was written, and closes the connection when all of it was delivered.
+func (c *conn) send() {
+	for range c.wake {
+		c.mu.Lock()
+		data, closed := c.buffer, c.closed
+		c.buffer = nil
+		c.mu.Unlock()
+		if len(data) > 0 && c.linkWorks() {
+			_, _ = c.Conn.Write(data)
+		}
+		if closed {
+			_ = c.Conn.Close()
+			return
+		}
+	}
+}
+
+// linkWorks waits while the link is stalled. It reports false if the connection was closed meanwhile.
+func (c *conn) linkWorks() bool {
 	for {
 		c.network.mu.Lock()
 		stalled := c.network.link(c.hosts.a, c.hosts.b).stalled
 		c.network.mu.Unlock()
 		if stalled == nil {
-			return c.Conn.Write(data)
+			return true
 		}
 		select {
 		case <-stalled:
 		case <-c.done:
-			return 0, net.ErrClosed
+			return false
 		}
 	}
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	c.once.Do(func() {
-		close(c.done)
-		c.network.mu.Lock()
-		delete(c.network.conns, c)
-		c.network.mu.Unlock()
-	})
-	return c.Conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	c.closed = true
+	close(c.done)
+	c.signal()
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	delete(c.network.conns, c)
+	return nil
+}
+
+// breakOff closes the connection without delivering what was written.
+func (c *conn) breakOff() {
+	_ = c.Conn.Close()
+	_ = c.Close()
 }
 
 type listener struct {
--- a/io/caller/describe.go
+++ b/io/caller/describe.go
@@ -17,24 +17,29 @@
 	case job.Pending:
 		return http.StatusAccepted
 	case job.Failed:
-		if a.Reason == job.ReasonKeyReused {
-			return http.StatusConflict
-		}
-		return http.StatusBadGateway
+		return statusOfFailure(a.Reason)
 	case job.OutcomeUnknown:
 		return http.StatusGatewayTimeout
 	}
-	switch a.Reason {
-	case job.ReasonQuotaExceeded:
+	if a.Reason == job.ReasonQuotaExceeded {
 		return http.StatusTooManyRequests
-	case job.ReasonUnknownRoute, job.ReasonNotFound:
+	}
+	return http.StatusServiceUnavailable
+}
+
+// statusOfFailure tells jobs that can never run as they are from those that ran and failed.
+func statusOfFailure(reason job.Reason) int {
+	switch reason {
+	case job.ReasonKeyReused:
+		return http.StatusConflict
+	case job.ReasonUnknownRoute:
 		return http.StatusNotFound
-	case job.ReasonTooManyTasks:
+	case job.ReasonTooManyTasks, job.ReasonNoTasks:
 		return http.StatusBadRequest
 	case job.ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	}
-	return http.StatusServiceUnavailable
+	return http.StatusBadGateway
 }
 
 var messages = map[job.Reason]string{
@@ -45,6 +50,7 @@
 	job.ReasonQuotaExceeded:     "the customer's quota of the pool is in use; submit again later",
 	job.ReasonUnknownRoute:      "the route does not exist",
 	job.ReasonTooManyTasks:      "the job has more tasks than the route allows",
+	job.ReasonNoTasks:         "the job has no tasks",
 	job.ReasonBodyTooLarge:      "a task's body is larger than the route allows",
 	job.ReasonEmptyPool:         "the pool has no backend server",
 	job.ReasonBackendServerLost: "a backend server was lost while it ran a task",
