Keep service during link cuts, frozen owners and cancellations

Change: entries announce new peers to their agents; fronts leave an owner that was replaced, and reach one over an agent when the link is cut; backend servers get a cancel request and end the task themselves.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -34,6 +34,7 @@
 	platformTimeout   = 2 * time.Second
 	registerRetry     = time.Second
 	drainPoll         = 20 * time.Millisecond
+	cancelTimeout     = time.Second
 )
 
 // Options are what an agent needs to start.
@@ -62,10 +63,10 @@
 
 	aborted atomic.Bool
 
-	mu       sync.Mutex // guards executor, peers and cancels
+	mu       sync.Mutex // guards executor, peers and requests
 	executor *executor.Executor
-	peers    map[string]*inner.Peer // by name of the entry
-	cancels  map[task.AttemptID]context.CancelFunc
+	peers    map[string]*inner.Peer     // by name of the entry
+	requests map[task.AttemptID]request // to backend servers, in progress
 
 	actions   outbox.Outbox[executor.Action]
 	tasks     sync.WaitGroup
@@ -73,6 +74,12 @@
 	ready     chan struct{} // closed when connector is set
 }
 
+// request is a task that runs on a backend server.
+type request struct {
+	address string
+	abandon context.CancelFunc // closes the connection, so that the outcome is unknown
+}
+
 // New starts an agent. The clean-up drains it: running tasks finish, at most until the drain timeout.
 func New(options Options) (*Agent, func(), error) {
 	if options.Metrics == nil {
@@ -83,7 +90,7 @@
 		incarnation: rand.Text(),
 		executor:    executor.New(options.Name, func(e event.Event) { options.Recorder.Record(e) }),
 		peers:       map[string]*inner.Peer{},
-		cancels:     map[task.AttemptID]context.CancelFunc{},
+		requests:    map[task.AttemptID]request{},
 		ready:       make(chan struct{}),
 	}
 	listener, err := options.Listen(options.BackendAddress)
@@ -108,7 +115,7 @@
 		if a.aborted.Load() {
 			closeConnector()
 		}
-		a.cancelTasks()
+		a.abandonTasks()
 		a.tasks.Wait()
 		closeConnector()
 		closeServer()
@@ -186,12 +193,7 @@
 	case executor.Run:
 		a.run(action)
 	case executor.Stop:
-		a.mu.Lock()
-		cancel := a.cancels[action.Attempt]
-		a.mu.Unlock()
-		if cancel != nil {
-			cancel()
-		}
+		a.stopTask(action.Attempt)
 	case executor.SendOutcome:
 		// If the owner is gone, its successor learns the outcome from the records.
 		if p := a.peer(action.Owner); p != nil {
@@ -228,13 +230,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	attempt := r.Start.Attempt
 	a.mu.Lock()
-	a.cancels[attempt] = cancel
+	a.requests[attempt] = request{address: r.Address, abandon: cancel}
 	a.mu.Unlock()
 	a.tasks.Go(func() {
 		result, err := a.client.Run(ctx, r.Address, r.Start)
 		cancel()
 		a.decide(func(now time.Time) []executor.Action {
-			delete(a.cancels, attempt)
+			delete(a.requests, attempt)
 			return a.ended(now, attempt, result, err)
 		})
 	})
@@ -265,7 +267,7 @@
 		time.Sleep(drainPoll)
 	}
 	a.mu.Lock()
-	cut = len(a.cancels)
+	cut = len(a.requests)
 	records := a.executor.Records()
 	a.mu.Unlock()
 	if cut == 0 {
@@ -280,10 +282,27 @@
 	return a.executor.Drained()
 }
 
-func (a *Agent) cancelTasks() {
+// abandonTasks gives up the tasks that still run when the agent exits.
+func (a *Agent) abandonTasks() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, cancel := range a.cancels {
-		cancel()
+	for _, r := range a.requests {
+		r.abandon()
 	}
 }
+
+// stopTask asks the backend server to stop a task. The task keeps its slot until its request has ended.
+func (a *Agent) stopTask(attempt task.AttemptID) {
+	a.mu.Lock()
+	r, ok := a.requests[attempt]
+	a.mu.Unlock()
+	if !ok {
+		return
+	}
+	a.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		// A backend server that does not answer runs the task to its end.
+		_ = a.client.Cancel(ctx, r.address, attempt)
+	})
+}
--- a/agent/entry.go
+++ b/agent/entry.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"time"
 
 	"dogwoodglade/core/executor"
@@ -98,3 +99,12 @@
 	a.executor.OwnerHeard(time.Now(), p.Name)
 	return a.executor.Confirm(f)
 }
+
+// Relay implements inner.RelayHandler.
+func (a *Agent) Relay(ctx context.Context, to string, m inner.Message) (inner.OwnerReply, error) {
+	p := a.peer(to)
+	if p == nil {
+		return inner.OwnerReply{NotOwner: true}, nil
+	}
+	return p.Send(ctx, m)
+}
--- a/core/executor/executor.go
+++ b/core/executor/executor.go
@@ -131,11 +131,12 @@
 func (e *Executor) Fence(now time.Time, owner string, fences []shard.Fence) []task.Record {
 	e.OwnerHeard(now, owner)
 	var found []task.Record
+	fenced := 0
 	for _, f := range fences {
 		if f.Shard < 0 || f.Shard >= shard.Count || !e.raise(f) {
 			continue
 		}
-		e.record(event.Event{Number: event.ShardFenced, Task: -1, Epoch: f.Epoch.String(), Peer: owner, Count: int(f.Shard)})
+		fenced++
 		e.eachOf(f.Shard, func(s *start) {
 			if s.State == task.Running {
 				s.owner = owner
@@ -143,6 +144,9 @@
 			found = append(found, s.Record)
 		})
 	}
+	if fenced > 0 {
+		e.record(event.Event{Number: event.ShardFenced, Task: -1, Peer: owner, Count: fenced})
+	}
 	sortRecords(found)
 	return found
 }
--- a/entry/front.go
+++ b/entry/front.go
@@ -17,6 +17,7 @@
 
 // Times of a front.
 const (
+	ownerCheck   = 100 * time.Millisecond
 	rerouteWait  = 20 * time.Millisecond // between two tries to reach the owner of a key
 	ownerWait    = 5 * time.Second       // for a shard to get an owner
 	answerGrace  = 2 * time.Second       // beyond the deadline, for the owner's own answer to arrive
@@ -25,9 +26,9 @@
 
 // ask is a message of a front for the owner of a key, answered by this entry or by a peer.
 type ask struct {
-	id     task.JobID
-	local  func(ctx context.Context) (inner.OwnerReply, error)
-	remote func(ctx context.Context, p *inner.Peer) (inner.OwnerReply, error)
+	id      task.JobID
+	local   func(ctx context.Context) (inner.OwnerReply, error)
+	message func() inner.Message // for a peer
 }
 
 // Submit implements caller.Dispatcher. If the owner of the key is lost or replaced, the submission is sent
@@ -45,11 +46,9 @@
 		return s
 	}
 	a := e.askOwner(ctx, ask{
-		id:    s.ID,
-		local: func(ctx context.Context) (inner.OwnerReply, error) { return e.submitLocal(ctx, remaining()) },
-		remote: func(ctx context.Context, p *inner.Peer) (inner.OwnerReply, error) {
-			return p.Submit(ctx, remaining())
-		},
+		id:      s.ID,
+		local:   func(ctx context.Context) (inner.OwnerReply, error) { return e.submitLocal(ctx, remaining()) },
+		message: func() inner.Message { return inner.SubmitMessage{Submission: remaining()} },
 	})
 	e.record(event.Event{
 		Number: event.AnswerDelivered, Customer: s.ID.Customer, Key: s.ID.Key, Task: -1,
@@ -84,9 +83,9 @@
 	ctx, cancel := e.bound(ctx, requestLimit)
 	defer cancel()
 	return e.askOwner(ctx, ask{
-		id:     id,
-		local:  func(ctx context.Context) (inner.OwnerReply, error) { return e.lookupLocal(ctx, id) },
-		remote: func(ctx context.Context, p *inner.Peer) (inner.OwnerReply, error) { return p.Lookup(ctx, id) },
+		id:      id,
+		local:   func(ctx context.Context) (inner.OwnerReply, error) { return e.lookupLocal(ctx, id) },
+		message: func() inner.Message { return inner.LookupMessage{ID: id} },
 	})
 }
 
@@ -95,9 +94,9 @@
 	ctx, cancel := e.bound(ctx, requestLimit)
 	defer cancel()
 	return e.askOwner(ctx, ask{
-		id:     id,
-		local:  func(ctx context.Context) (inner.OwnerReply, error) { return e.cancelLocal(ctx, id) },
-		remote: func(ctx context.Context, p *inner.Peer) (inner.OwnerReply, error) { return p.CancelJob(ctx, id) },
+		id:      id,
+		local:   func(ctx context.Context) (inner.OwnerReply, error) { return e.cancelLocal(ctx, id) },
+		message: func() inner.Message { return inner.CancelJobMessage{ID: id} },
 	})
 }
 
@@ -106,9 +105,9 @@
 	ctx, cancel := e.bound(ctx, requestLimit)
 	defer cancel()
 	return e.askOwner(ctx, ask{
-		id:     id,
-		local:  func(ctx context.Context) (inner.OwnerReply, error) { return e.issueTicketLocal(ctx, id) },
-		remote: func(ctx context.Context, p *inner.Peer) (inner.OwnerReply, error) { return p.IssueTicket(ctx, id) },
+		id:      id,
+		local:   func(ctx context.Context) (inner.OwnerReply, error) { return e.issueTicketLocal(ctx, id) },
+		message: func() inner.Message { return inner.IssueTicketMessage{ID: id} },
 	})
 }
 
@@ -166,10 +165,48 @@
 		return reply, !reply.NotOwner, err
 	}
 	p := e.directory.entry(owner)
-	if p == nil {
-		return inner.OwnerReply{}, false, errors.WithStack(&inner.UnreachableError{Peer: owner, Method: "Submit"})
+	ctx, cancel := e.whileOwner(ctx, a.id.Shard(), owner)
+	defer cancel()
+	if p != nil {
+		reply, err = p.Send(ctx, a.message())
+		return reply, err != nil || !reply.NotOwner, err
+	}
+	return e.relay(ctx, owner, a)
+}
+
+// whileOwner returns a context that ends when the shard gets another owner, because the answer of an owner
+// that was replaced may never come.
+func (e *Entry) whileOwner(ctx context.Context, id shard.ID, owner string) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		ticker := time.NewTicker(ownerCheck)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			e.ownership.mu.Lock()
+			current, _, ok := e.ownership.state.Owner(id)
+			e.ownership.mu.Unlock()
+			if ok && current != owner {
+				cancel()
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
+// relay sends the message through an agent while the link to the owner is cut. Agents are connected to all
+// entries.
+func (e *Entry) relay(ctx context.Context, owner string, a ask) (reply inner.OwnerReply, sent bool, err error) {
+	agents := e.directory.connectedAgents()
+	if len(agents) == 0 {
+		return inner.OwnerReply{}, false, errors.WithStack(&inner.UnreachableError{Peer: owner, Method: "Relay"})
 	}
-	reply, err = a.remote(ctx, p)
+	reply, err = agents[rand.IntN(len(agents))].Relay(ctx, owner, a.message())
 	return reply, err != nil || !reply.NotOwner, err
 }
 
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -25,6 +25,10 @@
 	d.directory.addEntry(p)
 	d.record(event.Event{Number: event.EntryConnected, Task: -1, Peer: p.Name})
 	d.ping(p, time.Now())
+	addresses := d.entryAddresses()
+	for _, agent := range d.directory.connectedAgents() {
+		agent.Entries(addresses)
+	}
 }
 
 // Disconnected implements inner.Handler.
--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -26,6 +26,7 @@
 	PathHeartbeat = "/v1/heartbeat"
 	PathLeave     = "/v1/leave"
 	PathTask      = "/task"
+	PathCancel    = "/cancel"
 )
 
 const (
--- a/io/backend/run.go
+++ b/io/backend/run.go
@@ -18,6 +18,9 @@
 // MaxResult is the bound on the body of a result, in bytes.
 const MaxResult = 64 << 10
 
+// StatusCancelled is the status with which a backend server ends a task that it stopped on request.
+const StatusCancelled = 499
+
 // StatusFailed is the status of a result that the agent reports in place of a backend server.
 const StatusFailed = http.StatusBadGateway
 
@@ -88,20 +91,37 @@
 	return &Client{http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
 
-// Run sends the task to the backend server and waits for its result. A cancelled context closes the
-// connection, which tells the backend server to stop.
+// Cancel asks the backend server to stop a task. The task has ended when Run returns.
+func (c *Client) Cancel(ctx context.Context, address string, a task.AttemptID) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+PathCancel, http.NoBody)
+	if err != nil {
+		return errors.Wrapf(err, "cancel %s", a)
+	}
+	setAttempt(request.Header, a)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.Wrapf(err, "cancel %s", a)
+	}
+	return errors.Wrapf(response.Body.Close(), "cancel %s", a)
+}
+
+func setAttempt(header http.Header, a task.AttemptID) {
+	header.Set(HeaderCustomer, a.Task.Job.Customer)
+	header.Set(HeaderKey, a.Task.Job.Key)
+	header.Set(HeaderTask, strconv.Itoa(a.Task.Index))
+	header.Set(HeaderAttempt, strconv.Itoa(a.Number))
+}
+
+// Run sends the task to the backend server and waits for its result. If the context ends, the outcome is
+// unknown.
 func (c *Client) Run(ctx context.Context, address string, s task.Start) (task.Result, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+PathTask,
 		bytes.NewReader(s.Body))
 	if err != nil {
 		return task.Result{}, errors.Wrapf(err, "run %s", s.Attempt)
 	}
-	job := s.Attempt.Task.Job
 	request.Header.Set("Content-Type", "application/octet-stream")
-	request.Header.Set(HeaderCustomer, job.Customer)
-	request.Header.Set(HeaderKey, job.Key)
-	request.Header.Set(HeaderTask, strconv.Itoa(s.Attempt.Task.Index))
-	request.Header.Set(HeaderAttempt, strconv.Itoa(s.Attempt.Number))
+	setAttempt(request.Header, s.Attempt)
 	request.Header.Set(HeaderDeadline, strconv.FormatInt(s.Deadline.Milliseconds(), 10))
 	// The transport repeats a POST only if it wrote nothing of it, so a task is never sent twice.
 	response, err := c.http.Do(request)
--- a/io/backend/server.go
+++ b/io/backend/server.go
@@ -28,6 +28,9 @@
 	self     announcement
 	running  sync.WaitGroup
 	stop     context.CancelFunc
+
+	mu      sync.Mutex
+	cancels map[task.AttemptID]context.CancelCauseFunc // of running tasks
 }
 
 // ServerSettings describe a backend server.
@@ -87,6 +90,7 @@
 		client:   &http.Client{Timeout: HeartbeatInterval, Transport: transport},
 		address:  listener.Addr().String(),
 		stop:     stop,
+		cancels:  map[task.AttemptID]context.CancelCauseFunc{},
 	}
 	s.self = announcement{
 		ID: settings.ID, Pool: settings.Pool, Address: s.address,
@@ -94,6 +98,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+PathTask, s.handleTask)
+	mux.HandleFunc("POST "+PathCancel, s.handleCancel)
 	s.http.Handler = mux
 	s.http.ReadHeaderTimeout = 5 * time.Second
 	s.running.Go(func() { _ = s.http.Serve(listener) })
@@ -171,7 +176,16 @@
 		writeError(w, http.StatusBadRequest, "MalformedTask", err)
 		return
 	}
-	body, err := s.settings.Run(r.Context(), t)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	s.track(t.Attempt, cancel)
+	defer s.track(t.Attempt, nil)
+	body, err := s.settings.Run(ctx, t)
+	var cancelled *CancelledError
+	if err != nil && errors.As(context.Cause(ctx), &cancelled) {
+		writeError(w, StatusCancelled, "TaskCancelled", cancelled)
+		return
+	}
 	if err != nil {
 		writeError(w, http.StatusInternalServerError, "TaskFailed", err)
 		return
@@ -179,14 +193,42 @@
 	_, _ = w.Write(body)
 }
 
-func readTask(w http.ResponseWriter, r *http.Request) (Task, error) {
-	index, err := strconv.Atoi(r.Header.Get(HeaderTask))
+// CancelledError is the cause of the context of a task that was cancelled.
+type CancelledError struct{ Attempt task.AttemptID }
+
+// Error implements error.
+func (e *CancelledError) Error() string { return "run " + e.Attempt.String() + ": cancelled" }
+
+// track remembers how to cancel a running task, or forgets it.
+func (s *Server) track(a task.AttemptID, cancel context.CancelCauseFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cancel == nil {
+		delete(s.cancels, a)
+		return
+	}
+	s.cancels[a] = cancel
+}
+
+func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request) {
+	attempt, err := readAttempt(r.Header)
 	if err != nil {
-		return Task{}, errors.Wrapf(err, "read %s", HeaderTask)
+		writeError(w, http.StatusBadRequest, "MalformedTask", err)
+		return
+	}
+	s.mu.Lock()
+	cancel := s.cancels[attempt]
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel(&CancelledError{Attempt: attempt})
 	}
-	attempt, err := strconv.Atoi(r.Header.Get(HeaderAttempt))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func readTask(w http.ResponseWriter, r *http.Request) (Task, error) {
+	attempt, err := readAttempt(r.Header)
 	if err != nil {
-		return Task{}, errors.Wrapf(err, "read %s", HeaderAttempt)
+		return Task{}, err
 	}
 	deadline, err := strconv.ParseInt(r.Header.Get(HeaderDeadline), 10, 64)
 	if err != nil {
@@ -196,10 +238,22 @@
 	if err != nil {
 		return Task{}, errors.Wrap(err, "read task body")
 	}
-	job := task.JobID{Customer: r.Header.Get(HeaderCustomer), Key: r.Header.Get(HeaderKey)}
 	return Task{
-		Attempt:  task.AttemptID{Task: task.ID{Job: job, Index: index}, Number: attempt},
+		Attempt:  attempt,
 		Deadline: time.Duration(deadline) * time.Millisecond,
 		Body:     body,
 	}, nil
 }
+
+func readAttempt(header http.Header) (task.AttemptID, error) {
+	index, err := strconv.Atoi(header.Get(HeaderTask))
+	if err != nil {
+		return task.AttemptID{}, errors.Wrapf(err, "read %s", HeaderTask)
+	}
+	number, err := strconv.Atoi(header.Get(HeaderAttempt))
+	if err != nil {
+		return task.AttemptID{}, errors.Wrapf(err, "read %s", HeaderAttempt)
+	}
+	job := task.JobID{Customer: header.Get(HeaderCustomer), Key: header.Get(HeaderKey)}
+	return task.AttemptID{Task: task.ID{Job: job, Index: index}, Number: number}, nil
+}
--- a/io/caller/describe.go
+++ b/io/caller/describe.go
@@ -50,7 +50,7 @@
 	job.ReasonQuotaExceeded:     "the customer's quota of the pool is in use; submit again later",
 	job.ReasonUnknownRoute:      "the route does not exist",
 	job.ReasonTooManyTasks:      "the job has more tasks than the route allows",
-	job.ReasonNoTasks:         "the job has no tasks",
+	job.ReasonNoTasks:           "the job has no tasks",
 	job.ReasonBodyTooLarge:      "a task's body is larger than the route allows",
 	job.ReasonEmptyPool:         "the pool has no backend server",
 	job.ReasonBackendServerLost: "a backend server was lost while it ran a task",
--- a/io/inner/handler.go
+++ b/io/inner/handler.go
@@ -26,6 +26,7 @@
 	Handler
 	StartHandler
 	FenceHandler
+	RelayHandler
 }
 
 // JobHandler receives the messages of a front for the owner of a key.
@@ -73,6 +74,7 @@
 	case AgentHandler:
 		maps.Copy(result, startMethods(h))
 		maps.Copy(result, fenceMethods(h))
+		maps.Copy(result, relayMethods(h))
 	}
 	return result
 }
--- /dev/null
+++ b/io/inner/relay.go
@@ -0,0 +1,110 @@
+package inner
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/task"
+)
+
+const methodRelay = "Relay"
+
+// Message is a message of a front for the owner of a key.
+type Message interface{ isMessage() }
+
+// SubmitMessage is a submission.
+type SubmitMessage struct{ Submission job.Submission }
+
+// LookupMessage asks for the state of a job.
+type LookupMessage struct{ ID task.JobID }
+
+// CancelJobMessage cancels a job.
+type CancelJobMessage struct{ ID task.JobID }
+
+// IssueTicketMessage asks for a ticket.
+type IssueTicketMessage struct{ ID task.JobID }
+
+func (SubmitMessage) isMessage()      {}
+func (LookupMessage) isMessage()      {}
+func (CancelJobMessage) isMessage()   {}
+func (IssueTicketMessage) isMessage() {}
+
+// RelayHandler receives messages that an agent passes on between two entries whose link is cut.
+type RelayHandler interface {
+	// Relay passes the message on to the named entry and returns its reply.
+	Relay(ctx context.Context, to string, m Message) (OwnerReply, error)
+}
+
+// relayParams holds one message.
+type relayParams struct {
+	To     string
+	Method string
+	Submit *SubmitMessage `json:",omitempty"`
+	ID     task.JobID
+}
+
+// Relay asks the agent to pass a message on to the named entry.
+func (p *Peer) Relay(ctx context.Context, to string, m Message) (OwnerReply, error) {
+	params := relayParams{To: to}
+	switch m := m.(type) {
+	case SubmitMessage:
+		params.Method, params.Submit = methodSubmit, &m
+	case LookupMessage:
+		params.Method, params.ID = methodLookup, m.ID
+	case CancelJobMessage:
+		params.Method, params.ID = methodCancelJob, m.ID
+	case IssueTicketMessage:
+		params.Method, params.ID = methodIssueTicket, m.ID
+	}
+	var reply OwnerReply
+	err := p.call(ctx, methodRelay, params, &reply)
+	return reply, err
+}
+
+func (r relayParams) message() (Message, error) {
+	switch {
+	case r.Method == methodSubmit && r.Submit != nil:
+		return *r.Submit, nil
+	case r.Method == methodLookup:
+		return LookupMessage{ID: r.ID}, nil
+	case r.Method == methodCancelJob:
+		return CancelJobMessage{ID: r.ID}, nil
+	case r.Method == methodIssueTicket:
+		return IssueTicketMessage{ID: r.ID}, nil
+	}
+	return nil, errors.WithStack(&RemoteError{Peer: r.To, Method: methodRelay, Message: "unknown message " + r.Method})
+}
+
+// Send sends a message of a front to the peer, which should own the key.
+func (p *Peer) Send(ctx context.Context, m Message) (OwnerReply, error) {
+	switch m := m.(type) {
+	case SubmitMessage:
+		return p.Submit(ctx, m.Submission)
+	case LookupMessage:
+		return p.Lookup(ctx, m.ID)
+	case CancelJobMessage:
+		return p.CancelJob(ctx, m.ID)
+	case IssueTicketMessage:
+		return p.IssueTicket(ctx, m.ID)
+	}
+	return OwnerReply{NotOwner: true}, nil
+}
+
+func relayMethods(h RelayHandler) methods {
+	return methods{
+		methodRelay: callOf(func(ctx context.Context, _ *Peer, message json.RawMessage) (any, error) {
+			var params relayParams
+			if err := decode(message, &params); err != nil {
+				return nil, err
+			}
+			m, err := params.message()
+			if err != nil {
+				return nil, err
+			}
+			return h.Relay(ctx, params.To, m)
+		}),
+	}
+}
