Bound how long a pause of an entry prolongs the life of its peers

After a pause, a ping that arrived before the first tick was dated into the future by the length of the pause, so a peer that then died kept its shards that much longer: a test with a pause of 60 s never saw the peer lost.

The times are now extended to the present at most. The test passes.

--- a/core/ownership/ownership.go
+++ b/core/ownership/ownership.go
@@ -191,11 +191,15 @@
 func (o *Ownership) resume(now time.Time) {
 	gap := now.Sub(o.lastTick)
 	if !o.lastTick.IsZero() && gap > PauseLimit {
+		// A peer may have been heard between the end of the pause and this tick.
+		extend := func(heard *time.Time) {
+			*heard = heard.Add(min(gap, now.Sub(*heard)))
+		}
 		for _, p := range o.peers {
-			p.heard = p.heard.Add(gap)
+			extend(&p.heard)
 		}
 		for id := range o.known {
-			o.known[id].heard = o.known[id].heard.Add(gap)
+			extend(&o.known[id].heard)
 		}
 	}
 	o.lastTick = now
--- a/core/ownership/scenario_test.go
+++ b/core/ownership/scenario_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"dogwoodglade/core/event"
 	"dogwoodglade/core/ownership"
 	"dogwoodglade/core/shard"
 	"dogwoodglade/core/task"
@@ -106,6 +108,28 @@
 	w.check(t, a, true)
 }
 
+// A pause that prolongs the life of a peer by its own length delays the takeover of the peer's shards.
+func TestPauseDoesNotProlongLifeOfPeers(t *testing.T) {
+	lost := 0
+	o := ownership.New("a", "1", nil, rand.New(rand.NewPCG(1, 0)), func(e event.Event) {
+		if e.Number == event.EntryLost {
+			lost++
+		}
+	})
+	now := time.Unix(1_700_000_000, 0)
+	o.Tick(now)
+	now = now.Add(time.Minute)
+	o.PeerPing(now, ownership.Ping{From: "b", Incarnation: "2", Sequence: 1})
+	o.Tick(now)
+	for range 12 {
+		now = now.Add(ownership.TickInterval)
+		o.Tick(now)
+	}
+	if lost != 1 {
+		t.Errorf("the silent peer was lost %d times, want once", lost)
+	}
+}
+
 // A drain that fences agents or drops open keys interrupts requests in progress.
 func TestDrainFinishesOpenKeysWithoutFences(t *testing.T) {
 	w, a, b := newRegion(t)
