--- /dev/null
+++ b/bench/measure_response.go
@@ -0,0 +1,111 @@
+package bench
+
+import "time"
+
+// ResponseRow is the delay of the jobs of one load and class under one policy. A job without an answer counts
+// with its deadline. Ratios are to the ideal
+// queue over the same jobs; LessHop is after the one message from owner to agent is taken off.
+type ResponseRow struct {
+	Site, Workload, Class, Policy string
+	Jobs                          int
+	Unanswered                    int // jobs that did not complete
+	Mean, P50, P99, P999          float64
+	Hop                           float64
+	MeanRatio, MeanRatioLessHop   float64
+	P99Ratio, P99RatioLessHop     float64
+	P999Ratio, P999RatioLessHop   float64
+	WastedPerTask                 float64
+	MessagesPerTask               float64
+}
+
+func (r *Report) addResponse(res results) {
+	for i, wl := range res.workloads {
+		rows := map[string]ResponseRow{}
+		for _, class := range []string{classAll, classShort, classLong} {
+			base := responseRow(res.site, wl, class, idealPolicy, res.ideal[i], ResponseRow{})
+			r.Response = append(r.Response, base)
+			for p, policy := range res.policies {
+				row := responseRow(res.site, wl, class, policy.name, res.outcomes[i][p], base)
+				r.Response = append(r.Response, row)
+				if class == classAll {
+					rows[policy.name] = row
+				}
+			}
+		}
+		r.responseTargets(res, wl.name, rows)
+	}
+}
+
+func responseRow(s site, wl workload, class, policy string, outcomes []outcome, base ResponseRow) ResponseRow {
+	row := ResponseRow{Site: s.name, Workload: wl.name, Class: class, Policy: policy}
+	var delays []time.Duration
+	tasks, messages, wasted := 0, 0, 0
+	for k, o := range outcomes {
+		messages, wasted = messages+o.messages, wasted+o.wasted
+		for i, a := range o.answers {
+			request := &wl.traces[k].requests[i]
+			tasks += len(request.tasks)
+			if class != classAll && class != request.class() {
+				continue
+			}
+			row.Jobs++
+			if a.state != complete {
+				row.Unanswered++
+				a.delay = request.deadline // otherwise a policy would gain by leaving slow jobs out
+			}
+			delays = append(delays, a.delay)
+		}
+	}
+	sorted(delays)
+	row.Mean, row.P50 = milliseconds(mean(delays)), milliseconds(percentile(delays, 50))
+	row.P99, row.P999 = milliseconds(percentile(delays, 99)), milliseconds(percentile(delays, 99.9))
+	if policy != idealPolicy {
+		row.Hop = milliseconds(s.oneWay)
+	}
+	row.MeanRatio, row.MeanRatioLessHop = ratio(row.Mean, base.Mean), ratio(row.Mean-row.Hop, base.Mean)
+	row.P99Ratio, row.P99RatioLessHop = ratio(row.P99, base.P99), ratio(row.P99-row.Hop, base.P99)
+	row.P999Ratio, row.P999RatioLessHop = ratio(row.P999, base.P999), ratio(row.P999-row.Hop, base.P999)
+	row.WastedPerTask = ratio(float64(wasted), float64(tasks))
+	row.MessagesPerTask = ratio(float64(messages), float64(tasks))
+	return row
+}
+
+// responseTargets compares the chosen policy with the ideal queue at 80% load, and with the best baseline
+// at 60% and 95%.
+func (r *Report) responseTargets(res results, workload string, rows map[string]ResponseRow) {
+	chosen, ok := rows[chosenPolicy]
+	if !ok {
+		return
+	}
+	add := func(name string, value, limit float64) {
+		r.target(Response, res.site, workload, name, value, limit, false)
+	}
+	add("jobs without an answer", float64(chosen.Unanswered), 0)
+	switch workload {
+	case steadyName(0.80):
+		add("mean delay to ideal, less hop", chosen.MeanRatioLessHop, targetMeanRatio)
+		add("mean delay to ideal, with hop", chosen.MeanRatio, targetMeanRatio)
+		add("p99 delay to ideal, less hop", chosen.P99RatioLessHop, targetP99Ratio)
+		add("p99 delay to ideal, with hop", chosen.P99Ratio, targetP99Ratio)
+		add("wasted messages per task", chosen.WastedPerTask, targetWasted)
+	case steadyName(0.60), steadyName(0.95):
+		first := true
+		var best ResponseRow
+		for _, policy := range res.policies {
+			if row := rows[policy.name]; policy.baseline && first {
+				best, first = row, false
+			} else if policy.baseline {
+				best.Mean, best.P99 = min(best.Mean, row.Mean), min(best.P99, row.P99)
+				best.P999 = min(best.P999, row.P999)
+				best.WastedPerTask = min(best.WastedPerTask, row.WastedPerTask)
+			}
+		}
+		if first {
+			return
+		}
+		add("mean delay to best baseline, ms", chosen.Mean, best.Mean)
+		add("p99 delay to best baseline, ms", chosen.P99, best.P99)
+		add("p99.9 delay to best baseline, ms", chosen.P999, best.P999)
+		add("wasted messages per task to best baseline", chosen.WastedPerTask, best.WastedPerTask)
+	}
+}
--- /dev/null
+++ b/bench/site.go
@@ -0,0 +1,43 @@
+package bench
+
+import "time"
+
+// site holds the sizes and network delays of one customer site (docs/design.md, section 1).
+type site struct {
+	name    string
+	oneWay  time.Duration // between any two processes on different hosts
+	entries int           // one per data centre
+	servers int
+	slots   int // per backend server
+}
+
+// Names of the sites.
+const (
+	Trappelop = "trappelop"
+	Atlas     = "atlas"
+	AllSites  = "all"
+)
+
+// Sizes of both sites.
+const (
+	siteEntries = 3
+	siteServers = 10
+	siteSlots   = 8
+)
+
+func sites(name string) []site {
+	all := []site{
+		{name: Trappelop, oneWay: 1500 * time.Microsecond},
+		{name: Atlas, oneWay: 500 * time.Microsecond},
+	}
+	var chosen []site
+	for _, s := range all {
+		s.entries, s.servers, s.slots = siteEntries, siteServers, siteSlots
+		if name == AllSites || name == s.name {
+			chosen = append(chosen, s)
+		}
+	}
+	return chosen
+}
+
+func (s site) totalSlots() int { return s.servers * s.slots }
--- /dev/null
+++ b/bench/text.go
@@ -0,0 +1,154 @@
+package bench
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// Text returns the report as tables.
+func (r Report) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Seed %d, steady loads of %v, %d repetitions of each burst.\n", r.Seed, r.Duration, r.Repetitions)
+	for _, note := range r.Notes {
+		fmt.Fprintf(&b, "- %s\n", note)
+	}
+	r.responseText(&b)
+	r.crestText(&b)
+	r.blockingText(&b)
+	r.faultsText(&b)
+	r.targetsText(&b)
+	return b.String()
+}
+
+// writeTable aligns rows of tab-separated cells under a header.
+func writeTable(b *strings.Builder, title, header string, rows []string) {
+	if len(rows) == 0 {
+		return
+	}
+	fmt.Fprintf(b, "\n%s\n\n", title)
+	w := tabwriter.NewWriter(b, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for _, row := range append([]string{header}, rows...) {
+		_, _ = fmt.Fprintf(w, "%s\t\n", row) // a strings.Builder never fails
+	}
+	_ = w.Flush()
+}
+
+// times formats a ratio; ratios without a base are shown as a dash.
+func times(ratio float64) string {
+	if ratio == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.3f", ratio)
+}
+
+// groups calls add for each run of rows with the same key, in order.
+func groups[R any](rows []R, key func(R) string, add func(key string, group []R)) {
+	for start := 0; start < len(rows); {
+		end := start
+		for end < len(rows) && key(rows[end]) == key(rows[start]) {
+			end++
+		}
+		add(key(rows[start]), rows[start:end])
+		start = end
+	}
+}
+
+func (r Report) responseText(b *strings.Builder) {
+	key := func(row ResponseRow) string {
+		return fmt.Sprintf("Response at %s, %s, %s jobs (ms; ratios to the ideal queue)", row.Site, row.Workload, row.Class)
+	}
+	groups(r.Response, key, func(title string, group []ResponseRow) {
+		var lines []string
+		for _, g := range group {
+			lines = append(lines, fmt.Sprintf("%s\t%d\t%.2f\t%.2f\t%.1f\t%.1f\t%s\t%s\t%s\t%s\t%s\t%s\t%.4f\t%.2f",
+				g.Policy, g.Jobs, g.Mean, g.P50, g.P99, g.P999,
+				times(g.MeanRatio), times(g.MeanRatioLessHop), times(g.P99Ratio), times(g.P99RatioLessHop),
+				times(g.P999Ratio), times(g.P999RatioLessHop), g.WastedPerTask, g.MessagesPerTask))
+		}
+		writeTable(b, title, "policy\tjobs\tmean\tp50\tp99\tp99.9\tmean x with hop\tless hop\tp99 x with hop\t"+
+			"less hop\tp99.9 x with hop\tless hop\twasted/task\tmessages/task", lines)
+	})
+}
+
+func (r Report) crestText(b *strings.Builder) {
+	key := func(row CrestRow) string {
+		return fmt.Sprintf("Crest at %s, %s (jobs that arrived in the burst)", row.Site, row.Workload)
+	}
+	groups(r.Crest, key, func(title string, group []CrestRow) {
+		var lines []string
+		for _, g := range group {
+			recovery := "not seen"
+			if g.Recovery >= 0 {
+				recovery = fmt.Sprintf("%.2f", g.Recovery)
+			}
+			lines = append(lines, fmt.Sprintf("%s\t%.3f\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%s\t%s\t%.4f",
+				g.Policy, g.InTime, g.InTimeRecovering, g.InTimePerSlot, g.Jobs, g.Answered, g.Refused, g.Untrue,
+				g.Partly, g.Expired,
+				g.RefusalP99, recovery, shares(g.FairShares), g.WastedPerTask))
+		}
+		writeTable(b, title, "policy\twork in time\tto recovering\tper slot time\tjobs\tin time\trefused\tuntrue\tpartly run\texpired\t"+
+			"refusal p99 ms\trecovery s\tfair shares\twasted/task", lines)
+	})
+}
+
+func shares(m map[string]float64) string {
+	var parts []string
+	for _, customer := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, fmt.Sprintf("%s %.3f", customer, m[customer]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func (r Report) blockingText(b *strings.Builder) {
+	key := func(row BlockingRow) string {
+		return fmt.Sprintf("Blocking at %s, %s (waits of tasks, ms)", row.Site, row.Workload)
+	}
+	groups(r.Blocking, key, func(title string, group []BlockingRow) {
+		var lines []string
+		for _, g := range group {
+			lines = append(lines, fmt.Sprintf("%s\t%.2f\t%.2f\t%s\t%.1f\t%.1f\t%s\t%.0f\t%d", g.Policy, g.AloneP50,
+				g.BesideP50, times(g.P50Ratio), g.AloneP99, g.BesideP99, times(g.P99Ratio), g.LongestLongWait,
+				g.Unanswered))
+		}
+		writeTable(b, title, "policy\tp50 alone\tp50 beside\tratio\tp99 alone\tp99 beside\tratio\t"+
+			"longest long wait\tunanswered", lines)
+	})
+}
+
+func (r Report) faultsText(b *strings.Builder) {
+	key := func(row FaultRow) string {
+		return fmt.Sprintf("Faults at %s, %s (delay of complete jobs, ms)", row.Site, row.Workload)
+	}
+	groups(r.Faults, key, func(title string, group []FaultRow) {
+		var lines []string
+		for _, g := range group {
+			lines = append(lines, fmt.Sprintf("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%s\t%.1f\t%.0f\t%.1f\t%.4f",
+				g.Policy, g.Jobs, g.Complete, g.Failed, g.Refused, g.Expired, g.Cancelled, g.Mean,
+				times(g.MeanRatio), g.P99, g.Longest, g.RefusalP99, g.WastedPerTask))
+		}
+		writeTable(b, title, "policy\tjobs\tcomplete\tfailed\trefused\texpired\tcancelled\tmean\tmean x ideal\t"+
+			"p99\tlongest\trefusal p99\twasted/task", lines)
+	})
+}
+
+func (r Report) targetsText(b *strings.Builder) {
+	var lines []string
+	met := 0
+	for _, t := range r.Targets {
+		bound, verdict := "at most", "MISSED"
+		if t.Least {
+			bound = "at least"
+		}
+		if t.Met {
+			verdict = "met"
+			met++
+		}
+		lines = append(lines, fmt.Sprintf("%s\t%s\t%s\t%s\t%.4g\t%s %.4g\t%s",
+			t.Measure, t.Site, t.Workload, t.Name, t.Value, bound, t.Limit, verdict))
+	}
+	title := fmt.Sprintf("Targets of policy %q: %d of %d met", chosenPolicy, met, len(r.Targets))
+	writeTable(b, title, "measure\tsite\tworkload\tfigure\tvalue\ttarget\tverdict", lines)
+}
