--- a/core/allocator/estimate.go
+++ b/core/allocator/estimate.go
@@ -192,6 +192,11 @@
 	for _, l := range r.lanes {
 		l.customer.uncount(l)
 	}
+	if next != r.class {
+		for g := r.oldest; g != nil; g = g.nextOfRoute {
+			a.changeClass(g, next)
+		}
+	}
 	r.class, r.mean = next, mean
 	for _, l := range r.lanes {
 		l.customer.count(l)
--- a/core/allocator/fairness.go
+++ b/core/allocator/fairness.go
@@ -14,7 +14,7 @@
 	patienceShare = 0.25
 	// backlogPatience is added for each second of queued long work per slot, so that an excess of long work
 	// waits for its own slots.
-	backlogPatience = 1
+	backlogPatience = 1.5
 	// nominalRunTime is the charge for a task, in seconds, while no run time is known.
 	nominalRunTime = 0.1
 	// correctionLimit bounds the charge for a task in multiples of its estimate, so that a straggler does
--- a/core/allocator/slots.go
+++ b/core/allocator/slots.go
@@ -167,18 +167,30 @@
 	s := g.server
 	g.index = len(s.grants)
 	s.grants = append(s.grants, g)
-	if g.class == long {
-		s.long++
-	}
-	if g.limited {
-		s.limited++
-	}
+	s.countLong(g, 1)
 	if g.probe {
 		s.health.probe = g
 	}
 	a.grants[g.id] = g
 }
 
+func (s *server) countLong(g *grant, sign int) {
+	if g.class == long {
+		s.long += sign
+	}
+	if g.limited {
+		s.limited += sign
+	}
+}
+
+// changeClass adapts a running grant to the new class of its route.
+func (a *Allocator) changeClass(g *grant, to class) {
+	g.server.countLong(g, -1)
+	g.class, g.limited = to, to == long
+	g.server.countLong(g, 1)
+	a.place(g.server)
+}
+
 // detach ends a grant and frees its slot. The caller places the server.
 func (a *Allocator) detach(g *grant) {
 	s := g.server
@@ -187,12 +199,7 @@
 	s.grants[g.index].index = g.index
 	s.grants[end] = nil
 	s.grants = s.grants[:end]
-	if g.class == long {
-		s.long--
-	}
-	if g.limited {
-		s.limited--
-	}
+	s.countLong(g, -1)
 	if s.health.probe == g {
 		s.health.probe = nil
 	}
--- a/core/allocator/stats.go
+++ b/core/allocator/stats.go
@@ -14,7 +14,7 @@
 	Slots          int // that may be granted to, used or not
 	FreeSlots      int
 	Grants         int // in use, on any backend server
-	LongGrants     int // of long work
+	LongGrants     int // of long work, on the servers that count as Slots
 	Overloaded     bool
 	Delay          time.Duration // until the present queue is served
 
