Tighten the limits on short waits and test late successes of ejected servers

Of 45 mutations, three passed the tests: no patience of long work, any success restoring an ejected server, and one that changes only a statistic. The first two now fail.

--- a/core/allocator/ejection_test.go
+++ b/core/allocator/ejection_test.go
@@ -101,11 +101,13 @@
 	}
 }
 
-// A server that fails every task and restarts would get a full load each time.
+// A server that fails every task and restarts would get a full load each time, and so would one whose earlier
+// tasks end well.
 func TestRestartedServerIsProbedAfterAnEjection(t *testing.T) {
 	r := newRig(t, pool.New("p"))
 	r.announce("good", 1)
 	r.announce("bad", 8)
+	early := wantGrants(t, 1, r.ask("early", "c", 1))[0]
 	for i := 0; r.count(eventlog.BackendEjected) == 0; i++ {
 		if i == 100 {
 			t.Fatal("the server was not ejected")
@@ -114,6 +116,10 @@
 			r.release(g, allocator.Errored)
 		}
 	}
+	r.release(early, allocator.Succeeded)
+	if e := r.a.Stats().Ejected; early.BackendServer != "bad" || e != 1 {
+		t.Fatalf("got %d ejected servers after a success on %s, want 1", e, early.BackendServer)
+	}
 	r.announce("bad", 8, incarnation("2"))
 	got := wantGrants(t, 2, r.ask("more", "c", 5))
 	if got[0].BackendServer == got[1].BackendServer {
--- a/core/allocator/policy_test.go
+++ b/core/allocator/policy_test.go
@@ -121,9 +121,9 @@
 		deadline            time.Duration // of long work
 		wantWait            time.Duration // of short work
 	}{
-		"moderate":            {0.4, 0.4, time.Minute, 50 * time.Millisecond},
-		"much long work":      {0.15, 0.7, time.Minute, 50 * time.Millisecond},
-		"excess of long work": {0.4, 1, 10 * time.Second, 2 * time.Second},
+		"moderate":            {0.4, 0.4, time.Minute, 15 * time.Millisecond},
+		"much long work":      {0.15, 0.7, time.Minute, 15 * time.Millisecond},
+		"excess of long work": {0.4, 1, 10 * time.Second, 600 * time.Millisecond},
 		"full of short work":  {1, 0.1, time.Minute, time.Minute},
 	}
 	for name, test := range tests {
