Measure the cost of state and messages

The capacity page needs slopes of the real code instead of estimates. Package capacity runs each mechanism at four sizes or more and fits a line with its R2 and its largest residual; the capacity command prints them.

--- /dev/null
+++ b/capacity/capacity.go
@@ -0,0 +1,145 @@
+// Package capacity measures what the code costs per unit of state and per message.
+//
+// Each measure runs the code at several sizes and fits a line, so that docs/CAPACITY.md can multiply slopes
+// by the target sizes. The capacity command and the tests of the budgets call it. It needs no process and
+// no platform: a measure that fails returns a typed error and the others go on.
+package capacity
+
+import (
+	"math"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Budgets of the control overhead on a node.
+const (
+	BudgetHeapBytes      = 32 << 20
+	BudgetBytesPerSecond = 5_000
+	BudgetCoreShare      = 0.019
+)
+
+// Quantity names what a measure observes.
+type Quantity string
+
+// Quantities of a cost.
+const (
+	HeapBytes       Quantity = "HeapBytes"       // live after a collection
+	CPUMicroseconds Quantity = "CPUMicroseconds" // of the process, the collector included
+	WireBytes       Quantity = "WireBytes"       // written to a connection, without TCP/IP headers
+)
+
+// Cost is the total cost of a run at one size.
+type Cost map[Quantity]float64
+
+// Measure measures the cost of a mechanism at several sizes.
+type Measure struct {
+	Name  string
+	Unit  string // what the size counts
+	Sizes []int
+	Run   func(size int) (Cost, error)
+}
+
+// Point is the cost at one size.
+type Point struct {
+	Size int
+	Cost float64
+}
+
+// Slope is a line fitted to the costs of a measure.
+type Slope struct {
+	Measure  string
+	Unit     string
+	Quantity Quantity
+	Fit
+	Points []Point
+}
+
+// Fit is a least-squares line. LargestResidual is a share of the largest cost.
+type Fit struct {
+	PerUnit         float64
+	Base            float64
+	R2              float64
+	LargestResidual float64
+}
+
+// FitError reports points to which no line can be fitted.
+type FitError struct{ Points int }
+
+// Error implements error.
+func (e *FitError) Error() string {
+	return "fit line: want at least two different sizes"
+}
+
+// FitLine fits a line by least squares.
+func FitLine(points []Point) (Fit, error) {
+	var n, sumX, sumY, sumXX, sumXY float64
+	for _, p := range points {
+		x := float64(p.Size)
+		n, sumX, sumY, sumXX, sumXY = n+1, sumX+x, sumY+p.Cost, sumXX+x*x, sumXY+x*p.Cost
+	}
+	spread := n*sumXX - sumX*sumX
+	if n < 2 || spread == 0 {
+		return Fit{}, errors.WithStack(&FitError{Points: len(points)})
+	}
+	var f Fit
+	f.PerUnit = (n*sumXY - sumX*sumY) / spread
+	f.Base = (sumY - f.PerUnit*sumX) / n
+	var unexplained, total, largest float64
+	for _, p := range points {
+		residual := p.Cost - f.Base - f.PerUnit*float64(p.Size)
+		unexplained += residual * residual
+		total += (p.Cost - sumY/n) * (p.Cost - sumY/n)
+		f.LargestResidual = max(f.LargestResidual, math.Abs(residual))
+		largest = max(largest, math.Abs(p.Cost))
+	}
+	f.R2 = 1
+	if total > 0 {
+		f.R2 = 1 - unexplained/total
+	}
+	if largest > 0 {
+		f.LargestResidual /= largest
+	}
+	return f, nil
+}
+
+// Slopes runs the measure and fits one line per quantity. Each size runs several times and the least cost
+// counts, because other processes of the machine only add to it.
+func (m Measure) Slopes(repeats int) ([]Slope, error) {
+	points := map[Quantity][]Point{}
+	for _, size := range m.Sizes {
+		least := Cost{}
+		for range max(repeats, 1) {
+			cost, err := m.Run(size)
+			if err != nil {
+				return nil, errors.Wrapf(err, "measure %s at size %d", m.Name, size)
+			}
+			for q, c := range cost {
+				if before, ok := least[q]; !ok || c < before {
+					least[q] = c
+				}
+			}
+		}
+		for q, c := range least {
+			points[q] = append(points[q], Point{Size: size, Cost: c})
+		}
+	}
+	var slopes []Slope
+	for _, q := range []Quantity{HeapBytes, CPUMicroseconds, WireBytes} {
+		if len(points[q]) == 0 {
+			continue
+		}
+		fit, err := FitLine(points[q])
+		if err != nil {
+			return nil, errors.Wrapf(err, "measure %s", m.Name)
+		}
+		slopes = append(slopes, Slope{Measure: m.Name, Unit: m.Unit, Quantity: q, Fit: fit, Points: points[q]})
+	}
+	return slopes, nil
+}
+
+// All returns all measures.
+func All() []Measure {
+	return slices.Concat(allocatorMeasures(), jobMeasures(), agentMeasures(), tableMeasures(),
+		ownershipMeasures(), messageMeasures())
+}
--- /dev/null
+++ b/capacity/ownership.go
@@ -0,0 +1,128 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"dogwoodglade/core/ownership"
+	"dogwoodglade/core/shard"
+)
+
+func ownershipMeasures() []Measure {
+	return []Measure{
+		{Name: "ownership.takeover", Unit: "agent in the registry; CPU: taking over all 256 shards at the owner", Sizes: []int{500, 1000, 2000, 4000}, Run: runTakeover},
+		{Name: "ownership.ping", Unit: "owned shard; CPU: taking one ping at a peer", Sizes: []int{32, 64, 128, 256}, Run: runPing},
+	}
+}
+
+func newOwnership(name string) *ownership.Ownership {
+	return ownership.New(name, name+incarnationText, nil, rand.New(rand.NewPCG(1, 0)), discardEvent)
+}
+
+func registry(agents int) []ownership.AgentRow {
+	rows := make([]ownership.AgentRow, agents)
+	for i := range rows {
+		rows[i] = ownership.AgentRow{Agent: fmt.Sprintf("agent-%05d", i), Incarnation: incarnationText}
+	}
+	return rows
+}
+
+// takeover answers the requests of an entry until all shards are recovered.
+type takeover struct {
+	state    *ownership.Ownership
+	now      time.Time
+	row      ownership.ShardsRow
+	registry []ownership.AgentRow
+	recovery int // shards with complete recovery
+}
+
+func (t *takeover) perform(actions []ownership.Action) {
+	for len(actions) > 0 {
+		action := actions[0]
+		actions = append(actions[1:], t.answer(action)...)
+	}
+}
+
+func (t *takeover) answer(action ownership.Action) []ownership.Action {
+	switch a := action.(type) {
+	case ownership.ReadShards:
+		return t.state.ShardsRead(t.now, t.row)
+	case ownership.WriteShards:
+		a.Row.Version++
+		t.row = a.Row
+		return t.state.ShardsWritten(t.now, t.row)
+	case ownership.ReadRegistry:
+		return t.state.RegistryRead(t.now, a.ID, t.registry)
+	case ownership.AskVotes:
+		return t.state.Votes(t.now, a.ID, t.votes(a))
+	case ownership.SendFence:
+		return t.state.Fenced(t.now, ownership.FenceAnswer{Agent: a.Agent, Incarnation: a.Incarnation, Epochs: a.Fences})
+	case ownership.CompleteRecovery:
+		t.recovery++
+	}
+	return nil
+}
+
+func (t *takeover) votes(a ownership.AskVotes) []ownership.Vote {
+	var votes []ownership.Vote
+	for _, row := range t.registry {
+		for _, owner := range a.Owners {
+			votes = append(votes, ownership.Vote{Agent: row.Agent, Owner: owner, Silence: time.Minute})
+		}
+	}
+	return votes
+}
+
+// run lets the entry take over all shards.
+func (t *takeover) run() error {
+	const ticks = 100
+	for range ticks {
+		t.perform(t.state.Tick(t.now))
+		if t.recovery == shard.Count {
+			return nil
+		}
+		t.now = t.now.Add(ownership.TickInterval)
+	}
+	return &CountError{What: "recovered shards", Got: t.recovery, Want: shard.Count}
+}
+
+func newTakeover(name string, agents int) *takeover {
+	return &takeover{state: newOwnership(name), now: epoch, registry: registry(agents)}
+}
+
+func runTakeover(n int) (Cost, error) {
+	t := newTakeover("entry-1", n)
+	t.perform(t.state.Tick(t.now))
+	for _, row := range t.registry {
+		t.perform(t.state.AgentConnected(t.now, row.Agent, row.Incarnation))
+	}
+	var failed error
+	cpu, err := cpuOf(func() { failed = t.run() })
+	if failed != nil {
+		return nil, failed
+	}
+	return Cost{CPUMicroseconds: cpu}, err
+}
+
+// pingOf returns the ping of an entry that owns the first shards.
+func pingOf(shards int) ownership.Ping {
+	p := ownership.Ping{From: entryName, Incarnation: incarnationText, Started: epoch.UnixNano(), Sequence: 1}
+	for id := range shards {
+		p.Shards = append(p.Shards, ownership.Claim{Shard: shard.ID(id), Epoch: shardEpoch(), Active: true})
+	}
+	return p
+}
+
+func runPing(n int) (Cost, error) {
+	peer := newOwnership("entry-2")
+	const rounds = 200
+	ping := pingOf(n)
+	cpu, err := cpuOf(func() {
+		for i := range rounds {
+			ping.Sequence = uint64(i) + 1
+			peer.PeerPing(epoch.Add(time.Duration(i)*ownership.PingInterval), ping)
+		}
+	})
+	return Cost{CPUMicroseconds: cpu / rounds}, err
+}
