Compress the heartbeats of agents

A heartbeat of one backend server with 8 grants took 609 bytes and one of ten with 64 grants 4 KB, twice a second to each entry: with two entries 16 KB/s against a budget of 5 KB/s. The protocol version rises to 2.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -55,8 +55,10 @@
 	Points []Point
 }
 
-// Fit is a least-squares line. LargestResidual is a share of the largest cost.
+// Fit is a least-squares line. LargestResidual is a share of the largest cost. Exponent is the growth of the
+// cost as a power of the size from the smallest size to the largest: 1 is linear, 2 quadratic.
 type Fit struct {
+	Exponent        float64
 	PerUnit         float64
 	Base            float64
 	R2              float64
@@ -85,6 +87,10 @@
 	var f Fit
 	f.PerUnit = (n*sumXY - sumX*sumY) / spread
 	f.Base = (sumY - f.PerUnit*sumX) / n
+	first, last := points[0], points[len(points)-1]
+	if first.Size > 0 && first.Cost > 0 && last.Cost > 0 {
+		f.Exponent = math.Log(last.Cost/first.Cost) / math.Log(float64(last.Size)/float64(first.Size))
+	}
 	var unexplained, total, largest float64
 	for _, p := range points {
 		residual := p.Cost - f.Base - f.PerUnit*float64(p.Size)
--- a/capacity/report.go
+++ b/capacity/report.go
@@ -35,10 +35,10 @@
 // WriteText writes the slopes as a table.
 func WriteText(w io.Writer, slopes []Slope) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "Measure\tQuantity\tPer unit\tBase\tR2\tLargest residual\tSizes\tUnit")
+	_, _ = fmt.Fprintln(t, "Measure\tQuantity\tPer unit\tBase\tR2\tLargest residual\tExponent\tSizes\tUnit")
 	for _, s := range slopes {
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%.4g\t%.4g\t%.4f\t%.1f%%\t%d-%d\t%s\n", s.Measure, s.Quantity, s.PerUnit, s.Base,
-			s.R2, 100*s.LargestResidual, s.Points[0].Size, s.Points[len(s.Points)-1].Size, s.Unit)
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%.4g\t%.4g\t%.4f\t%.1f%%\t%.2f\t%d-%d\t%s\n", s.Measure, s.Quantity, s.PerUnit, s.Base,
+			s.R2, 100*s.LargestResidual, s.Exponent, s.Points[0].Size, s.Points[len(s.Points)-1].Size, s.Unit)
 	}
 	return errors.Wrap(t.Flush(), "write slopes")
 }
--- /dev/null
+++ b/io/inner/heartbeat_test.go
@@ -0,0 +1,51 @@
+package inner
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"reflect"
+	"testing"
+
+	"dogwoodglade/core/allocator"
+)
+
+// A heartbeat that changes on its way would make an allocator free or keep the wrong slots.
+func TestHeartbeatSurvivesCompression(t *testing.T) {
+	for _, servers := range [][]allocator.BackendServer{
+		{},
+		{{ID: "server-1", Agent: "agent-1", Incarnation: "1", Pool: "p", DataCentre: "d", Slots: 8, Leaving: true}},
+		{{ID: "server-1", Slots: 8, Grants: []string{"e/p/1/1", "e/p/1/2"}}, {ID: "server-2", Slots: 4}},
+	} {
+		compressed, err := compressServers(servers)
+		if err != nil {
+			t.Fatalf("compress: %v", err)
+		}
+		got, err := decompressServers(compressed)
+		if err != nil || !reflect.DeepEqual(got, servers) {
+			t.Errorf("got %v, %v, want %v", got, err, servers)
+		}
+	}
+}
+
+// A small frame that expands without bound would exhaust the memory of an entry.
+func TestHeartbeatOverTheBoundIsRefused(t *testing.T) {
+	var compressed bytes.Buffer
+	w, err := flate.NewWriterDict(&compressed, flate.BestSpeed, heartbeatDictionary)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.Write(make([]byte, MaxFrame+1)); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var bound *FrameError
+	if _, err := decompressServers(compressed.Bytes()); !errors.As(err, &bound) {
+		t.Errorf("got %v, want a FrameError", err)
+	}
+	if _, err := decompressServers([]byte("no DEFLATE stream")); err == nil {
+		t.Error("a malformed stream: got no error")
+	}
+}
--- a/io/inner/protocol.go
+++ b/io/inner/protocol.go
@@ -14,7 +14,7 @@
 )
 
 // Version is the version of the protocol. Processes of different versions refuse each other.
-const Version = 1
+const Version = 2
 
 // Bounds of the protocol.
 const (
--- a/io/inner/start.go
+++ b/io/inner/start.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 
-	"dogwoodglade/core/allocator"
 	"dogwoodglade/core/task"
 )
 
@@ -29,8 +28,6 @@
 
 type outcomeParams struct{ Record task.Record }
 
-type heartbeatParams struct{ BackendServers []allocator.BackendServer }
-
 // Start asks the agent to start an attempt. The agent answers with StartReply.
 func (p *Peer) Start(s task.Start) bool { return p.notify(methodStart, startParams{Start: s}) }
 
@@ -50,11 +47,6 @@
 // Outcome tells the owner how an attempt ended.
 func (p *Peer) Outcome(r task.Record) bool { return p.notify(methodOutcome, outcomeParams{Record: r}) }
 
-// Heartbeat tells an entry the state of the agent's backend servers.
-func (p *Peer) Heartbeat(servers []allocator.BackendServer) bool {
-	return p.notify(methodHeartbeat, heartbeatParams{BackendServers: servers})
-}
-
 func startMethods(h StartHandler) methods {
 	return methods{
 		methodStart: notificationOf(func(p *Peer, message json.RawMessage) error {
@@ -98,13 +90,6 @@
 			h.Outcome(p, params.Record)
 			return nil
 		}),
-		methodHeartbeat: notificationOf(func(p *Peer, message json.RawMessage) error {
-			var params heartbeatParams
-			if err := decode(message, &params); err != nil {
-				return err
-			}
-			h.Heartbeat(p, params.BackendServers)
-			return nil
-		}),
+		methodHeartbeat: heartbeatMethod(h),
 	}
 }
