Let the queue of a connection grow with what waits

Each connection allocated a channel of 65,536 notifications, 2 MB: 4 MB of the 32 MB of an agent with two entries, and 9 GB at an entry with 4,333 agents. The queue is now a slice with the same bound. Start records are measured with strings of their own.

--- a/capacity/agent.go
+++ b/capacity/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"dogwoodglade/core/executor"
@@ -46,10 +47,23 @@
 // Error implements error.
 func (e *RefusedError) Error() string { return fmt.Sprintf("start task: refused as %s", e.Why) }
 
+// decoded returns the start with strings of its own, as it arrives in a message.
+func decoded(s task.Start) task.Start {
+	for _, text := range []*string{
+		&s.Attempt.Task.Job.Customer, &s.Attempt.Task.Job.Key, &s.Route, &s.Digest, &s.Epoch.Incarnation,
+		&s.Owner, &s.Allocator, &s.BackendServer, &s.Incarnation, &s.Grant,
+	} {
+		*text = strings.Clone(*text)
+	}
+	return s
+}
+
+func identity(s task.Start) task.Start { return s }
+
 // runTasks starts and ends tasks one after the other.
-func runTasks(e *executor.Executor, keys []string) error {
+func runTasks(e *executor.Executor, keys []string, arrive func(task.Start) task.Start) error {
 	for i, key := range keys {
-		s := startOf(key, i%tasksPerJob, 0)
+		s := arrive(startOf(key, i%tasksPerJob, 0))
 		if why, _ := e.Start(epoch, s); why != task.Accepted {
 			return &RefusedError{Why: why}
 		}
@@ -72,18 +86,28 @@
 	if err != nil {
 		return nil, err
 	}
-	var cpu float64
+	var failed error
 	heap := heapOf(func() any {
-		cpu, err = cpuOf(func() { err = runTasks(e, keys) })
+		failed = runTasks(e, keys, decoded)
 		return e
 	})
+	if failed != nil {
+		return nil, failed
+	}
+	if e, err = newExecutor(1); err != nil {
+		return nil, err
+	}
+	cpu, err := cpuOf(func() { failed = runTasks(e, keys, identity) })
+	if failed != nil {
+		return nil, failed
+	}
 	return Cost{HeapBytes: heap, CPUMicroseconds: cpu}, err
 }
 
 func runFence(n int) (Cost, error) {
 	e, err := newExecutor(1)
 	if err == nil {
-		err = runTasks(e, keysOf(0, customerName, n))
+		err = runTasks(e, keysOf(0, customerName, n), identity)
 	}
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/capacity/budget_test.go
@@ -0,0 +1,299 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodglade/agent"
+	"dogwoodglade/core/allocator"
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/task"
+	"dogwoodglade/dev"
+	"dogwoodglade/internal/memnet"
+	"dogwoodglade/io/backend"
+	"dogwoodglade/io/inner"
+	"dogwoodglade/io/platform"
+	"dogwoodglade/setting"
+)
+
+// The load of a node: 830,000 starts a second on 39,000 workers, 64 of 80 slots in use.
+const (
+	budgetEntries  = 2
+	budgetServers  = 10
+	startsInterval = time.Second * 39_000 / 830_000
+	taskTime       = 3 * time.Second
+	aliveInterval  = 250 * time.Millisecond
+)
+
+// taskMethods carry tasks. Their bytes grow with the work of the node.
+var taskMethods = []string{"Start", "StartReply", "Outcome", "Release"}
+
+// surroundings are what one agent talks to: a network and the two stand-ins for entries.
+type surroundings struct {
+	network *memnet.Network
+	meter   *frameMeter
+	entries []*loadEntry
+	stops   []func()
+}
+
+// loadEntry stands in for an entry that sends starts to the agent.
+type loadEntry struct {
+	inner.EntryHandler
+	name string
+	stop chan struct{}
+
+	mu       sync.Mutex
+	running  sync.WaitGroup
+	servers  []allocator.BackendServer
+	refused  map[task.Refusal]int
+	outcomes int
+}
+
+func (e *loadEntry) Connected(p *inner.Peer) { e.running.Go(func() { e.drive(p) }) }
+
+func (e *loadEntry) Disconnected(*inner.Peer)               {}
+func (e *loadEntry) Release(*inner.Peer, allocator.Release) {}
+
+func (e *loadEntry) StartReply(_ *inner.Peer, _ task.AttemptID, why task.Refusal) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if why != task.Accepted {
+		e.refused[why]++
+	}
+}
+
+func (e *loadEntry) Outcome(*inner.Peer, task.Record) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.outcomes++
+}
+
+func (e *loadEntry) Heartbeat(_ *inner.Peer, servers []allocator.BackendServer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.servers = servers
+}
+
+// drive tells the agent that the entry is alive, and sends its share of the starts once all backend servers
+// are announced.
+func (e *loadEntry) drive(p *inner.Peer) {
+	alive, start := time.NewTicker(aliveInterval), time.NewTicker(budgetEntries*startsInterval)
+	defer alive.Stop()
+	defer start.Stop()
+	for n := 0; ; {
+		select {
+		case <-alive.C:
+			p.Alive()
+		case <-start.C:
+			if e.send(p, n) {
+				n++
+			}
+		case <-e.stop:
+			return
+		case <-p.Done():
+			return
+		}
+	}
+}
+
+func (e *loadEntry) send(p *inner.Peer, n int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.servers) < budgetServers || e.servers[0].Leaving {
+		return false
+	}
+	server := e.servers[n%budgetServers]
+	s := withBody(startOf(fmt.Sprintf("%s-%08d", e.name, n/tasksPerJob), n%tasksPerJob, 0), bodyBytes)
+	s.Owner, s.Allocator, s.BackendServer, s.Incarnation = e.name, e.name, server.ID, server.Incarnation
+	s.Grant = fmt.Sprintf("%s/pool-17/dk3jz8q1x2y/%d", e.name, 48_000_000+7919*n)
+	return p.Start(s)
+}
+
+func newSurroundings(t *testing.T) *surroundings {
+	t.Helper()
+	s := &surroundings{network: memnet.New(), meter: newFrameMeter()}
+	for i := range budgetEntries {
+		e := &loadEntry{name: fmt.Sprint("entry-", i+1), stop: make(chan struct{}), refused: map[task.Refusal]int{}}
+		listener, err := s.network.Listen(fmt.Sprintf("10.0.0.%d:7300", i+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		closeServer := inner.Serve(listener, localOf(inner.RoleEntry, e.name), e)
+		s.entries = append(s.entries, e)
+		s.stops = append(s.stops, func() {
+			closeServer()
+			e.running.Wait()
+		})
+	}
+	return s
+}
+
+func (s *surroundings) options(service platform.Service, entries []string) agent.Options {
+	return agent.Options{
+		Name: agentName, Region: "vestland", DataCentre: "vestland-1", Rack: "rack-07", Entries: entries,
+		BackendAddress: "127.0.0.1:0", DrainTimeout: 10 * time.Second, Platform: service,
+		Recorder: event.NewRecorder(agentName, setting.DefaultEventCapacity, time.Now),
+		Dial:     s.meter.dial(s.network.Dial), DialBackend: s.network.Dial, Listen: s.network.Listen,
+	}
+}
+
+func (s *surroundings) startServers(t *testing.T, address, pool string, n int) (stops []func()) {
+	t.Helper()
+	for i := range n {
+		_, stop, err := backend.NewServer(backend.ServerSettings{
+			ID: serverName(i), Pool: pool, Agent: address, Slots: slotsPerServer, Connections: 64,
+			ListenFunc: s.network.Listen, Dial: s.network.Dial,
+			Run: func(ctx context.Context, task backend.Task) ([]byte, error) {
+				select {
+				case <-time.After(taskTime):
+					return task.Body, nil
+				case <-ctx.Done():
+					return nil, ctx.Err()
+				}
+			},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		stops = append(stops, stop)
+	}
+	return stops
+}
+
+// An agent over its memory or traffic budget takes from the tasks of its node. The heap holds a full
+// retention window of records, and includes the stand-ins of the entries and the backend servers.
+func TestAgentKeepsItsBudgetsOfMemoryAndTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		before := liveHeap()
+		s := newSurroundings(t)
+		service := platform.NewMemory(platform.DefaultLimits, rand.New(rand.NewPCG(1, 0)))
+		a, stopAgent, err := agent.New(s.options(service, []string{"10.0.0.1:7300", "10.0.0.2:7300"}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		stopServers := s.startServers(t, a.Address(), "pool-17", budgetServers)
+		time.Sleep(11 * time.Minute)
+		s.meter.reset()
+		const seconds = 30
+		time.Sleep(seconds * time.Second)
+		control := float64(s.meter.total(taskMethods...)) / seconds
+		all := float64(s.meter.total()) / seconds
+		heap := liveHeap() - before
+		t.Logf("control %.0f B/s, with the messages of tasks %.0f B/s, heap %.1f MB, bytes %v, messages %v in %d s",
+			control, all, heap/1e6, s.meter.byMethod, s.meter.count, seconds)
+		s.checkLoad(t, seconds)
+		if control > BudgetBytesPerSecond {
+			t.Errorf("control traffic is %.0f B/s, the budget is %d", control, BudgetBytesPerSecond)
+		}
+		if heap > BudgetHeapBytes {
+			t.Errorf("live heap is %.0f bytes, the budget is %d", heap, BudgetHeapBytes)
+		}
+		for _, e := range s.entries {
+			close(e.stop)
+		}
+		for _, stop := range append(append(stopServers, stopAgent), s.stops...) {
+			stop()
+		}
+	})
+}
+
+// checkLoad fails the test if the agent did not carry the load whose cost it claims to measure.
+func (s *surroundings) checkLoad(t *testing.T, seconds int) {
+	t.Helper()
+	want := seconds * int(time.Second/startsInterval)
+	if got := s.meter.count["Outcome"]; got < want*9/10 {
+		t.Errorf("got %d outcomes in %d s, want %d", got, seconds, want)
+	}
+	if got, want := s.meter.count["Heartbeat"], seconds*2*budgetEntries; got < want*9/10 {
+		t.Errorf("got %d heartbeats in %d s, want %d", got, seconds, want)
+	}
+	for _, e := range s.entries {
+		e.mu.Lock()
+		if len(e.refused) > 0 {
+			t.Errorf("%s: got refusals %v", e.name, e.refused)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// Control messages that cost too much would take processor time from the tasks of the node. The time is
+// that of both ends of a connection, so it is above the agent's share.
+func TestAgentKeepsItsBudgetOfProcessorTime(t *testing.T) {
+	perSecond := map[string]float64{
+		"message.Heartbeat.grants": 2 * budgetEntries, "message.Alive": 4 * budgetEntries,
+		"message.StartReply": 830_000 / 39_000.0, "message.Release": 830_000 / 39_000.0,
+	}
+	sum := 0.0
+	for name, rate := range perSecond {
+		measures, err := Select(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		size := 64 // grants in use
+		if name != "message.Heartbeat.grants" {
+			size = 1000
+		}
+		cost, err := measures[0].Run(size)
+		if err != nil {
+			t.Fatal(err)
+		}
+		micros := cost[CPUMicroseconds]
+		if name != "message.Heartbeat.grants" {
+			micros /= float64(size)
+		}
+		t.Logf("%s: %.0f us, %.1f a second", name, micros, rate)
+		sum += micros * rate
+	}
+	if share := sum / 1e6; share > BudgetCoreShare {
+		t.Errorf("control messages take %.4f of a core, the budget is %.4f", share, BudgetCoreShare)
+	} else {
+		t.Logf("control messages take %.4f of a core", share)
+	}
+}
+
+// The control traffic of an agent that grew with the number of workers would exceed any budget at 39,000.
+func TestAgentTrafficDoesNotGrowWithWorkers(t *testing.T) {
+	var points []Point
+	for _, workers := range []int{1, 4, 8, 16} {
+		synctest.Test(t, func(t *testing.T) {
+			points = append(points, Point{Size: workers, Cost: idleTraffic(t, workers)})
+		})
+	}
+	t.Logf("bytes a second by other workers: %v", points)
+	for _, p := range points[1:] {
+		if p.Cost > 1.02*points[0].Cost {
+			t.Errorf("with %d other workers: got %.0f B/s, with one %.0f", p.Size, p.Cost, points[0].Cost)
+		}
+	}
+}
+
+// idleTraffic returns the bytes a second of one agent of a site with other workers.
+func idleTraffic(t *testing.T, workers int) float64 {
+	t.Helper()
+	s := &surroundings{network: memnet.New(), meter: newFrameMeter()}
+	site, stopSite, err := dev.New(dev.Settings{Entries: 2, Agents: workers, Seed: 1, Network: s.network})
+	if err != nil {
+		t.Fatal(err)
+	}
+	entries := []string{site.Entries[0].Process.InnerAddress(), site.Entries[1].Process.InnerAddress()}
+	a, stopAgent, err := agent.New(s.options(site.Platform, entries))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopServers := s.startServers(t, a.Address(), dev.SamplePool, 1)
+	time.Sleep(10 * time.Second)
+	s.meter.reset()
+	const seconds = 60
+	time.Sleep(seconds * time.Second)
+	traffic := float64(s.meter.total()) / seconds
+	for _, stop := range append(stopServers, stopAgent, stopSite) {
+		stop()
+	}
+	synctest.Wait()
+	return traffic
+}
--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -14,7 +14,7 @@
 
 // Budgets of the control overhead on a node.
 const (
-	BudgetHeapBytes      = 32 << 20
+	BudgetHeapBytes      = 32_000_000
 	BudgetBytesPerSecond = 5_000
 	BudgetCoreShare      = 0.019
 )
--- /dev/null
+++ b/capacity/frames_test.go
@@ -0,0 +1,97 @@
+package capacity
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"net"
+	"sync"
+
+	"dogwoodglade/io/inner"
+)
+
+// frameMeter counts the bytes of the frames on an agent's connections by method. Replies count under their
+// direction.
+type frameMeter struct {
+	mu       sync.Mutex
+	byMethod map[string]int
+	count    map[string]int
+}
+
+func newFrameMeter() *frameMeter {
+	return &frameMeter{byMethod: map[string]int{}, count: map[string]int{}}
+}
+
+func (m *frameMeter) reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.byMethod)
+	clear(m.count)
+}
+
+// total returns the bytes of all methods but the named ones.
+func (m *frameMeter) total(except ...string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sum := 0
+	for _, n := range m.byMethod {
+		sum += n
+	}
+	for _, method := range except {
+		sum -= m.byMethod[method]
+	}
+	return sum
+}
+
+func (m *frameMeter) dial(dial inner.DialFunc) inner.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &framedConn{Conn: conn, sent: frames{meter: m}, received: frames{meter: m}}, nil
+	}
+}
+
+type framedConn struct {
+	net.Conn
+	sent, received frames
+}
+
+func (c *framedConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.sent.add(data[:n])
+	return n, err
+}
+
+func (c *framedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.received.add(data[:n])
+	return n, err
+}
+
+// frames collects the frames of one direction of a connection.
+type frames struct {
+	meter   *frameMeter
+	pending []byte
+}
+
+func (f *frames) add(data []byte) {
+	f.pending = append(f.pending, data...)
+	for {
+		size, prefix := binary.Uvarint(f.pending)
+		end := prefix + int(size)
+		if prefix <= 0 || len(f.pending) < end {
+			return
+		}
+		var frame struct{ Method string }
+		if json.Unmarshal(f.pending[prefix:end], &frame) != nil || frame.Method == "" {
+			frame.Method = "reply"
+		}
+		f.meter.mu.Lock()
+		f.meter.byMethod[frame.Method] += end
+		f.meter.count[frame.Method]++
+		f.meter.mu.Unlock()
+		f.pending = f.pending[end:]
+	}
+}
--- a/capacity/job.go
+++ b/capacity/job.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"dogwoodglade/core/allocator"
@@ -63,8 +64,8 @@
 		for range ask.Count {
 			sequence++
 			for _, action := range o.Granted(epoch, allocator.Grant{
-				ID: grantID(sequence), Ask: ask.ID, Owner: entryName, Allocator: "entry-2", Agent: agentName,
-				BackendServer: serverName(sequence % 10), Incarnation: serverRun,
+				ID: grantID(sequence), Ask: ask.ID, Owner: entryName, Allocator: strings.Clone("entry-2"), Agent: strings.Clone(agentName),
+				BackendServer: serverName(sequence % 10), Incarnation: strings.Clone(serverRun),
 			}) {
 				if start, ok := action.(job.SendStart); ok {
 					o.Outcome(epoch.Add(200*time.Millisecond), recordOf(start.Start))
--- a/io/inner/peer.go
+++ b/io/inner/peer.go
@@ -34,7 +34,7 @@
 	local   Local
 	conn    *jsonrpc2.Conn
 	opened  chan struct{} // closed when conn is set; the library reads before it returns conn
-	outbox  chan notification
+	outbox  *queue
 	methods methods
 
 	mu     sync.Mutex // held while a notification is handled
@@ -65,7 +65,7 @@
 func newPeer(conn net.Conn, local Local, handlers methods) *Peer {
 	p := &Peer{
 		local:   local,
-		outbox:  make(chan notification, outboxCapacity),
+		outbox:  newQueue(),
 		methods: handlers,
 		opened:  make(chan struct{}),
 		done:    make(chan struct{}),
@@ -104,10 +104,13 @@
 func (p *Peer) send() {
 	for {
 		select {
-		case n := <-p.outbox:
-			if p.conn.Notify(context.Background(), n.method, p.seal(n.params)) != nil {
-				p.Close()
-				return
+		case <-p.outbox.wake:
+			for _, n := range p.outbox.take() {
+				if p.conn.Notify(context.Background(), n.method, p.seal(n.params)) != nil {
+					p.Close()
+					return
+				}
+				p.outbox.sent()
 			}
 		case <-p.done:
 			return
@@ -122,14 +125,12 @@
 		return false
 	default:
 	}
-	select {
-	case p.outbox <- notification{method: name, params: params}:
-		p.count("sent", name)
-		return true
-	default:
+	if !p.outbox.push(notification{method: name, params: params}) {
 		go p.Close()
 		return false
 	}
+	p.count("sent", name)
+	return true
 }
 
 // call sends a request and waits for its result.
