Measure submissions, connections, lost agents and heads of tables

The cost of a task at an entry includes the caller's HTTP request and the hop from front to owner, and a lost agent costs the owner time for all that it remembers; neither had a measure. Takeovers are measured up to 2,000 agents, because 4,000 take 52 s of processor time.

--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,23 @@
+package capacity
+
+import (
+	"math"
+	"testing"
+)
+
+// A fit that hides curvature would let a quadratic cost pass for a linear one at the target size.
+func TestFitShowsWhatALineDoesNotExplain(t *testing.T) {
+	line := []Point{{10, 25}, {20, 45}, {40, 85}, {80, 165}}
+	f, err := FitLine(line)
+	if err != nil || math.Abs(f.PerUnit-2) > 1e-9 || math.Abs(f.Base-5) > 1e-9 || f.R2 < 1-1e-9 || f.LargestResidual > 1e-9 {
+		t.Errorf("line: got %+v, %v", f, err)
+	}
+	square := []Point{{10, 100}, {20, 400}, {40, 1600}, {80, 6400}}
+	f, err = FitLine(square)
+	if err != nil || math.Abs(f.Exponent-2) > 1e-9 || f.R2 > 0.99 || f.LargestResidual < 0.05 {
+		t.Errorf("square: got %+v, %v", f, err)
+	}
+	if _, err := FitLine([]Point{{10, 1}, {10, 2}}); err == nil {
+		t.Error("one size: got no error")
+	}
+}
--- a/capacity/ownership.go
+++ b/capacity/ownership.go
@@ -11,7 +11,7 @@
 
 func ownershipMeasures() []Measure {
 	return []Measure{
-		{Name: "ownership.takeover", Unit: "agent in the registry; CPU: taking over all 256 shards at the owner", Sizes: []int{500, 1000, 2000, 4000}, Run: runTakeover},
+		{Name: "ownership.takeover", Unit: "agent in the registry; CPU: taking over all 256 shards at the owner", Sizes: []int{250, 500, 1000, 2000}, Run: runTakeover},
 		{Name: "ownership.ping", Unit: "owned shard; CPU: taking one ping at a peer", Sizes: []int{32, 64, 128, 256}, Run: runPing},
 	}
 }
--- /dev/null
+++ b/capacity/submit.go
@@ -0,0 +1,178 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/table"
+	"dogwoodglade/core/task"
+	"dogwoodglade/io/caller"
+	"dogwoodglade/io/inner"
+)
+
+func submitMeasures() []Measure {
+	tasks := []int{20, 40, 80, 160}
+	return []Measure{
+		{Name: "message.Submit", Unit: "task of a job, 1 KiB body and result; front to owner and back", Sizes: tasks, Run: runSubmitMessage},
+		{Name: "caller.job", Unit: "task of a job, 1 KiB body and result; caller to front over HTTP and back", Sizes: tasks, Run: runCaller},
+		{Name: "inner.connection", Unit: "idle connection, both ends", Sizes: []int{25, 50, 100, 200}, Run: runConnections},
+		{Name: "job.agentlost", Unit: "remembered task at one owner; CPU: the loss of one agent", Sizes: []int{8000, 16_000, 32_000, 64_000}, Run: runAgentLost},
+		{Name: "job.tick", Unit: "open job of one task; CPU: one tick", Sizes: []int{1000, 2000, 4000, 8000}, Run: runOwnerTick},
+		{Name: "table.head", Unit: "recent edit of a pool with 110 shares and quotas; in JSON", Sizes: []int{4, 8, 16, 32}, Run: runHead},
+	}
+}
+
+func submissionOf(tasks int) job.Submission {
+	s := job.Submission{ID: task.JobID{Customer: customerName, Key: "race-2028-00001234"}, Route: "route-1"}
+	for range tasks {
+		s.Bodies = append(s.Bodies, bytes.Repeat([]byte("x"), bodyBytes))
+	}
+	return s
+}
+
+func answerOf(s job.Submission) job.Answer {
+	a := job.Answer{ID: s.ID, State: job.Complete}
+	for _, body := range s.Bodies {
+		a.Results = append(a.Results, task.Result{Status: http.StatusOK, Body: body})
+	}
+	return a
+}
+
+// Submit implements inner.JobHandler.
+func (*entryEnd) Submit(_ context.Context, _ *inner.Peer, s job.Submission) (inner.OwnerReply, error) {
+	return inner.OwnerReply{Answer: answerOf(s)}, nil
+}
+
+const submitRounds = 20
+
+// repeat returns the cost of one round.
+func (m *meter) repeat(rounds int, do func() error) (Cost, error) {
+	before := m.total()
+	var failed error
+	cpu, err := cpuOf(func() {
+		for range rounds {
+			if failed = do(); failed != nil {
+				return
+			}
+		}
+	})
+	if failed != nil {
+		return nil, failed
+	}
+	n := float64(rounds)
+	return Cost{WireBytes: float64(m.total()-before) / n, CPUMicroseconds: cpu / n}, err
+}
+
+func runSubmitMessage(n int) (Cost, error) {
+	l, err := newLink(inner.RoleEntry)
+	if err != nil {
+		return nil, err
+	}
+	defer l.close()
+	return l.meter.repeat(submitRounds, func() error {
+		reply, err := l.dialler.Submit(context.Background(), submissionOf(n))
+		return checkAnswer(reply.Answer, err, n)
+	})
+}
+
+func checkAnswer(a job.Answer, err error, tasks int) error {
+	if err == nil && len(a.Results) != tasks {
+		return &CountError{What: "results", Got: len(a.Results), Want: tasks}
+	}
+	return err
+}
+
+// echo is a dispatcher that answers at once.
+type echo struct{ caller.Dispatcher }
+
+func (echo) Submit(_ context.Context, s job.Submission) job.Answer { return answerOf(s) }
+func (echo) Ready() bool                                           { return true }
+
+func runCaller(n int) (Cost, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	server := caller.NewServer(echo{})
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(listener) })
+	var m meter
+	transport := &http.Transport{DialContext: m.dial((&net.Dialer{}).DialContext)}
+	defer func() {
+		transport.CloseIdleConnections()
+		_ = server.Close()
+		running.Wait()
+	}()
+	client := caller.NewClient(listener.Addr().String(), &http.Client{Transport: transport})
+	return m.repeat(submitRounds, func() error {
+		a, err := client.Submit(context.Background(), submissionOf(n))
+		return checkAnswer(a, err, n)
+	})
+}
+
+func runConnections(n int) (Cost, error) {
+	var failed error
+	var links []*link
+	heap := heapOf(func() any {
+		for range n {
+			l, err := newLink(inner.RoleAgent)
+			if err != nil {
+				failed = err
+				break
+			}
+			links = append(links, l)
+		}
+		return links
+	})
+	for _, l := range links {
+		l.close()
+	}
+	if failed != nil {
+		return nil, failed
+	}
+	return Cost{HeapBytes: heap}, nil
+}
+
+func runAgentLost(n int) (Cost, error) {
+	o := newOwner()
+	answer(o, submit(o, keysOf(0, customerName, n/tasksPerJob), tasksPerJob, 0))
+	const rounds = 10
+	cpu, err := cpuOf(func() {
+		for range rounds {
+			o.AgentLost(epoch, agentName)
+		}
+	})
+	return Cost{CPUMicroseconds: cpu / rounds}, err
+}
+
+func runOwnerTick(n int) (Cost, error) {
+	o := newOwner()
+	submit(o, keysOf(0, customerName, n), 1, 0)
+	const rounds = 50
+	cpu, err := cpuOf(func() {
+		for range rounds {
+			o.Tick(epoch)
+		}
+	})
+	return Cost{CPUMicroseconds: cpu / rounds}, err
+}
+
+func runHead(n int) (Cost, error) {
+	var head table.Head
+	for i, p := range fullPools(n) {
+		var err error
+		if head, err = head.With(table.SetPool("edit-"+p.Name, p)); err != nil {
+			return nil, err
+		}
+		if len(head.Recent) != i+1 {
+			return nil, &CountError{What: "recent edits", Got: len(head.Recent), Want: i + 1}
+		}
+	}
+	data, err := json.Marshal(head)
+	return Cost{WireBytes: float64(len(data))}, err
+}
