--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -147,5 +147,5 @@
 // All returns all measures.
 func All() []Measure {
 	return slices.Concat(allocatorMeasures(), jobMeasures(), agentMeasures(), tableMeasures(),
-		ownershipMeasures(), messageMeasures(), submitMeasures())
+		ownershipMeasures(), messageMeasures(), submitMeasures(), backendMeasures())
 }
