--- a/capacity/backend.go
+++ b/capacity/backend.go
@@ -23,7 +23,11 @@
 	if err != nil {
 		return nil, err
 	}
-	echo := func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+	echo := func(w http.ResponseWriter, r *http.Request) {
+		if body, err := io.ReadAll(r.Body); err == nil { // before the answer, as HTTP/1 requires
+			_, _ = w.Write(body)
+		}
+	}
 	server := &http.Server{Handler: http.HandlerFunc(echo), ReadHeaderTimeout: linkTimeout}
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
