--- a/io/inner/codec.go
+++ b/io/inner/codec.go
@@ -10,11 +10,14 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-// boundedCodec is the varint codec of the library with a bound on the size of a frame in both directions.
-type boundedCodec struct{ library jsonrpc2.VarintObjectCodec }
+// boundedCodec is the varint codec of the library with a bound on the size of a frame in both directions. It
+// writes the encoded frame itself, because the library would encode it a second time.
+type boundedCodec struct{}
+
+var _ jsonrpc2.ObjectCodec = boundedCodec{}
 
 // WriteObject implements jsonrpc2.ObjectCodec.
-func (c boundedCodec) WriteObject(stream io.Writer, object any) error {
+func (boundedCodec) WriteObject(stream io.Writer, object any) error {
 	data, err := json.Marshal(object)
 	if err != nil {
 		return errors.Wrap(err, "encode frame")
@@ -22,7 +25,12 @@
 	if len(data) > MaxFrame {
 		return errors.WithStack(&FrameError{Size: uint64(len(data))})
 	}
-	return c.library.WriteObject(stream, json.RawMessage(data))
+	var prefix [binary.MaxVarintLen64]byte
+	if _, err := stream.Write(prefix[:binary.PutUvarint(prefix[:], uint64(len(data)))]); err != nil {
+		return err
+	}
+	_, err = stream.Write(data)
+	return err
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
