--- a/capacity/budget_test.go
+++ b/capacity/budget_test.go
@@ -119,7 +119,7 @@
 	s := &surroundings{network: memnet.New(), meter: newFrameMeter()}
 	for i := range budgetEntries {
 		e := &loadEntry{name: fmt.Sprint("entry-", i+1), stop: make(chan struct{}), refused: map[task.Refusal]int{}}
-		listener, err := s.network.Listen(fmt.Sprintf("10.0.0.%d:7300", i+1))
+		listener, err := s.network.Host("entry").Listen(fmt.Sprintf("10.0.0.%d:7300", i+1))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -138,7 +138,8 @@
 		Name: agentName, Region: "vestland", DataCentre: "vestland-1", Rack: "rack-07", Entries: entries,
 		BackendAddress: "127.0.0.1:0", DrainTimeout: 10 * time.Second, Platform: service,
 		Recorder: event.NewRecorder(agentName, setting.DefaultEventCapacity, time.Now),
-		Dial:     s.meter.dial(s.network.Dial), DialBackend: s.network.Dial, Listen: s.network.Listen,
+		Dial:     s.meter.dial(s.network.Host("agent").Dial), DialBackend: s.network.Host("agent").Dial,
+		Listen: s.network.Host("agent").Listen,
 	}
 }
 
@@ -147,7 +148,7 @@
 	for i := range n {
 		_, stop, err := backend.NewServer(backend.ServerSettings{
 			ID: serverName(i), Pool: pool, Agent: address, Slots: slotsPerServer, Connections: 64,
-			ListenFunc: s.network.Listen, Dial: s.network.Dial,
+			ListenFunc: s.network.Host("server").Listen, Dial: s.network.Host("server").Dial,
 			Run: func(ctx context.Context, task backend.Task) ([]byte, error) {
 				select {
 				case <-time.After(taskTime):
@@ -276,7 +277,10 @@
 func idleTraffic(t *testing.T, workers int) float64 {
 	t.Helper()
 	s := &surroundings{network: memnet.New(), meter: newFrameMeter()}
-	site, stopSite, err := dev.New(dev.Settings{Entries: 2, Agents: workers, Seed: 1, Network: s.network})
+	site, stopSite, err := dev.New(dev.Settings{
+		Entries: 2, Agents: workers, Seed: 1,
+		Host: func(process string) dev.Host { return s.network.Host(process) },
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/dogwoodglade/bench.go
+++ b/cmd/dogwoodglade/bench.go
@@ -58,7 +58,9 @@
 			},
 			&cli.StringFlag{Name: "format", Value: formatText, Usage: "text or json"},
 		},
-		Action: runBench,
+		OnUsageError: onUsageError,
+		Action:       runBench,
+		Commands:     []*cli.Command{capacityCommand()},
 	}
 }
 
--- a/cmd/dogwoodglade/dev.go
+++ b/cmd/dogwoodglade/dev.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"strings"
 	"time"
 
@@ -11,8 +12,10 @@
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
+	"dogwoodglade/core/event"
 	"dogwoodglade/core/job"
 	"dogwoodglade/core/task"
+	"dogwoodglade/core/trace"
 	"dogwoodglade/dev"
 	"dogwoodglade/io/caller"
 	"dogwoodglade/io/operator"
@@ -29,7 +32,7 @@
 EXAMPLES:
    dogwoodglade dev
    dogwoodglade dev --once
-   dogwoodglade dev --once --tasks 20 --run 50ms
+   dogwoodglade dev --once --tasks 20 --run 50ms --trace run.trace
    dogwoodglade dev --entries 3 --agents 10
 
 EXIT CODES:
@@ -49,6 +52,7 @@
 			&cli.IntFlag{Name: "agents", Value: 3, Usage: "`NUMBER` of agents"},
 			&cli.IntFlag{Name: "slots", Value: 8, Usage: "`NUMBER` of slots of each backend server"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the platform's lost answers"},
+			&cli.StringFlag{Name: "trace", Usage: "write the time line to `FILE` at the end, for the trace command"},
 			&cli.StringFlag{Name: "log-level", Value: "warn", Usage: "debug, info, warn or error"},
 		},
 		OnUsageError: onUsageError, Action: runDev,
@@ -83,9 +87,22 @@
 		err = runUntilSignal(ctx, cmd, site)
 	}
 	stop()
+	if file := cmd.String("trace"); file != "" {
+		err = errors.CombineErrors(err, writeTrace(file, site.Events()))
+	}
 	return err
 }
 
+// writeTrace records a time line for the trace command.
+func writeTrace(name string, events []event.Event) (err error) {
+	file, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "write trace")
+	}
+	defer func() { err = errors.CombineErrors(err, errors.Wrap(file.Close(), "write trace")) }()
+	return errors.Wrap(trace.Write(file, events), "write trace")
+}
+
 func submitSample(ctx context.Context, cmd *cli.Command, site *dev.Site) error {
 	s := job.Submission{
 		ID:    task.JobID{Customer: "sample", Key: fmt.Sprintf("dev-%d", time.Now().UnixNano())},
