Count a job that is answered again after a handover once

Cause: the next owner answers handed-over jobs from their records, so a recorded run of one job counted two answers.

--- a/core/invariant/invariant.go
+++ b/core/invariant/invariant.go
@@ -101,11 +101,15 @@
 	return verdicts
 }
 
-// Answers counts the answers of owners by state.
+// Answers counts the jobs by the states of their answers. A job that its next owner answers again from the
+// records counts once.
 func Answers(events []event.Event) map[string]int {
-	counts := map[string]int{}
+	type answer struct{ customer, key, state string }
+	counts, seen := map[string]int{}, map[answer]bool{}
 	for _, e := range events {
-		if e.Number == event.JobAnswered {
+		a := answer{e.Customer, e.Key, e.State}
+		if e.Number == event.JobAnswered && !seen[a] {
+			seen[a] = true
 			counts[e.State]++
 		}
 	}
--- a/core/invariant/invariant_test.go
+++ b/core/invariant/invariant_test.go
@@ -70,3 +70,14 @@
 		return out.String()
 	})
 }
+
+// A job that is answered again after a handover would be counted as two jobs.
+func TestAnswersCountsEachJobOnce(t *testing.T) {
+	complete := event.Event{Number: event.JobAnswered, Customer: "a", Key: "k", Task: -1, State: "Complete"}
+	other := complete
+	other.Key = "l"
+	got := invariant.Answers([]event.Event{complete, other, complete})
+	if len(got) != 1 || got["Complete"] != 2 {
+		t.Fatalf("got %v", got)
+	}
+}
