Run a key again that is submitted after NotRun

A key that was answered NotRun stayed NotRun for the retention window, because an agent kept a record that barred it and owners kept the answer. A caller that obeyed Retry-After could not get its job done.

The owner now confirms its epoch with one agent (ConfirmEpoch, Confirmed) before it answers NotRun, and forgets the key with the answer. Three cases needed a rule of their own: - A reply to a question about an earlier submission of the key, or from an earlier owner in the process, counts for nothing. Confirmed therefore takes the ConfirmEpoch action, which carries a question number. - A draining agent confirms nothing, because a successor reads its records from the object store and does not fence it. - The attempts of the retry count on from the earlier ones, because a late refusal or cancellation could otherwise reach an attempt that runs. After a handover the entry asks under the successor's epoch, as it does for starts.

BarJob, Barred, BarID and the Barred record are removed.

--- a/core/executor/epoch.go
+++ b/core/executor/epoch.go
@@ -16,13 +16,16 @@
 	return epochs
 }
 
-// Confirm reports whether an owner's epoch is still accepted. It has no effect.
+// Confirm reports whether an owner's epoch is still accepted. It has no effect. A draining agent confirms
+// nothing: once its records are in the object store, a successor reads them there and does not fence it.
 func (e *Executor) Confirm(f shard.Fence) task.Refusal {
 	switch {
 	case !e.registered:
 		return task.RefusedUnregistered
 	case f.Shard < 0 || f.Shard >= shard.Count || f.Epoch.Less(e.fences[f.Shard]):
 		return task.RefusedEpoch
+	case e.draining:
+		return task.RefusedLeaving
 	}
 	return task.Accepted
 }
--- a/core/executor/record.go
+++ b/core/executor/record.go
@@ -90,7 +90,7 @@
 }
 
 func (e *Executor) evict(r *start) {
-	if len(r.Result.Body) == 0 || r.State == task.Barred {
+	if len(r.Result.Body) == 0 {
 		return
 	}
 	e.bodyBytes -= len(r.Result.Body)
@@ -102,9 +102,7 @@
 func (e *Executor) expireRecords(now time.Time) {
 	expired := 0
 	for expired < len(e.ended) && now.Sub(e.ended[expired].endedAt) >= RetentionWindow {
-		if e.ended[expired].State != task.Barred {
-			e.bodyBytes -= len(e.ended[expired].Result.Body)
-		}
+		e.bodyBytes -= len(e.ended[expired].Result.Body)
 		e.remove(e.ended[expired])
 		e.ended[expired] = nil
 		expired++
--- a/core/executor/start.go
+++ b/core/executor/start.go
@@ -53,7 +53,7 @@
 
 // recordRefusal refuses what the start records and the barred attempts forbid.
 func (e *Executor) recordRefusal(s task.Start) task.Refusal {
-	if _, ok := e.barred[s.Attempt]; ok || e.find(s.Attempt.Task.Job.BarID()) != nil {
+	if _, ok := e.barred[s.Attempt]; ok {
 		return task.RefusedReconciled
 	}
 	why := task.Accepted
@@ -68,30 +68,6 @@
 	return why
 }
 
-// BarJob records that a job is reported as not run, so that none of its tasks starts here and a later owner
-// learns of it. It is refused if the owner was superseded, or if a task of the job is on record.
-func (e *Executor) BarJob(now time.Time, r task.Record) task.Refusal {
-	job := r.Attempt.Task.Job
-	switch {
-	case !e.registered:
-		return task.RefusedUnregistered
-	case r.Epoch.Less(e.fences[job.Shard()]):
-		return task.RefusedEpoch
-	case e.find(job.BarID()) != nil:
-		return task.Accepted
-	}
-	for index := range r.TaskCount {
-		if len(e.ofTask(task.ID{Job: job, Index: index})) > 0 {
-			return task.RefusedConflict
-		}
-	}
-	r.Attempt, r.State, r.Agent = job.BarID(), task.Barred, e.agent
-	barred := &start{Record: r, endedAt: now}
-	e.add(barred)
-	e.ended = append(e.ended, barred)
-	return task.Accepted
-}
-
 // mayFollow reports whether another attempt of an idempotent task may start after this one.
 func mayFollow(r task.Record) bool {
 	return r.State == task.Lost || r.State != task.Running && !r.Result.Succeeded()
--- a/core/job/action.go
+++ b/core/job/action.go
@@ -2,6 +2,7 @@
 
 import (
 	"dogwoodglade/core/allocator"
+	"dogwoodglade/core/shard"
 	"dogwoodglade/core/task"
 )
 
@@ -40,9 +41,15 @@
 	Attempt task.AttemptID
 }
 
-// BarJob records at an agent that the job is reported as not run. The caller sends it to a registered agent
-// that it is connected to, another one each time if it can, and reports the reply with Barred.
-type BarJob struct{ Record task.Record }
+// ConfirmEpoch asks an agent whether the owner's epoch is still accepted, for a job that is about to be
+// answered NotRun. The caller sends it to a registered agent that it is connected to, another one each time
+// if it can, and reports the reply with Confirmed.
+type ConfirmEpoch struct {
+	Shard    shard.ID
+	Epoch    shard.Epoch
+	Job      task.JobID
+	Question int // distinguishes the questions of one owner
+}
 
 // Reply sends the answer to a waiter. Each waiter gets one.
 type Reply struct {
@@ -50,10 +57,10 @@
 	Answer Answer
 }
 
-func (AskSlots) isAction()    {}
-func (WithdrawAsk) isAction() {}
-func (ReturnGrant) isAction() {}
-func (SendStart) isAction()   {}
-func (CancelTask) isAction()  {}
-func (BarJob) isAction()      {}
-func (Reply) isAction()       {}
+func (AskSlots) isAction()     {}
+func (WithdrawAsk) isAction()  {}
+func (ReturnGrant) isAction()  {}
+func (SendStart) isAction()    {}
+func (CancelTask) isAction()   {}
+func (ConfirmEpoch) isAction() {}
+func (Reply) isAction()        {}
--- a/core/job/ask.go
+++ b/core/job/ask.go
@@ -131,7 +131,7 @@
 	p := &w.parts[index]
 	p.number++
 	p.phase = active
-	if p.number == 1 {
+	if len(p.attempts) == 0 && p.requeues == 0 {
 		o.budgets.Started(w.pool, w.retryShare)
 	}
 	p.attempts = append(p.attempts, attempt{
--- a/core/job/outcome.go
+++ b/core/job/outcome.go
@@ -75,10 +75,6 @@
 }
 
 func (o *Owner) apply(now time.Time, r task.Record) {
-	if r.State == task.Barred {
-		o.takeBar(now, r)
-		return
-	}
 	w := o.jobs[r.Attempt.Task.Job]
 	if w == nil {
 		w = o.remember(now, r)
--- a/core/job/owner.go
+++ b/core/job/owner.go
@@ -32,11 +32,13 @@
 	began      time.Time
 	fenced     map[string]bool // agents that gave their records to this owner
 
-	jobs     map[task.JobID]*work
-	queue    []*work // open jobs in the order of their submission; answered ones are removed by Tick
-	asks     map[string]*standing
-	askCount int
-	grants   map[grantID]struct{} // in use
+	jobs      map[task.JobID]*work
+	released  map[task.JobID]*work // answered NotRun, kept for their attempt numbers
+	queue     []*work              // open jobs in the order of their submission; answered ones are removed by Tick
+	asks      map[string]*standing
+	askCount  int
+	questions int                  // ConfirmEpoch actions so far
+	grants    map[grantID]struct{} // in use
 
 	retained    []expiry // oldest first
 	answers     []*work  // that hold result bodies, oldest first
@@ -50,11 +52,12 @@
 func New(self string, id shard.ID, epoch shard.Epoch, complete bool, random *rand.Rand, record func(event.Event)) *Owner {
 	return &Owner{
 		self: self, id: id, epoch: epoch, complete: complete, random: random, record: record,
-		budgets: retry.NewBudgets(),
-		fenced:  map[string]bool{},
-		jobs:    map[task.JobID]*work{},
-		asks:    map[string]*standing{},
-		grants:  map[grantID]struct{}{},
+		budgets:  retry.NewBudgets(),
+		fenced:   map[string]bool{},
+		jobs:     map[task.JobID]*work{},
+		released: map[task.JobID]*work{},
+		asks:     map[string]*standing{},
+		grants:   map[grantID]struct{}{},
 	}
 }
 
@@ -170,9 +173,6 @@
 			open = append(open, w.id)
 			continue
 		}
-		if w.answer != nil && w.answer.State == NotRun {
-			records = append(records, w.barRecord(o.epoch))
-		}
 		for i, p := range w.parts {
 			for _, a := range p.attempts {
 				records = append(records, w.record(i, a))
@@ -205,8 +205,8 @@
 		if !w.open() {
 			continue
 		}
-		if w.bar != nil {
-			o.expireBar(now, w)
+		if w.confirm != nil {
+			o.expireConfirmation(now, w)
 			continue
 		}
 		if !now.Before(w.deadline) {
--- a/core/job/scenario_test.go
+++ b/core/job/scenario_test.go
@@ -59,7 +59,9 @@
 		}
 	case "refuse":
 		w.refuseAsk(0)
-		w.deliverAll()
+		if !d.HasArg("hold") {
+			w.deliverAll()
+		}
 	case "end":
 		a := w.agent(agent)
 		w.end(a, a.running[0], status)
--- a/core/job/settle.go
+++ b/core/job/settle.go
@@ -36,7 +36,7 @@
 // settle answers a job as soon as its answer is certain.
 func (o *Owner) settle(now time.Time, w *work) {
 	switch {
-	case w.answer != nil || w.bar != nil:
+	case w.answer != nil || w.confirm != nil:
 	case w.allDone() && (w.verdict == nil || w.verdict.reason == ReasonBackendServerLost):
 		// A lost attempt may turn out to have ended.
 		o.answer(now, w, Complete, verdict{})
@@ -53,7 +53,7 @@
 		o.answer(now, w, Failed, *w.verdict)
 	case w.outstanding():
 	case !w.started():
-		o.startBar(now, w)
+		o.startConfirmation(now, w)
 	case !w.idempotent && w.anyUnknown():
 		o.answer(now, w, OutcomeUnknown, verdict{reason: ReasonBackendServerLost})
 	default:
@@ -81,7 +81,7 @@
 	case w.started() || w.outstanding() || missing:
 		o.answer(now, w, Failed, *w.verdict)
 	default:
-		o.startBar(now, w)
+		o.startConfirmation(now, w)
 	}
 }
 
@@ -109,6 +109,10 @@
 	for _, waiter := range waiters {
 		o.reply(w, waiter)
 	}
+	if state == NotRun {
+		o.release(now, w)
+		return
+	}
 	o.retain(now, w)
 }
 
@@ -183,9 +187,15 @@
 	n := 0
 	for ; n < len(o.retained) && !now.Before(o.retained[n].at); n++ {
 		w := o.retained[n].work
-		if !w.open() && !now.Before(w.expires) && o.jobs[w.id] == w {
+		if w.open() || now.Before(w.expires) {
+			continue
+		}
+		if o.jobs[w.id] == w {
 			delete(o.jobs, w.id)
 		}
+		if o.released[w.id] == w {
+			delete(o.released, w.id)
+		}
 	}
 	clear(o.retained[:n])
 	o.retained = o.retained[n:]
--- a/core/job/submit.go
+++ b/core/job/submit.go
@@ -33,6 +33,10 @@
 		o.refuse(s.ID, waiter, Failed, reason)
 		return
 	}
+	if earlier := o.released[s.ID]; earlier != nil {
+		w.continueNumbers(earlier)
+		delete(o.released, s.ID)
+	}
 	o.jobs[s.ID] = w
 	ev := o.event(event.JobAccepted, w)
 	ev.Count, ev.Version = len(w.parts), t.Versions.Routes
--- a/core/job/work.go
+++ b/core/job/work.go
@@ -19,6 +19,7 @@
 	digest     string
 	idempotent bool
 	recovered  bool // some attempts were started by an earlier owner
+	base       int  // attempt numbers up to it were used for an earlier submission of the key
 	parts      []part
 
 	// Known once a submission reached this owner.
@@ -34,18 +35,12 @@
 	waiters []string
 	served  []string // waiters that have their answer
 
-	verdict *verdict // set once the job can no longer complete
-	bar     *bar     // set while an agent is asked to record that the job was not run
-	answer  *Answer  // set once the job is answered
+	verdict *verdict      // set once the job can no longer complete
+	confirm *confirmation // set while an agent is asked to confirm the owner's epoch
+	answer  *Answer       // set once the job is answered
 	expires time.Time
 }
 
-// bar is the record of a job that was not run, on its way to an agent.
-type bar struct {
-	tries int
-	until time.Time
-}
-
 // verdict says why a job cannot complete.
 type verdict struct {
 	reason     Reason
@@ -161,18 +156,6 @@
 	return r
 }
 
-// barRecord returns the record that the job is reported as not run.
-func (w *work) barRecord(epoch shard.Epoch) task.Record {
-	var reason Reason
-	if w.verdict != nil {
-		reason = w.verdict.reason
-	}
-	return task.Record{
-		Attempt: w.id.BarID(), TaskCount: len(w.parts), Route: w.route, Digest: w.digest,
-		Idempotent: w.idempotent, Epoch: epoch, State: task.Barred, Result: task.Result{Body: []byte(reason)},
-	}
-}
-
 // digest identifies the bodies of a submission.
 func digest(bodies [][]byte) string {
 	h := sha256.New()
--- a/core/task/task.go
+++ b/core/task/task.go
@@ -89,21 +89,15 @@
 
 // States of a start record. Ended covers every result of the backend server. Lost means that the backend
 // server was lost while the task ran, so that its effect is unknown. Evicted means that the task ended and
-// the body of its result was dropped to bound the agent's memory; the status is kept. Barred is the state
-// of a job rather than of an attempt: the owner reports the job as not run, so none of its tasks may start.
+// the body of its result was dropped to bound the agent's memory; the status is kept.
 const (
 	Running RecordState = "Running"
 	Ended   RecordState = "Ended"
 	Lost    RecordState = "Lost"
 	Evicted RecordState = "Evicted"
-	Barred  RecordState = "Barred"
 )
 
-// BarID returns the identity under which a job's Barred record is kept. No attempt has it.
-func (id JobID) BarID() AttemptID { return AttemptID{Task: ID{Job: id}} }
-
-// Record is an agent's memory of one started attempt, or of a barred job. The result body of a barred job
-// is the reason.
+// Record is an agent's memory of one started attempt.
 type Record struct {
 	Attempt    AttemptID
 	TaskCount  int
--- a/entry/confirm.go
+++ b/entry/confirm.go
@@ -16,19 +16,24 @@
 // confirmations coalesces the questions whether an epoch is still current: one question to an agent serves
 // all jobs of the shard that wait when it is sent.
 type confirmations struct {
-	waiting map[shard.Fence][]task.JobID
+	waiting map[shard.Fence][]job.ConfirmEpoch
 	asking  map[shard.Fence]bool
 	next    int // rotates over the agents
 }
 
-// confirm asks an agent whether the epoch is still current, for a job that is about to be reported as not
-// run.
-func (e *Entry) confirm(c job.BarJob) {
-	id := c.Record.Attempt.Task.Job
-	f := shard.Fence{Shard: id.Shard(), Epoch: c.Record.Epoch}
+// confirm asks an agent whether the epoch is still current, for a job that is about to be answered NotRun.
+// After a handover, the owner acts under the epoch of its successor, as its starts do.
+func (e *Entry) confirm(c job.ConfirmEpoch) {
+	s := &e.owners[c.Shard]
+	s.mu.Lock()
+	f := shard.Fence{Shard: c.Shard, Epoch: c.Epoch}
+	if s.epoch == c.Epoch && !s.startAs.IsZero() {
+		f.Epoch = s.startAs
+	}
+	s.mu.Unlock()
 	o := &e.ownership
 	o.mu.Lock()
-	o.confirm.waiting[f] = append(o.confirm.waiting[f], id)
+	o.confirm.waiting[f] = append(o.confirm.waiting[f], c)
 	asking := o.confirm.asking[f]
 	o.confirm.asking[f] = true
 	o.mu.Unlock()
@@ -41,11 +46,11 @@
 	o := &e.ownership
 	for {
 		o.mu.Lock()
-		jobs := o.confirm.waiting[f]
+		questions := o.confirm.waiting[f]
 		delete(o.confirm.waiting, f)
 		o.confirm.next++
 		next := o.confirm.next
-		if len(jobs) == 0 {
+		if len(questions) == 0 {
 			delete(o.confirm.asking, f)
 			o.mu.Unlock()
 			return
@@ -54,8 +59,8 @@
 		why := e.confirmAt(ctx, f, next)
 		e.decide(f.Shard, func(now time.Time, o *job.Owner) []job.Action {
 			var actions []job.Action
-			for _, id := range jobs {
-				actions = append(actions, o.Barred(now, id, why)...)
+			for _, c := range questions {
+				actions = append(actions, o.Confirmed(now, c, why)...)
 			}
 			return actions
 		})
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -65,7 +65,7 @@
 		if p := e.directory.agent(action.Agent); p != nil {
 			p.CancelTask(action.Attempt)
 		}
-	case job.BarJob:
+	case job.ConfirmEpoch:
 		e.confirm(action)
 	case job.Reply:
 		e.waiters.deliver(action.Waiter, action.Answer)
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -34,7 +34,7 @@
 	o.state = ownership.New(e.options.Name, e.incarnation, nil, newRandom(), e.record)
 	o.incomplete = map[shard.ID]struct{}{}
 	o.confirm = confirmations{
-		waiting: map[shard.Fence][]task.JobID{},
+		waiting: map[shard.Fence][]job.ConfirmEpoch{},
 		asking:  map[shard.Fence]bool{},
 	}
 }
