Finish what was sent to an agent that drains

Change: the agent stays for 1 s after its goodbye and until everything is sent; an entry settles what it sent to a drained agent from the start records that the agent left in the object store.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,6 +35,7 @@
 	registerRetry     = time.Second
 	drainPoll         = 20 * time.Millisecond
 	cancelTimeout     = time.Second
+	leaveGrace        = time.Second // for starts that were sent before the entries heard of the drain
 )
 
 // Options are what an agent needs to start.
@@ -262,8 +263,8 @@
 		return 0
 	}
 	a.decide(func(now time.Time) []executor.Action { return a.executor.Drain(now) })
-	deadline := time.Now().Add(a.options.DrainTimeout)
-	for !a.drained() && time.Now().Before(deadline) {
+	begun := time.Now()
+	for time.Since(begun) < a.options.DrainTimeout && (!a.drained() || time.Since(begun) < leaveGrace) {
 		time.Sleep(drainPoll)
 	}
 	a.mu.Lock()
@@ -276,10 +277,16 @@
 	return cut
 }
 
+// drained reports whether no task runs and everything was sent to the entries.
 func (a *Agent) drained() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.executor.Drained()
+	for _, p := range a.peers {
+		if !p.Flushed() {
+			return false
+		}
+	}
+	return a.executor.Drained() && a.actions.Idle()
 }
 
 // abandonTasks gives up the tasks that still run when the agent exits.
--- a/core/outbox/outbox.go
+++ b/core/outbox/outbox.go
@@ -21,6 +21,13 @@
 	o.items = append(o.items, items...)
 }
 
+// Idle reports whether all actions were performed.
+func (o *Outbox[T]) Idle() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.performing && len(o.items) == 0
+}
+
 // Perform performs all actions, including those that are pushed meanwhile. If another goroutine is
 // performing, or this one is further up its stack, Perform returns at once and the other call goes on.
 func (o *Outbox[T]) Perform(perform func(T)) {
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -81,16 +81,19 @@
 	}
 }
 
-// addAgent replaces the agent's connection. It reports whether an earlier run of the agent was known.
-func (d *directory) addAgent(p *inner.Peer, now time.Time) (replaced bool, old *inner.Peer) {
+// addAgent replaces the agent's connection. It returns the earlier run of the agent, if one was known.
+func (d *directory) addAgent(p *inner.Peer, now time.Time) (replaced *registration, old *inner.Peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	before := d.agents[p.Name]
 	d.agents[p.Name] = &agentState{peer: p, incarnation: p.Incarnation, heard: now}
-	if before == nil {
-		return false, nil
+	switch {
+	case before == nil:
+		return nil, nil
+	case before.incarnation == p.Incarnation:
+		return nil, before.peer
 	}
-	return before.incarnation != p.Incarnation, before.peer
+	return &registration{p.Name, before.incarnation}, before.peer
 }
 
 // removeAgent notes the loss of a connection. It reports false if the connection was replaced before.
@@ -124,7 +127,7 @@
 }
 
 // expire returns the connections of silent agents, and forgets and returns the agents whose tasks are lost.
-func (d *directory) expire(now time.Time) (silent []*inner.Peer, lost []string) {
+func (d *directory) expire(now time.Time) (silent []*inner.Peer, lost []registration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name, a := range d.agents {
@@ -132,7 +135,7 @@
 		case a.peer != nil && now.Sub(a.heard) > agentSilence:
 			silent = append(silent, a.peer)
 		case a.peer == nil && now.Sub(a.lostAt) > agentLossTimeout:
-			lost = append(lost, name)
+			lost = append(lost, registration{name, a.incarnation})
 			delete(d.agents, name)
 		}
 	}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"dogwoodglade/core/allocator"
@@ -11,6 +12,7 @@
 	"dogwoodglade/core/table"
 	"dogwoodglade/core/task"
 	"dogwoodglade/io/inner"
+	"dogwoodglade/io/platform"
 )
 
 // dialled handles the connections that this entry opened to other entries. It sends on them; the other
@@ -49,8 +51,8 @@
 	if old != nil {
 		go old.Close()
 	}
-	if replaced {
-		e.agentLost(now, p.Name)
+	if replaced != nil {
+		e.agentLost(*replaced)
 	}
 	e.record(event.Event{Number: event.AgentConnected, Task: -1, Peer: p.Name})
 	p.Entries(e.entryAddresses())
@@ -81,11 +83,7 @@
 
 // reconcile asks an agent for the fate of the attempts that were sent to it before its connection.
 func (e *Entry) reconcile(ctx context.Context, p *inner.Peer) {
-	var ids []task.AttemptID
-	e.eachOwner(func(_ time.Time, o *job.Owner) []job.Action {
-		ids = append(ids, o.InFlight(p.Name)...)
-		return nil
-	})
+	ids := e.inFlight(p.Name)
 	if len(ids) == 0 {
 		return
 	}
@@ -101,9 +99,73 @@
 	})
 }
 
-func (e *Entry) agentLost(now time.Time, name string) {
-	e.record(event.Event{Number: event.AgentLost, Task: -1, Peer: name})
-	e.eachOwner(func(_ time.Time, o *job.Owner) []job.Action { return o.AgentLost(now, name) })
+func (e *Entry) agentLost(r registration) {
+	e.record(event.Event{Number: event.AgentLost, Task: -1, Peer: r.agent})
+	e.eachOwner(func(now time.Time, o *job.Owner) []job.Action { return o.AgentLost(now, r.agent) })
+}
+
+// settleLost ends what was sent to an agent that is gone. A drained agent left its start records, and can
+// start nothing more; the fate of what ran on any other one is unknown.
+func (e *Entry) settleLost(ctx context.Context, r registration) {
+	ids := e.inFlight(r.agent)
+	if len(ids) == 0 {
+		e.agentLost(r)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	records, left := e.recordsOf(ctx, r)
+	if !left {
+		e.agentLost(r)
+		return
+	}
+	found, unseen := match(ids, records)
+	e.eachOwner(func(now time.Time, o *job.Owner) []job.Action {
+		return o.Reconciled(now, r.agent, found, unseen)
+	})
+}
+
+// recordsOf returns the start records that a drained agent left.
+func (e *Entry) recordsOf(ctx context.Context, r registration) (records []task.Record, left bool) {
+	rows, err := e.options.Platform.Get(ctx, platform.AgentKey(r.agent, r.incarnation))
+	if err != nil || len(rows) == 0 {
+		return nil, false
+	}
+	var row ownership.AgentRow
+	if json.Unmarshal(rows[0].Value, &row) != nil || !row.Left {
+		return nil, false
+	}
+	data, err := e.options.Platform.GetObject(ctx, row.Records)
+	if err != nil || json.Unmarshal(data, &records) != nil {
+		return nil, false
+	}
+	return records, true
+}
+
+// match divides attempts into those with a record and those without one.
+func match(ids []task.AttemptID, records []task.Record) (found []task.Record, unseen []task.AttemptID) {
+	byID := map[task.AttemptID]task.Record{}
+	for _, r := range records {
+		byID[r.Attempt] = r
+	}
+	for _, id := range ids {
+		if r, ok := byID[id]; ok {
+			found = append(found, r)
+		} else {
+			unseen = append(unseen, id)
+		}
+	}
+	return found, unseen
+}
+
+// inFlight returns the attempts at an agent whose end this entry does not know.
+func (e *Entry) inFlight(agent string) []task.AttemptID {
+	var ids []task.AttemptID
+	e.eachOwner(func(_ time.Time, o *job.Owner) []job.Action {
+		ids = append(ids, o.InFlight(agent)...)
+		return nil
+	})
+	return ids
 }
 
 func (e *Entry) entryAddresses() []string {
@@ -126,8 +188,8 @@
 	for _, p := range silent {
 		go p.Close()
 	}
-	for _, name := range lost {
-		e.agentLost(now, name)
+	for _, r := range lost {
+		e.background.start(func(ctx context.Context) { e.settleLost(ctx, r) })
 	}
 }
 
--- a/io/inner/peer.go
+++ b/io/inner/peer.go
@@ -118,6 +118,16 @@
 	}
 }
 
+// Flushed reports whether everything was written to the connection, or the connection is closed.
+func (p *Peer) Flushed() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return p.outbox.empty()
+	}
+}
+
 // notify queues a notification. It reports whether the connection is open; the message may still be lost.
 func (p *Peer) notify(name string, params any) bool {
 	select {
--- a/io/inner/queue.go
+++ b/io/inner/queue.go
@@ -44,3 +44,10 @@
 	defer q.mu.Unlock()
 	q.waiting--
 }
+
+// empty reports whether everything was sent.
+func (q *queue) empty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting == 0
+}
