Refuse no work of a customer within its share on account of an overload

In an overload, any ask whose wait exceeded the limit on the queue was refused, also of a customer that offers less than its share. A new case of TestBurstLeavesOtherCustomersTheirShare, with jobs of 20 tasks, fails without the change.

--- a/core/allocator/admission.go
+++ b/core/allocator/admission.go
@@ -62,10 +62,22 @@
 }
 
 // offer counts the work of a new ask.
-func (a *Allocator) offer(work time.Duration) {
+func (a *Allocator) offer(c *customer, work time.Duration) {
 	a.decayDemand()
 	a.overload.demand += work.Seconds()
 	a.overload.squares += work.Seconds() * work.Seconds()
+	c.offered, c.offeredAt = a.offeredBy(c)+work.Seconds(), a.now
+}
+
+// offeredBy is the recent work of a customer, in seconds of slot time, decayed with demandWindow.
+func (a *Allocator) offeredBy(c *customer) float64 {
+	return c.offered * math.Exp(-float64(a.now-c.offeredAt)/float64(demandWindow))
+}
+
+// withinShare reports whether the customer offers no more work than its part of the slots can serve. Such a
+// customer does not cause the overload, and its work is refused only if it would miss its deadline.
+func (a *Allocator) withinShare(c *customer) bool {
+	return a.options.Fairness && a.offeredBy(c)/demandWindow.Seconds() <= a.slotsFor(c, a.capacity)
 }
 
 func (a *Allocator) decayDemand() {
@@ -231,7 +243,7 @@
 	}
 	c, r := a.customerOf(q.Customer), a.routeOf(q.Route)
 	arrival := a.now - int64(max(q.Age, 0))
-	a.offer(time.Duration(q.Count) * r.mean)
+	a.offer(c, time.Duration(q.Count)*r.mean)
 	if a.predicts() && q.Count > a.atOnce(c, r) {
 		f := a.predict(c, r, q.Count, arrival)
 		late := time.Duration(waitMargin*float64(f.last)) - (q.Deadline - a.allowance(r, q.Deadline))
@@ -246,7 +258,7 @@
 			a.overload.active = a.overload.active || a.offered() > overloadDemand
 			a.refuseAsk(q, Overloaded, a.retryAfter(late))
 			return false
-		case a.overload.active && !c.atQuota() && f.ahead > a.delayLimit(r.mean):
+		case a.overload.active && !c.atQuota() && !a.withinShare(c) && f.ahead > a.delayLimit(r.mean):
 			a.refuseAsk(q, Overloaded, a.retryAfter(f.ahead))
 			return false
 		}
--- a/core/allocator/fairness.go
+++ b/core/allocator/fairness.go
@@ -43,14 +43,17 @@
 // customer is what the allocator knows of a customer. Customers are served in the order of their virtual
 // time, which grows with the slot time that they use divided by their weight.
 type customer struct {
-	name    string
-	suffix  [classCount]string // of grant IDs
-	weight  int
-	quota   int // 0 is unlimited
-	lanes   map[*routeState]*lane
-	demand  [classCount]demand
-	inUse   int
-	virtual float64
+	name   string
+	suffix [classCount]string // of grant IDs
+	weight int
+	quota  int // 0 is unlimited
+	lanes  map[*routeState]*lane
+	demand [classCount]demand
+	inUse  int
+
+	offered   float64 // recent work, in seconds of slot time at offeredAt
+	offeredAt int64
+	virtual   float64
 
 	eligible bool // has work and is below its quota
 	counted  total
--- a/core/allocator/policy_test.go
+++ b/core/allocator/policy_test.go
@@ -80,11 +80,13 @@
 	tests := map[string]struct {
 		weight   int
 		load     float64 // of the modest customer, part of the capacity
+		count    int     // tasks of its jobs
 		wantWait time.Duration
 	}{
-		"equal weights":  {1, 0.4, 150 * time.Millisecond},
-		"threefold":      {3, 0.65, 150 * time.Millisecond},
-		"far from share": {1, 0.1, 30 * time.Millisecond},
+		"equal weights":  {1, 0.4, 1, 150 * time.Millisecond},
+		"threefold":      {3, 0.65, 1, 150 * time.Millisecond},
+		"far from share": {1, 0.1, 1, 30 * time.Millisecond},
+		"in large jobs":  {1, 0.25, 20, 600 * time.Millisecond},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -92,9 +94,9 @@
 			s := newSite(t, pool.New("p").WithShare("modest", test.weight), allocator.DefaultOptions(), 10, 8)
 			s.runTime = func(*work) time.Duration { return milliseconds(50 + 150*random.ExpFloat64()) }
 			const capacity = siteSlots / 0.202
-			modest := work{customer: "modest", route: "r", deadline: 2 * time.Second}
+			modest := work{customer: "modest", route: "r", deadline: 2 * time.Second, count: test.count}
 			burst := work{customer: "burst", route: "r", deadline: 2 * time.Second, count: 20}
-			s.poisson(random, 0, 20*time.Second, test.load*capacity, modest)
+			s.poisson(random, 0, 20*time.Second, test.load*capacity/float64(test.count), modest)
 			s.poisson(random, 5*time.Second, 15*time.Second, 4*capacity/20, burst)
 			s.run(30 * time.Second)
 			for _, w := range s.refused {
