--- a/capacity/frames_test.go
+++ b/capacity/frames_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"encoding/json"
+	"maps"
 	"net"
 	"sync"
 
@@ -43,6 +44,13 @@
 	return sum
 }
 
+// snapshot returns copies of the bytes and the numbers of messages by method.
+func (m *frameMeter) snapshot() (bytes, count map[string]int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.byMethod), maps.Clone(m.count)
+}
+
 func (m *frameMeter) dial(dial inner.DialFunc) inner.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
