Close the gaps that could start a task twice, and check budgets without the race detector

Cause, found by reading: a front offered a ticket after it had lost the answer of an owner that may be paused; a key that is open at the former owner could be taken between the activation and the forwarding of a handover; an agent whose registry row was removed went on without registering; a late cancellation could stop the successor's attempt; pings corrected only the first peer. Budget tests measured the race detector.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,6 +35,8 @@
 	registerRetry     = time.Second
 	drainPoll         = 20 * time.Millisecond
 	cancelTimeout     = time.Second
+	rowCheckInterval  = 2 * time.Minute
+	aloneLimit        = time.Minute // without a connection, after which the agent registers again
 	leaveGrace        = time.Second // for starts that were sent before the entries heard of the drain
 )
 
@@ -73,6 +75,8 @@
 	tasks     sync.WaitGroup
 	connector *inner.Connector
 	ready     chan struct{} // closed when connector is set
+	rejoined  chan struct{} // has an element when the agent was alone for long
+	alone     time.Time     // when the last connection was lost; zero while there is one; guarded by mu
 }
 
 // request is a task that runs on a backend server.
@@ -93,6 +97,7 @@
 		peers:       map[string]*inner.Peer{},
 		requests:    map[task.AttemptID]request{},
 		ready:       make(chan struct{}),
+		rejoined:    make(chan struct{}, 1),
 	}
 	listener, err := options.Listen(options.BackendAddress)
 	if err != nil {
@@ -105,7 +110,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	closeConnector := a.connect()
 	var running sync.WaitGroup
-	running.Go(func() { a.register(ctx) })
+	running.Go(func() { a.keepRegistered(ctx) })
 	running.Go(func() { a.every(ctx, heartbeatInterval, a.heartbeat) })
 	running.Go(func() { a.every(ctx, tickInterval, a.tick) })
 	options.Recorder.Record(event.Event{Number: event.ProcessStarted, Task: -1, State: a.incarnation})
--- a/agent/entry.go
+++ b/agent/entry.go
@@ -14,6 +14,14 @@
 func (a *Agent) Connected(p *inner.Peer) {
 	a.mu.Lock()
 	a.peers[p.Name] = p
+	if !a.alone.IsZero() && time.Since(a.alone) > aloneLimit {
+		a.executor.Unregister()
+		select {
+		case a.rejoined <- struct{}{}:
+		default:
+		}
+	}
+	a.alone = time.Time{}
 	a.executor.OwnerHeard(time.Now(), p.Name)
 	servers := a.executor.Heartbeat(time.Now())
 	a.mu.Unlock()
@@ -27,6 +35,9 @@
 	if a.peers[p.Name] == p {
 		delete(a.peers, p.Name)
 	}
+	if len(a.peers) == 0 && a.alone.IsZero() {
+		a.alone = time.Now()
+	}
 }
 
 // Start implements inner.StartHandler.
@@ -42,9 +53,13 @@
 }
 
 // CancelTask implements inner.StartHandler.
-func (a *Agent) CancelTask(p *inner.Peer, attempt task.AttemptID) {
+func (a *Agent) CancelTask(p *inner.Peer, attempt task.AttemptID, epoch shard.Epoch) {
 	a.decide(func(now time.Time) []executor.Action {
 		a.executor.OwnerHeard(now, p.Name)
+		// The attempt may belong to the successor of an owner that was superseded.
+		if a.executor.Superseded(attempt, epoch) {
+			return nil
+		}
 		return a.executor.Cancel(now, attempt)
 	})
 }
--- a/agent/register.go
+++ b/agent/register.go
@@ -13,6 +13,38 @@
 	"dogwoodglade/io/platform"
 )
 
+// keepRegistered registers the agent, and again if its row is gone. An entry removes the row of an agent
+// that no entry has heard for the retention window; takeovers then no longer fence the agent, so it must not
+// accept starts before it has registered again.
+func (a *Agent) keepRegistered(ctx context.Context) {
+	a.register(ctx)
+	ticker := time.NewTicker(rowCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.rejoined:
+		case <-ticker.C:
+			if a.hasRow(ctx) {
+				continue
+			}
+		}
+		a.mu.Lock()
+		a.executor.Unregister()
+		a.mu.Unlock()
+		a.register(ctx)
+	}
+}
+
+// hasRow reports false only if the platform says that the row is gone.
+func (a *Agent) hasRow(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	rows, err := a.options.Platform.Get(ctx, platform.AgentKey(a.options.Name, a.incarnation))
+	return err != nil || len(rows) == 0 || rows[0].Version > 0
+}
+
 // register writes the agent's row and then reads the epochs of the shards. The order matters: an owner that
 // read the registry before the row was there had written its epoch before, so this read returns it.
 func (a *Agent) register(ctx context.Context) {
--- a/capacity/frames_test.go
+++ b/capacity/frames_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package capacity
 
 import (
--- a/core/executor/epoch.go
+++ b/core/executor/epoch.go
@@ -29,3 +29,11 @@
 	}
 	return task.Accepted
 }
+
+// Superseded reports whether the epoch of an attempt's owner is lower than the one that the agent accepts.
+func (e *Executor) Superseded(a task.AttemptID, epoch shard.Epoch) bool {
+	return epoch.Less(e.fences[a.Task.Job.Shard()])
+}
+
+// Unregister closes the executor for starts until it is registered again.
+func (e *Executor) Unregister() { e.registered = false }
--- a/core/ownership/action.go
+++ b/core/ownership/action.go
@@ -63,10 +63,15 @@
 
 // Activate makes this entry the owner of the shard: the caller creates the shard's job.Owner. Complete is
 // true only if there is nothing to recover; otherwise Recover and CompleteRecovery follow.
+//
+// OpenKeys are the keys that the former owner To still finishes, as in ForwardOpen. They come with the
+// activation, so that no submission of such a key is taken in between.
 type Activate struct {
 	Shard    shard.ID
 	Epoch    shard.Epoch
 	Complete bool
+	To       string
+	OpenKeys []task.JobID
 }
 
 // Recover passes recovered start records to the shard's job.Owner (Recovered).
--- a/core/ownership/recovery.go
+++ b/core/ownership/recovery.go
@@ -281,12 +281,11 @@
 			epoch: s.epoch, from: s.from, giver: s.giver, sequence: s.sequence, open: s.open,
 		}
 		o.known[id] = claim{epoch: s.epoch, from: s.from, entry: o.self, heard: now, pinged: true, active: true}
-		actions = append(actions, Activate{
-			Shard: id, Epoch: s.epoch, Complete: complete && len(r.held[id]) == 0,
-		})
+		activate := Activate{Shard: id, Epoch: s.epoch, Complete: complete && len(r.held[id]) == 0}
 		if len(s.open) > 0 {
-			actions = append(actions, ForwardOpen{Shard: id, To: s.giver.name, Keys: s.open})
+			activate.To, activate.OpenKeys = s.giver.name, s.open
 		}
+		actions = append(actions, activate)
 	}
 	if !complete {
 		o.note(event.TakeoverIncomplete, event.Event{Count: len(r.shards)})
--- a/entry/front.go
+++ b/entry/front.go
@@ -115,11 +115,13 @@
 func (e *Entry) askOwner(ctx context.Context, a ask) job.Answer {
 	noOwnerUntil := time.Now().Add(ownerWait)
 	last := job.Answer{ID: a.id, State: job.NotRun, Reason: job.ReasonOwnerUnavailable, RetryAfter: time.Second}
+	lost := false // a message was sent and not answered
 	for {
 		reply, sent, err := e.tryOwner(ctx, a)
+		lost = lost || err != nil && sent
 		switch {
 		case err == nil && !reply.NotOwner && !moved(reply.Answer):
-			return reply.Answer
+			return withoutTicket(reply.Answer, lost)
 		case err == nil && !reply.NotOwner:
 			last = reply.Answer
 		case err != nil && sent && last.State == job.NotRun:
@@ -137,6 +139,15 @@
 	}
 }
 
+// withoutTicket drops the offer of a ticket if an earlier message was not answered: an owner that was paused
+// may still hold the submission, so the caller must not send it again as a first one.
+func withoutTicket(a job.Answer, lost bool) job.Answer {
+	if lost && a.Reason == job.ReasonTicketRequired {
+		a.Reason, a.Ticket = job.ReasonOwnerUnavailable, shard.Ticket{}
+	}
+	return a
+}
+
 // unsent answers a submission that this entry never sent to an owner. Another copy of it may have run, so
 // only the owner can report it as not run.
 func (e *Entry) unsent(a job.Answer) job.Answer {
@@ -210,26 +221,15 @@
 	return reply, err != nil || !reply.NotOwner, err
 }
 
-// formerOwner returns the entry that still finishes the key after a handover, if there is one.
-func (e *Entry) formerOwner(id task.JobID) string {
-	s := &e.owners[id.Shard()]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.forwarded[id]; ok {
-		return s.forwardTo
-	}
-	return ""
-}
-
 // forward sends a message about a key to the former owner that finishes it.
 func (e *Entry) forward(
-	ctx context.Context, to string, send func(p *inner.Peer) (inner.OwnerReply, error),
+	ctx context.Context, to string, m inner.Message,
 ) (inner.OwnerReply, error) {
 	p := e.directory.entry(to)
 	if p == nil {
 		return inner.OwnerReply{NotOwner: true}, nil
 	}
-	reply, err := send(p)
+	reply, err := p.Send(ctx, m)
 	if err != nil && ctx.Err() == nil {
 		// The former owner is gone; ownership will recover the key.
 		return inner.OwnerReply{NotOwner: true}, nil
@@ -239,18 +239,22 @@
 
 // submitLocal submits to an owner in this entry and waits for the answer.
 func (e *Entry) submitLocal(ctx context.Context, s job.Submission) (inner.OwnerReply, error) {
-	if to := e.formerOwner(s.ID); to != "" {
-		return e.forward(ctx, to, func(p *inner.Peer) (inner.OwnerReply, error) { return p.Submit(ctx, s) })
-	}
 	waiter, answer := e.waiters.add()
 	defer e.waiters.remove(waiter)
 	id := s.ID.Shard()
 	snapshot := e.tables.Current()
+	to := ""
 	owned := e.decide(id, func(now time.Time, o *job.Owner) []job.Action {
+		if to = e.owners[id].formerOwner(s.ID); to != "" {
+			return nil
+		}
 		return o.Submit(now, s, waiter, snapshot)
 	})
-	if !owned {
+	switch {
+	case !owned:
 		return inner.OwnerReply{NotOwner: true}, nil
+	case to != "":
+		return e.forward(ctx, to, inner.SubmitMessage{Submission: s})
 	}
 	select {
 	case a := <-answer:
@@ -273,41 +277,44 @@
 }
 
 func (e *Entry) lookupLocal(ctx context.Context, id task.JobID) (inner.OwnerReply, error) {
-	if to := e.formerOwner(id); to != "" {
-		return e.forward(ctx, to, func(p *inner.Peer) (inner.OwnerReply, error) { return p.Lookup(ctx, id) })
-	}
-	return e.answerLocal(id, func(now time.Time, o *job.Owner) ([]job.Action, job.Answer) {
+	return e.answerLocal(ctx, inner.LookupMessage{ID: id}, id, func(now time.Time, o *job.Owner) ([]job.Action, job.Answer) {
 		return nil, o.Lookup(now, id)
 	})
 }
 
 func (e *Entry) cancelLocal(ctx context.Context, id task.JobID) (inner.OwnerReply, error) {
-	if to := e.formerOwner(id); to != "" {
-		return e.forward(ctx, to, func(p *inner.Peer) (inner.OwnerReply, error) { return p.CancelJob(ctx, id) })
-	}
-	return e.answerLocal(id, func(now time.Time, o *job.Owner) ([]job.Action, job.Answer) {
+	return e.answerLocal(ctx, inner.CancelJobMessage{ID: id}, id, func(now time.Time, o *job.Owner) ([]job.Action, job.Answer) {
 		actions := o.Cancel(now, id)
 		return actions, o.Lookup(now, id)
 	})
 }
 
-func (e *Entry) issueTicketLocal(_ context.Context, id task.JobID) (inner.OwnerReply, error) {
-	return e.answerLocal(id, func(now time.Time, o *job.Owner) ([]job.Action, job.Answer) {
+func (e *Entry) issueTicketLocal(ctx context.Context, id task.JobID) (inner.OwnerReply, error) {
+	return e.answerLocal(ctx, inner.IssueTicketMessage{ID: id}, id, func(now time.Time, o *job.Owner) ([]job.Action, job.Answer) {
 		a := o.Lookup(now, id)
 		a.Ticket = o.IssueTicket()
 		return nil, a
 	})
 }
 
+// answerLocal answers a message from the owner in this entry, or forwards it to a former owner.
 func (e *Entry) answerLocal(
-	id task.JobID, decision func(now time.Time, o *job.Owner) ([]job.Action, job.Answer),
+	ctx context.Context, m inner.Message, id task.JobID,
+	decision func(now time.Time, o *job.Owner) ([]job.Action, job.Answer),
 ) (inner.OwnerReply, error) {
 	var reply inner.OwnerReply
+	to := ""
 	owned := e.decide(id.Shard(), func(now time.Time, o *job.Owner) []job.Action {
+		if to = e.owners[id.Shard()].formerOwner(id); to != "" {
+			return nil
+		}
 		var actions []job.Action
 		actions, reply.Answer = decision(now, o)
 		return actions
 	})
+	if to != "" {
+		return e.forward(ctx, to, m)
+	}
 	reply.NotOwner = !owned
 	return reply, nil
 }
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -26,10 +26,7 @@
 	case ownership.ForwardOpen:
 		s := &e.owners[action.Shard]
 		s.mu.Lock()
-		s.forwardTo, s.forwarded = action.To, map[task.JobID]struct{}{}
-		for _, id := range action.Keys {
-			s.forwarded[id] = struct{}{}
-		}
+		s.forward(action.To, action.Keys)
 		s.mu.Unlock()
 	case ownership.ReleaseShard:
 		s := &e.owners[action.Shard]
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -29,6 +29,33 @@
 	actions outbox.Outbox[job.Action]
 }
 
+// forward replaces the keys that a former owner finishes. The caller holds the lock.
+func (s *ownedShard) forward(to string, keys []task.JobID) {
+	s.forwardTo, s.forwarded = to, map[task.JobID]struct{}{}
+	for _, id := range keys {
+		s.forwarded[id] = struct{}{}
+	}
+}
+
+// formerOwner returns the entry that still finishes the key after a handover, or "". The caller holds the
+// lock, so that the key cannot be taken here while it is open there.
+func (s *ownedShard) formerOwner(id task.JobID) string {
+	if _, ok := s.forwarded[id]; ok {
+		return s.forwardTo
+	}
+	return ""
+}
+
+// currentEpoch is the epoch under which this entry works on the shard.
+func (s *ownedShard) currentEpoch() shard.Epoch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.startAs.IsZero() {
+		return s.startAs
+	}
+	return s.epoch
+}
+
 // decide runs a decision on the shard's owner, if there is one, and performs its actions in order. It
 // reports whether there is an owner.
 func (e *Entry) decide(id shard.ID, decision func(now time.Time, o *job.Owner) []job.Action) bool {
@@ -63,7 +90,7 @@
 		e.sendStart(id, action)
 	case job.CancelTask:
 		if p := e.directory.agent(action.Agent); p != nil {
-			p.CancelTask(action.Attempt)
+			p.CancelTask(action.Attempt, e.owners[id].currentEpoch())
 		}
 	case job.ConfirmEpoch:
 		e.confirm(action)
@@ -76,7 +103,8 @@
 	s := &e.owners[id]
 	s.mu.Lock()
 	start := action.Start
-	if !s.startAs.IsZero() {
+	// A start of an earlier tenure in this process keeps its epoch, so that agents refuse it.
+	if !s.startAs.IsZero() && start.Epoch == s.epoch {
 		start.Epoch = s.startAs
 	}
 	s.mu.Unlock()
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -126,7 +126,7 @@
 	s.owner = job.New(e.options.Name, a.Shard, a.Epoch, a.Complete, newRandom(), e.record)
 	s.owner.ShareBudgets(e.budgets)
 	s.epoch, s.startAs, s.departing = a.Epoch, shard.Epoch{}, false
-	s.forwardTo, s.forwarded = "", nil
+	s.forward(a.To, a.OpenKeys)
 }
 
 func (e *Entry) stepDown(a ownership.StepDown) {
@@ -136,7 +136,8 @@
 		if s.epoch != a.Epoch {
 			return nil
 		}
-		s.owner, s.forwardTo, s.forwarded = nil, "", nil
+		s.owner = nil
+		s.forward("", nil)
 		return o.Superseded(now, a.Epoch.Next(a.Epoch.Incarnation))
 	})
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -26,7 +26,7 @@
 	}
 	d.directory.addEntry(p)
 	d.record(event.Event{Number: event.EntryConnected, Task: -1, Peer: p.Name})
-	d.ping(p, time.Now())
+	d.ping(time.Now())
 	addresses := d.entryAddresses()
 	for _, agent := range d.directory.connectedAgents() {
 		agent.Entries(addresses)
@@ -178,9 +178,7 @@
 
 // tickPeers tells peers that this entry is alive, and drops agents that are silent.
 func (e *Entry) tickPeers(now time.Time) {
-	for _, p := range e.directory.connectedEntries() {
-		e.ping(p, now)
-	}
+	e.ping(now)
 	for _, p := range e.directory.connectedAgents() {
 		p.Alive()
 	}
@@ -193,11 +191,16 @@
 	}
 }
 
-func (e *Entry) ping(p *inner.Peer, now time.Time) {
+// ping sends one ping to all peers. It carries corrections for peers that claim a superseded epoch, and the
+// ownership forgets them once they are in a ping.
+func (e *Entry) ping(now time.Time) {
 	e.ownership.mu.Lock()
 	ping := e.ownership.state.Ping(now)
 	e.ownership.mu.Unlock()
-	p.Ping(ping, e.tables.Notification())
+	notification := e.tables.Notification()
+	for _, p := range e.directory.connectedEntries() {
+		p.Ping(ping, notification)
+	}
 }
 
 // Ping implements inner.PeerHandler.
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -28,7 +28,6 @@
 	readHeaderTimeout = 5 * time.Second
 	readTimeout       = 15 * time.Second
 	writeTimeout      = 15 * time.Second
-	retryAfter        = time.Second
 	maxHeaderBytes    = 16 << 10
 )
 
@@ -53,6 +52,14 @@
 	Ready() bool
 }
 
+// BusyError reports that an entry reads or answers as many requests as its memory allows.
+type BusyError struct{}
+
+// Error implements error.
+func (*BusyError) Error() string {
+	return "read request: the entry is busy; send the request again later"
+}
+
 type handler struct {
 	dispatcher Dispatcher
 	memory     atomic.Int64 // bytes reserved by requests in progress
@@ -211,7 +218,9 @@
 	}
 	if h.memory.Add(size) > memoryBudget {
 		h.memory.Add(-size)
-		writeAnswer(w, job.Answer{State: job.NotRun, Reason: job.ReasonOverloaded, RetryAfter: retryAfter})
+		// The key is not known yet, so this says nothing about the submission.
+		w.Header().Set("Retry-After", "1")
+		writeError(w, http.StatusServiceUnavailable, "Busy", &BusyError{})
 		return nil, nil, false
 	}
 	release = func() { h.memory.Add(-size) }
--- a/io/inner/handler.go
+++ b/io/inner/handler.go
@@ -9,6 +9,7 @@
 
 	"dogwoodglade/core/allocator"
 	"dogwoodglade/core/job"
+	"dogwoodglade/core/shard"
 	"dogwoodglade/core/task"
 )
 
@@ -50,7 +51,7 @@
 // StartHandler receives an owner's messages for an agent. Its methods must not wait for the peer.
 type StartHandler interface {
 	Start(p *Peer, s task.Start)
-	CancelTask(p *Peer, a task.AttemptID)
+	CancelTask(p *Peer, a task.AttemptID, epoch shard.Epoch)
 	// Alive tells the agent that the entry is alive.
 	Alive(p *Peer)
 }
--- a/io/inner/inner_test.go
+++ b/io/inner/inner_test.go
@@ -180,6 +180,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		defer func() { _ = conn.Close() }()
 		start := time.Now()
 		if _, err := conn.Read(make([]byte, 1)); err == nil || time.Since(start) != handshakeTimeout {
 			t.Fatalf("got %v after %v", err, time.Since(start))
--- a/io/inner/start.go
+++ b/io/inner/start.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"dogwoodglade/core/shard"
 	"dogwoodglade/core/task"
 )
 
@@ -22,7 +23,10 @@
 	Refusal task.Refusal
 }
 
-type cancelTaskParams struct{ Attempt task.AttemptID }
+type cancelTaskParams struct {
+	Attempt task.AttemptID
+	Epoch   shard.Epoch
+}
 
 type aliveParams struct{}
 
@@ -31,9 +35,9 @@
 // Start asks the agent to start an attempt. The agent answers with StartReply.
 func (p *Peer) Start(s task.Start) bool { return p.notify(methodStart, startParams{Start: s}) }
 
-// CancelTask asks the agent to stop an attempt.
-func (p *Peer) CancelTask(a task.AttemptID) bool {
-	return p.notify(methodCancelTask, cancelTaskParams{Attempt: a})
+// CancelTask asks the agent to stop an attempt, under the epoch of its owner.
+func (p *Peer) CancelTask(a task.AttemptID, epoch shard.Epoch) bool {
+	return p.notify(methodCancelTask, cancelTaskParams{Attempt: a, Epoch: epoch})
 }
 
 // Alive tells the agent that this entry is alive.
@@ -62,7 +66,7 @@
 			if err := decode(message, &params); err != nil {
 				return err
 			}
-			h.CancelTask(p, params.Attempt)
+			h.CancelTask(p, params.Attempt, params.Epoch)
 			return nil
 		}),
 		methodAlive: notificationOf(func(p *Peer, _ json.RawMessage) error {
