--- a/dev/scenario_test.go
+++ b/dev/scenario_test.go
@@ -74,7 +74,7 @@
 		"site": s.startSite, "submit": s.submit, "await": s.await, "wait": s.wait, "start": s.start,
 		"stop": s.stop, "kill": s.kill, "freeze": s.freeze, "thaw": s.thaw, "cut": s.cut, "heal": s.heal,
 		"platform": s.platform, "edit": s.edit, "cancel": s.cancel, "starts": s.starts, "tables": s.tables,
-		"verdict": s.verdict, "events": s.events,
+		"verdict": s.verdict, "events": s.events, "count": s.count, "ended": s.ended,
 	}
 	command, ok := commands[d.Cmd]
 	if !ok {
@@ -121,6 +121,7 @@
 		}
 		submission := sampleJob(key+suffix, tasks, s.duration(run))
 		submission.Deadline = s.duration(deadline)
+		s.scan(d, "route", &submission.Route)
 		submission.Idempotent = new(bool)
 		*submission.Idempotent = d.HasArg("idempotent")
 		s.send(s.client(entry), as+suffix, submission, d.HasArg("ticket"))
@@ -164,11 +165,14 @@
 // names the states that are right, and it prints only the number of answers and those of other states.
 func (s *scenario) await(d *datadriven.TestData) string {
 	counts := map[string]int{}
-	allowed := map[string]bool{}
+	allowed, never := map[string]bool{}, map[string]bool{}
 	for _, arg := range d.CmdArgs {
-		if arg.Key == "allow" {
-			for _, state := range arg.Vals {
-				allowed[state] = true
+		for _, value := range arg.Vals {
+			switch arg.Key {
+			case "allow":
+				allowed[value] = true
+			case "never":
+				never[value] = true
 			}
 		}
 	}
@@ -177,7 +181,8 @@
 			return a.Key == as || strings.HasPrefix(as, a.Key+"-")
 		}) {
 			text := <-answer
-			if state, _, _ := strings.Cut(text, " "); allowed[state] {
+			state, reason, _ := strings.Cut(text, " ")
+			if allowed[state] || len(never) > 0 && !never[reason] {
 				text = "as allowed"
 			}
 			counts[text]++
@@ -213,6 +218,8 @@
 			_, err = s.site.StartEntry()
 		case "agent":
 			_, err = s.site.StartAgent()
+		case "failing-server":
+			_, err = s.site.StartFailingServer(s.site.Agents[0].Process.Address())
 		case "server":
 			agent := len(s.site.Agents)
 			_, err = s.site.StartServer(s.site.Agents[agent-1].Process.Address())
@@ -392,13 +399,49 @@
 	s.scan(d, "entry", &entry)
 	key := ""
 	d.ScanArgs(s.t, "key", &key)
-	_, err := s.client(entry).Cancel(context.Background(), task.JobID{Customer: "atlas", Key: key})
-	if err != nil {
-		return "no answer\n"
+	count := 1
+	s.scan(d, "count", &count)
+	for i := range count {
+		id := task.JobID{Customer: "atlas", Key: key}
+		if count > 1 {
+			id.Key = fmt.Sprintf("%s-%d", key, i+1)
+		}
+		if _, err := s.client(entry).Cancel(context.Background(), id); err != nil {
+			return "no answer\n"
+		}
 	}
 	return ""
 }
 
+// count prints how often a process recorded an event.
+func (s *scenario) count(d *datadriven.TestData) string {
+	n := 0
+	for _, e := range s.site.Events() {
+		if e.Number.String() == d.CmdArgs[0].Key && e.Process == d.CmdArgs[1].Key {
+			n++
+		}
+	}
+	return fmt.Sprintf("%d\n", n)
+}
+
+// ended prints whether at most a tenth of the tasks of the keys with a prefix failed, and awaits the keys.
+func (s *scenario) ended(d *datadriven.TestData) string {
+	failed, all := 0, 0
+	for as, answer := range s.answers {
+		if strings.HasPrefix(as, d.CmdArgs[0].Key+"-") {
+			all++
+			if text := <-answer; !strings.HasPrefix(text, string(job.Complete)) {
+				failed++
+			}
+			delete(s.answers, as)
+		}
+	}
+	if failed > all/10 {
+		return fmt.Sprintf("%d of %d failed\n", failed, all)
+	}
+	return "at most a tenth failed\n"
+}
+
 // starts prints the number of starts of the tasks of the keys with a prefix.
 func (s *scenario) starts(d *datadriven.TestData) string {
 	n := 0
--- a/dev/site.go
+++ b/dev/site.go
@@ -269,10 +269,24 @@
 // StartServer starts one more sample backend server beside an agent.
 func (s *Site) StartServer(agentAddress string) (*Part[*backend.Server], error) {
 	name := fmt.Sprintf("server-%d", len(s.Servers)+1)
+	return s.startServer(name, agentAddress, RunSample(name))
+}
+
+// StartFailingServer starts a backend server that fails every task at once.
+func (s *Site) StartFailingServer(agentAddress string) (*Part[*backend.Server], error) {
+	name := fmt.Sprintf("server-%d", len(s.Servers)+1)
+	return s.startServer(name, agentAddress, func(_ context.Context, t backend.Task) ([]byte, error) {
+		return nil, errors.WithStack(&FailedError{Task: t.Attempt.String()})
+	})
+}
+
+func (s *Site) startServer(
+	name, agentAddress string, run func(ctx context.Context, t backend.Task) ([]byte, error),
+) (*Part[*backend.Server], error) {
 	host := s.settings.Host(name)
 	server, stop, err := backend.NewServer(backend.ServerSettings{
 		ID: name, Pool: SamplePool, Agent: agentAddress,
-		Slots: s.settings.Slots, Connections: 64, Run: RunSample(name),
+		Slots: s.settings.Slots, Connections: 64, Run: run,
 		ListenFunc: host.Listen, Dial: host.Dial,
 	})
 	if err != nil {
