Add a load command over loopback HTTP

Add the package load (seeded plan, check of each answer, report) and the command load, with a site of its own by dev.New and a round robin baseline on the same backend servers. dev.Settings gets EventCapacity, so that a whole run fits into the record that is judged.

--- a/cmd/dogwoodglade/main.go
+++ b/cmd/dogwoodglade/main.go
@@ -26,7 +26,7 @@
 		Commands: []*cli.Command{
 			devCommand(), entryCommand(), agentCommand(), platformCommand(), backendCommand(),
 			submitCommand(), routeCommand(), poolCommand(), timelineCommand(), checkCommand(),
-			benchCommand(), traceCommand(),
+			benchCommand(), traceCommand(), loadCommand(),
 		},
 	}
 }
--- a/dev/site.go
+++ b/dev/site.go
@@ -48,6 +48,7 @@
 	Agents        int
 	Slots         int // of each backend server
 	Seed          uint64
+	EventCapacity int                       // events that each process keeps
 	CallerAddress string                    // of the first entry; a random port if empty
 	Host          func(process string) Host // loopback sockets if nil
 	Log           func(event.Event)
@@ -63,6 +64,7 @@
 	setCount(&s.Entries, 2)
 	setCount(&s.Agents, 3)
 	setCount(&s.Slots, 8)
+	setCount(&s.EventCapacity, eventCapacity)
 	if s.Host == nil {
 		s.Host = func(string) Host { return loopback{} }
 	}
@@ -220,7 +222,7 @@
 }
 
 func (s *Site) recorder(name string) *event.Recorder {
-	return event.NewRecorder(name, eventCapacity, time.Now, s.settings.Log)
+	return event.NewRecorder(name, s.settings.EventCapacity, time.Now, s.settings.Log)
 }
 
 // StartEntry starts one more entry.
--- /dev/null
+++ b/load/target.go
@@ -0,0 +1,167 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/task"
+	"dogwoodglade/io/backend"
+	"dogwoodglade/io/caller"
+)
+
+// Dial opens a connection. Tests on a paused clock bring their own.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// AddressError reports an address that load must not be sent to.
+type AddressError struct{ Address string }
+
+// Error implements error.
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("submit load: %q is not a loopback IP address with a port", e.Address)
+}
+
+// checkLoopback refuses addresses of other hosts.
+func checkLoopback(addresses []string) error {
+	for _, address := range addresses {
+		host, _, err := net.SplitHostPort(address)
+		if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
+			return errors.WithStack(&AddressError{Address: address})
+		}
+	}
+	return nil
+}
+
+// Target runs jobs. It is one of Entries and Direct.
+type Target interface {
+	submit(ctx context.Context, number int, j Job) (job.Answer, error)
+	cancel(ctx context.Context, number int, j Job)
+}
+
+// resubmitter is a target that takes a job again while it runs. Direct is none: a caller without a
+// dispatcher has nobody to ask about a running job.
+type resubmitter interface {
+	resubmit(ctx context.Context, number int, j Job) (job.Answer, error)
+}
+
+// Entries submits to entries in turn.
+type Entries struct{ clients []*caller.Client }
+
+// NewEntries returns a target and its clean-up. A nil dial uses the network.
+func NewEntries(addresses []string, dial Dial) (*Entries, func(), error) {
+	if err := checkLoopback(addresses); err != nil {
+		return nil, nil, err
+	}
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: LimitOpen, IdleConnTimeout: time.Minute}
+	e := &Entries{}
+	for _, address := range addresses {
+		e.clients = append(e.clients, caller.NewClient(address, &http.Client{Transport: transport}))
+	}
+	return e, transport.CloseIdleConnections, nil
+}
+
+func (e *Entries) client(number int) *caller.Client { return e.clients[number%len(e.clients)] }
+
+func (e *Entries) submit(ctx context.Context, number int, j Job) (job.Answer, error) {
+	return e.client(number).Submit(ctx, j.Submission)
+}
+
+func (e *Entries) resubmit(ctx context.Context, number int, j Job) (job.Answer, error) {
+	return e.client(number+1).Submit(ctx, j.Submission)
+}
+
+// cancel ignores the answer, because the submission gets the outcome.
+func (e *Entries) cancel(ctx context.Context, number int, j Job) {
+	_, _ = e.client(number+1).Cancel(ctx, j.Submission.ID)
+}
+
+// Direct is the baseline without a dispatcher: the caller itself assigns each task to the next slot in turn
+// and sends it to the slot's backend server when the tasks before it in that slot have ended. Waiting tasks
+// are dropped at the deadline, and running ones are cancelled.
+type Direct struct {
+	client *backend.Client
+	slots  []*slot
+	next   atomic.Uint64
+
+	mu      sync.Mutex
+	cancels map[task.JobID]context.CancelFunc
+}
+
+type slot struct {
+	server string
+	free   chan struct{} // its waiting senders are served in order
+}
+
+// NewDirect returns a target for backend servers of the given slots, and its clean-up.
+func NewDirect(servers []string, slots int, dial Dial) (*Direct, func(), error) {
+	if err := checkLoopback(servers); err != nil {
+		return nil, nil, err
+	}
+	client, cleanUp := backend.NewClient(2*slots, dial)
+	d := &Direct{client: client, cancels: map[task.JobID]context.CancelFunc{}}
+	for range slots {
+		for _, server := range servers {
+			d.slots = append(d.slots, &slot{server: server, free: make(chan struct{}, 1)})
+		}
+	}
+	return d, cleanUp, nil
+}
+
+func (d *Direct) submit(ctx context.Context, _ int, j Job) (job.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, j.Submission.Deadline)
+	defer cancel()
+	d.mu.Lock()
+	d.cancels[j.Submission.ID] = cancel
+	d.mu.Unlock()
+	a := job.Answer{ID: j.Submission.ID, State: job.Complete, Results: make([]task.Result, len(j.Runs))}
+	errs := make([]error, len(j.Runs))
+	var running sync.WaitGroup
+	for i := range j.Runs {
+		s := d.slots[(d.next.Add(1)-1)%uint64(len(d.slots))]
+		running.Go(func() { a.Results[i], errs[i] = d.run(ctx, s, j, i) })
+	}
+	running.Wait()
+	d.mu.Lock()
+	delete(d.cancels, j.Submission.ID)
+	d.mu.Unlock()
+	if ctx.Err() != nil {
+		reason := job.ReasonCancelled
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			reason = job.ReasonDeadlineExceeded
+		}
+		return job.Answer{ID: a.ID, State: job.Failed, Reason: reason}, nil
+	}
+	return a, errors.Join(errs...)
+}
+
+func (d *Direct) run(ctx context.Context, s *slot, j Job, index int) (task.Result, error) {
+	select {
+	case s.free <- struct{}{}:
+	case <-ctx.Done():
+		return task.Result{}, ctx.Err()
+	}
+	defer func() { <-s.free }()
+	attempt := task.AttemptID{Task: task.ID{Job: j.Submission.ID, Index: index}, Number: 1}
+	unbound := context.WithoutCancel(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = d.client.Cancel(unbound, s.server, attempt) })
+	defer stop()
+	// The slot is held until the backend server has ended the request, as an agent holds it.
+	return d.client.Run(unbound, s.server, task.Start{
+		Attempt: attempt, Deadline: j.Submission.Deadline, Body: j.Submission.Bodies[index],
+	})
+}
+
+func (d *Direct) cancel(_ context.Context, _ int, j Job) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if cancel := d.cancels[j.Submission.ID]; cancel != nil {
+		cancel()
+	}
+}
--- /dev/null
+++ b/load/text.go
@@ -0,0 +1,155 @@
+package load
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"dogwoodglade/core/invariant"
+	"dogwoodglade/core/job"
+)
+
+// name is the state and the reason of an answer.
+func name(a job.Answer) string { return strings.TrimSpace(string(a.State) + " " + string(a.Reason)) }
+
+func stateOf(name string) string {
+	state, _, _ := strings.Cut(name, " ")
+	return state
+}
+
+// Result is the outcome of a command: the run, the baseline and the promises.
+type Result struct {
+	Seed     uint64
+	Run      *Report
+	Baseline *Report       `json:",omitempty"` // the same jobs without a dispatcher
+	Ratio    []Ratio       `json:",omitempty"`
+	Promises []PromiseKept `json:",omitempty"`
+	Events   int           `json:",omitempty"` // on which the verdicts rest
+	// Evicted lists processes whose record lost its oldest events, so that the verdicts rest on a part.
+	Evicted []string `json:",omitempty"`
+}
+
+// Ratio compares a window of the run with that of the baseline. A ratio to zero is zero.
+type Ratio struct {
+	Window               string
+	P50, P99, P999       float64
+	InTime, InTimeTasks  float64
+	ProcessorTimePerTask float64 // of the whole run
+}
+
+// PromiseKept is the verdict of one promise.
+type PromiseKept struct {
+	Promise    string
+	Violations int
+	First      string `json:",omitempty"` // reason of the first violation
+}
+
+// Compare sets the ratios of the run to the baseline.
+func (r *Result) Compare() {
+	names := []string{"steady", "burst"}
+	baseline := r.Baseline.windows()
+	for i, w := range r.Run.windows() {
+		b := baseline[i]
+		r.Ratio = append(r.Ratio, Ratio{
+			Window: names[i], P50: ratio(w.Response.P50, b.Response.P50), P99: ratio(w.Response.P99, b.Response.P99),
+			P999:                 ratio(w.Response.P999, b.Response.P999),
+			InTime:               ratio(float64(w.InTime), float64(b.InTime)),
+			InTimeTasks:          ratio(float64(w.InTimeTasks), float64(b.InTimeTasks)),
+			ProcessorTimePerTask: ratio(r.Run.ProcessorMilliseconds, r.Baseline.ProcessorMilliseconds),
+		})
+	}
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// Judge sets the verdicts of the promises.
+func (r *Result) Judge(verdicts []invariant.Verdict) {
+	for _, v := range verdicts {
+		p := PromiseKept{Promise: string(v.Promise), Violations: len(v.Violations)}
+		if !v.Kept() {
+			p.First = v.Violations[0].Reason
+		}
+		r.Promises = append(r.Promises, p)
+	}
+}
+
+// Faults returns what shows a fault of the system: wrong answers and broken promises.
+func (r *Result) Faults() []string {
+	var faults []string
+	if n := r.Run.Wrong.Answers; n > 0 {
+		faults = append(faults, fmt.Sprintf("%d wrong answers", n))
+	}
+	for _, p := range r.Promises {
+		if p.Violations > 0 {
+			faults = append(faults, fmt.Sprintf("%s broken %d times", p.Promise, p.Violations))
+		}
+	}
+	return faults
+}
+
+// Text formats the result for people.
+func (r *Result) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d\n", r.Seed)
+	if r.Baseline != nil {
+		r.Baseline.text(&b, "baseline (round robin over slots, no dispatcher)")
+	}
+	r.Run.text(&b, "run")
+	for _, x := range r.Ratio {
+		fmt.Fprintf(&b, "ratio to baseline, %s: p50 %.2f, p99 %.2f, p99.9 %.2f, jobs in time %.3f, tasks in time %.3f, "+
+			"processor time %.2f\n", x.Window, x.P50, x.P99, x.P999, x.InTime, x.InTimeTasks, x.ProcessorTimePerTask)
+	}
+	for _, p := range r.Promises {
+		if p.Violations == 0 {
+			fmt.Fprintf(&b, "%s kept\n", p.Promise)
+		} else {
+			fmt.Fprintf(&b, "%s broken %d times: %s\n", p.Promise, p.Violations, p.First)
+		}
+	}
+	if r.Promises != nil {
+		fmt.Fprintf(&b, "judged %d events\n", r.Events)
+	}
+	if len(r.Evicted) > 0 {
+		fmt.Fprintf(&b, "oldest events evicted at %s: the verdicts rest on a part\n", strings.Join(r.Evicted, ", "))
+	}
+	return b.String()
+}
+
+func (r *Report) text(b *strings.Builder, title string) {
+	fmt.Fprintf(b, "%s: %.1f s, processor time %.1f s, %.2f ms per task of a complete job; "+
+		"latest submission %.1f ms behind the plan\n",
+		title, r.Seconds, r.ProcessorSeconds, r.ProcessorMilliseconds, r.LatestMilliseconds)
+	names := []string{"steady", "burst"}
+	for i, w := range r.windows() {
+		fmt.Fprintf(b, "  %s %.1f s: %d jobs, %d tasks, %d jobs cancelled\n", names[i], w.Seconds, w.Jobs, w.Tasks, w.Cancelled)
+		answers(b, "answers", w.Answers)
+		fmt.Fprintf(b, "    response beyond the longest task, ms: p50 %.1f, p99 %.1f, p99.9 %.1f (%d jobs)\n",
+			w.Response.P50, w.Response.P99, w.Response.P999, w.Response.Count)
+		fmt.Fprintf(b, "    in time: %d jobs (%.1f%%), %.1f jobs/s, %.1f tasks/s\n",
+			w.InTime, 100*w.InTimeShare, w.InTimeRate, ratio(float64(w.InTimeTasks), w.Seconds))
+		if w.Refusal.Count > 0 {
+			fmt.Fprintf(b, "    time to refusal, ms: p50 %.1f, p99 %.1f (%d jobs)\n",
+				w.Refusal.P50, w.Refusal.P99, w.Refusal.Count)
+		}
+	}
+	answers(b, "resubmissions", r.Resubmissions)
+	fmt.Fprintf(b, "    wrong answers: %d (%d mismatched, %d missing, %d doubled results, %d resubmissions that differ)\n",
+		r.Wrong.Answers, r.Wrong.Mismatched, r.Wrong.Missing, r.Wrong.Doubled, r.Wrong.Differing)
+}
+
+func answers(b *strings.Builder, title string, counts map[string]int) {
+	if len(counts) == 0 {
+		return
+	}
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%d %s", counts[name], name))
+	}
+	fmt.Fprintf(b, "    %s: %s\n", title, strings.Join(parts, ", "))
+}
