Stop load on a signal, and test its command line

An interrupt ended the process without stopping the site. The run now ends early, reports what was not submitted, and the site stops gracefully. The commands test covers the usage errors; messages name the flag.

--- a/cmd/dogwoodglade/commands_test.go
+++ b/cmd/dogwoodglade/commands_test.go
@@ -47,7 +47,7 @@
 	var out strings.Builder
 	root := &cli.Command{
 		Name: "dogwoodglade", Reader: strings.NewReader(input), Writer: &out, ErrWriter: &out,
-		Commands:       []*cli.Command{routeCommand(), poolCommand(), timelineCommand(), checkCommand()},
+		Commands:       []*cli.Command{routeCommand(), poolCommand(), timelineCommand(), checkCommand(), loadCommand()},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
 	err := root.Run(ctx, append([]string{"dogwoodglade"}, arguments...))
--- a/cmd/dogwoodglade/load.go
+++ b/cmd/dogwoodglade/load.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -95,14 +98,20 @@
 	if !isRange {
 		high = low
 	}
-	var errs [3]error
-	s.MinTasks, errs[0] = strconv.Atoi(low)
-	s.MaxTasks, errs[1] = strconv.Atoi(high)
-	s.Burst, errs[2] = strconv.ParseFloat(strings.TrimSuffix(cmd.String("burst"), "x"), 64)
-	if err := errors.Join(errs[:]...); err != nil {
-		return s, err
+	var errLow, errHigh, errBurst error
+	s.MinTasks, errLow = strconv.Atoi(low)
+	s.MaxTasks, errHigh = strconv.Atoi(high)
+	s.Burst, errBurst = strconv.ParseFloat(strings.TrimSuffix(cmd.String("burst"), "x"), 64)
+	switch {
+	case errLow != nil || errHigh != nil:
+		return s, usageError("%s: --tasks must be a number or a range such as 1-10", cmd.FullName())
+	case errBurst != nil:
+		return s, usageError("%s: --burst must be a factor such as 4x", cmd.FullName())
 	}
-	return s, s.Validate()
+	if err := s.Validate(); err != nil {
+		return s, usageError("%s: %v", cmd.FullName(), err)
+	}
+	return s, nil
 }
 
 func checkLoadFlags(cmd *cli.Command) error {
@@ -129,8 +138,12 @@
 	}
 	s, err := planSettings(cmd)
 	if err != nil {
-		return usageError("%s: %v", cmd.FullName(), err)
+		return err
 	}
+	// An interrupt ends the run early, and the site still stops gracefully.
+	ctx, release := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer release()
+	context.AfterFunc(ctx, release) // a second interrupt ends the program at once
 	result := &load.Result{Seed: s.Seed}
 	if cmd.Bool("dev") {
 		err = loadSite(ctx, cmd, s, result)
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,250 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodglade/core/invariant"
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/task"
+	"dogwoodglade/dev"
+	"dogwoodglade/internal/memnet"
+)
+
+func settings() Settings {
+	return Settings{
+		Seed: 1, Rate: 10, Duration: 20 * time.Second, MinTasks: 1, MaxTasks: 8,
+		Run:  Range{Min: 50 * time.Millisecond, Max: time.Second},
+		Long: Range{Min: 2 * time.Second, Max: 8 * time.Second}, LongShare: 0.02,
+		Burst: 4, BurstAt: 5 * time.Second, BurstFor: 10 * time.Second,
+		Resubmit: 0.1, Cancel: 0.1, Deadline: 10 * time.Second, Route: dev.SampleRoute, KeyPrefix: "key",
+	}
+}
+
+// A plan that differs between runs of one seed would make figures impossible to repeat, and one that ignores
+// its settings would measure another load than the command line says.
+func TestPlanRepeatsFromItsSeed(t *testing.T) {
+	s := settings()
+	jobs := Plan(s)
+	if !reflect.DeepEqual(jobs, Plan(s)) {
+		t.Error("the same seed gives another plan")
+	}
+	other := s
+	other.Seed = 2
+	if reflect.DeepEqual(jobs, Plan(other)) {
+		t.Error("another seed gives the same plan")
+	}
+	burst, long, tasks, again, cancelled := 0, 0, 0, 0, 0
+	for i, j := range jobs {
+		if i > 0 && j.At < jobs[i-1].At || j.At >= s.Duration || j.Burst != s.inBurst(j.At) {
+			t.Fatalf("job %d arrives at %v, burst %v", i, j.At, j.Burst)
+		}
+		if len(j.Runs) < s.MinTasks || len(j.Runs) > s.MaxTasks || j.Resubmit+j.Cancel >= j.Longest() {
+			t.Fatalf("job %d: %+v", i, j)
+		}
+		for _, run := range j.Runs {
+			tasks++
+			switch {
+			case run >= s.Long.Min && run <= s.Long.Max:
+				long++
+			case run < s.Run.Min || run > s.Run.Max:
+				t.Fatalf("job %d: run time %v", i, run)
+			}
+		}
+		count := map[bool]int{true: 1}
+		burst += count[j.Burst]
+		again += count[j.Resubmit > 0]
+		cancelled += count[j.Cancel > 0]
+	}
+	within := func(what string, got, want int) {
+		if got < want*3/4 || got > want*5/4 {
+			t.Errorf("%s: got %d, want about %d", what, got, want)
+		}
+	}
+	within("jobs in the burst", burst, 400)
+	within("jobs outside the burst", len(jobs)-burst, 100)
+	within("long tasks", long, tasks/50)
+	within("resubmissions", again, 50)
+	within("cancellations", cancelled, 50)
+}
+
+// answerOf returns the right answer to a job.
+func answerOf(j Job) job.Answer {
+	a := job.Answer{ID: j.Submission.ID, State: job.Complete}
+	for i, run := range j.Runs {
+		body := fmt.Appendf(nil, `{"Text":%q,"RunMilliseconds":%d}`, j.text(i), run.Milliseconds())
+		a.Results = append(a.Results, task.Result{Status: http.StatusOK, Body: body})
+	}
+	return a
+}
+
+func threeTasks() Job {
+	return Job{
+		Submission: job.Submission{ID: task.JobID{Customer: "atlas", Key: "k"}, Deadline: time.Second},
+		Runs:       []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond},
+	}
+}
+
+// A check that passes wrong answers would hide a broken promise.
+func TestCheckFindsWrongAnswers(t *testing.T) {
+	j := threeTasks()
+	cases := map[string]struct {
+		change func(a *job.Answer)
+		want   Wrong
+	}{
+		"right":   {func(*job.Answer) {}, Wrong{}},
+		"missing": {func(a *job.Answer) { a.Results = a.Results[:2] }, Wrong{Answers: 1, Missing: 1}},
+		"doubled": {
+			func(a *job.Answer) { a.Results = append(a.Results, a.Results[2]) },
+			Wrong{Answers: 1, Mismatched: 1, Doubled: 1},
+		},
+		"swapped": {
+			func(a *job.Answer) { a.Results[0], a.Results[1] = a.Results[1], a.Results[0] },
+			Wrong{Answers: 1, Mismatched: 2},
+		},
+		"repeated":     {func(a *job.Answer) { a.Results[0] = a.Results[1] }, Wrong{1, 1, 1, 1, 0}},
+		"other job":    {func(a *job.Answer) { a.ID.Key = "other" }, Wrong{Answers: 1, Mismatched: 1}},
+		"failed task":  {func(a *job.Answer) { a.Results[1].Status = 500 }, Wrong{Answers: 1, Mismatched: 1}},
+		"not a result": {func(a *job.Answer) { a.Results[2].Body = []byte("x") }, Wrong{1, 1, 1, 0, 0}},
+		"partial":      {func(a *job.Answer) { a.State = job.Failed }, Wrong{Answers: 1, Mismatched: 3}},
+		"refused":      {func(a *job.Answer) { a.State, a.Results = job.NotRun, nil }, Wrong{}},
+	}
+	for name, c := range cases {
+		a := answerOf(j)
+		c.change(&a)
+		if got := check(j, a); got != c.want {
+			t.Errorf("%s: got %+v, want %+v", name, got, c.want)
+		}
+	}
+	second := answerOf(j)
+	second.Results[1].Body = []byte(`{"Text":"atlas/k#1","RunMilliseconds":200,"BackendServer":"b"}`)
+	if got := compare(answerOf(j), second); got.Differing != 1 || compare(second, second) != (Wrong{}) {
+		t.Errorf("second run of a job: got %+v", got)
+	}
+}
+
+// A report that miscounts would state figures that no caller saw.
+func TestReportCounts(t *testing.T) {
+	s := settings()
+	steady, cancelled, burst := threeTasks(), threeTasks(), threeTasks()
+	cancelled.Cancel, burst.Burst = time.Millisecond, true
+	r := newReport(s, []Job{steady, steady, steady, cancelled, burst, burst})
+	r.answered(steady, answerOf(steady), 350*time.Millisecond)
+	r.answered(steady, answerOf(steady), 1350*time.Millisecond) // late
+	swapped := answerOf(steady)
+	swapped.Results[0], swapped.Results[1] = swapped.Results[1], swapped.Results[0]
+	r.answered(steady, swapped, 350*time.Millisecond)
+	r.answered(cancelled, job.Answer{ID: steady.Submission.ID, State: job.Failed, Reason: job.ReasonCancelled}, 0)
+	r.answered(burst, job.Answer{ID: burst.Submission.ID, State: job.NotRun, Reason: job.ReasonOverloaded},
+		20*time.Millisecond)
+	r.answered(burst, job.Answer{ID: burst.Submission.ID, State: noAnswer, Reason: "Timeout"}, time.Second)
+	r.finish(30*time.Second, 90*time.Millisecond)
+	want := map[string]int{"Complete": 3, "Failed Cancelled": 1}
+	w, b := r.Steady, r.Burst
+	if !reflect.DeepEqual(w.Answers, want) || w.Jobs != 4 || w.Cancelled != 1 || w.InTime != 1 || w.InTimeTasks != 3 {
+		t.Errorf("steady: got %+v", w)
+	}
+	if w.InTimeRate != 0.1 || w.Response.Count != 3 || w.Response.P50 < 49.9 || w.Response.P50 > 50.1 ||
+		w.Response.P99 < 1049 || w.Response.P99 > 1051 || r.ProcessorMilliseconds != 10 {
+		t.Errorf("steady: got %+v, %v ms of processor time", w, r.ProcessorMilliseconds)
+	}
+	if b.Refusal.Count != 1 || b.Refusal.P99 < 19.9 || b.Refusal.P99 > 20.1 || b.InTime != 0 || b.Response.Count != 0 {
+		t.Errorf("burst: got %+v", b)
+	}
+	if r.Wrong.Answers != 1 || r.Unanswered() != 1 || r.Answered() != 5 {
+		t.Errorf("got %+v, %d unanswered, %d answered", r.Wrong, r.Unanswered(), r.Answered())
+	}
+}
+
+// The client, the baseline and the report must agree with a site that keeps its promises.
+func TestLoadOfASite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		site, stop, err := dev.New(dev.Settings{Host: func(p string) dev.Host { return network.Host(p) }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := settings()
+		s.Rate, s.Duration = 5, 10*time.Second
+		jobs := Plan(s)
+		dial := network.Host("caller").Dial
+		var servers, entries []string
+		for _, b := range site.Servers {
+			servers = append(servers, b.Process.Address())
+		}
+		for _, e := range site.Entries {
+			entries = append(entries, e.Process.CallerAddress())
+		}
+		direct, closeDirect, err := NewDirect(servers, 8, dial)
+		if err != nil {
+			t.Fatal(err)
+		}
+		dispatched, closeEntries, err := NewEntries(entries, dial)
+		if err != nil {
+			t.Fatal(err)
+		}
+		result := Result{Baseline: Run(t.Context(), s, jobs, direct), Run: Run(t.Context(), s, jobs, dispatched)}
+		closeDirect()
+		closeEntries()
+		stop()
+		synctest.Wait()
+		result.Judge(invariant.Check(site.Events()))
+		result.Compare()
+		for _, r := range []*Report{result.Baseline, result.Run} {
+			if r.Wrong != (Wrong{}) || r.Answered() != len(jobs) || r.Steady.InTime == 0 || r.Burst.InTime == 0 {
+				t.Errorf("got %+v, burst %+v", r, r.Burst)
+			}
+		}
+		if faults := result.Faults(); len(faults) > 0 || result.Run.Resubmissions["Complete"] == 0 || len(result.Ratio) != 2 {
+			t.Errorf("got %v, %+v", faults, result.Run)
+		}
+	})
+}
+
+// An entry that gives each caller the answer to another request must show in the report, and a stopped run
+// must say what it did not submit.
+func TestRunReportsWrongAnswersAndUnsentJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		listener, err := network.Host("entry").Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprint(w, `{"Customer":"load-1","Key":"x","State":"Complete","Results":[{"Status":200,"Text":"{}"}]}`)
+		})}
+		go func() { _ = server.Serve(listener) }()
+		target, cleanUp, err := NewEntries([]string{listener.Addr().String()}, network.Host("caller").Dial)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := settings()
+		jobs := Plan(s)[:2]
+		jobs[0].At, jobs[1].At = 0, time.Hour
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		r := Run(ctx, s, jobs, target)
+		cleanUp()
+		_ = server.Close()
+		synctest.Wait()
+		if r.Wrong.Answers < 1 || r.Unsent() != 1 || len((&Result{Run: r}).Faults()) != 1 {
+			t.Errorf("got %+v, %d unsent", r.Wrong, r.Unsent())
+		}
+	})
+}
+
+// Load that leaves the host would be an attack on others.
+func TestOnlyLoopbackAddresses(t *testing.T) {
+	for address, allowed := range map[string]bool{
+		"127.0.0.1:80": true, "[::1]:80": true, "192.0.2.1:80": false, "example.org:80": false, "127.0.0.1": false,
+	} {
+		if err := checkLoopback([]string{address}); (err == nil) != allowed {
+			t.Errorf("%s: got %v", address, err)
+		}
+	}
+}
--- a/load/text.go
+++ b/load/text.go
@@ -102,7 +102,7 @@
 	}
 	r.Run.text(&b, "run")
 	for _, x := range r.Ratio {
-		fmt.Fprintf(&b, "ratio to baseline, %s: p50 %.2f, p99 %.2f, p99.9 %.2f, jobs in time %.3f, tasks in time %.3f, "+
+		fmt.Fprintf(&b, "ratio to baseline, %s: p50 %.3f, p99 %.3f, p99.9 %.3f, jobs in time %.3f, tasks in time %.3f, "+
 			"processor time %.2f\n", x.Window, x.P50, x.P99, x.P999, x.InTime, x.InTimeTasks, x.ProcessorTimePerTask)
 	}
 	for _, p := range r.Promises {
