--- a/cmd/dogwoodglade/main.go
+++ b/cmd/dogwoodglade/main.go
@@ -16,6 +16,7 @@
    dogwoodglade dev                  run a whole small site, and print what to try next
    dogwoodglade dev --once           run a sample job on such a site and print its answer
    dogwoodglade entry -f entry.yaml  run an entry
+   dogwoodglade load --dev           submit load to such a site and report what callers see
    dogwoodglade submit -r sample -c atlas -k key-1 hello world`
 
 func rootCommand() *cli.Command {
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -149,7 +149,7 @@
 	if !reflect.DeepEqual(w.Answers, want) || w.Jobs != 4 || w.Cancelled != 1 || w.InTime != 1 || w.InTimeTasks != 3 {
 		t.Errorf("steady: got %+v", w)
 	}
-	if w.InTimeRate != 0.1 || w.Response.Count != 3 || w.Response.P50 < 49.9 || w.Response.P50 > 50.1 ||
+	if w.InTimeRate != 0.1 || w.RunSeconds < 2.39 || w.RunSeconds > 2.41 || w.Response.Count != 3 || w.Response.P50 < 49.9 || w.Response.P50 > 50.1 ||
 		w.Response.P99 < 1049 || w.Response.P99 > 1051 || r.ProcessorMilliseconds != 10 {
 		t.Errorf("steady: got %+v, %v ms of processor time", w, r.ProcessorMilliseconds)
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -35,6 +35,7 @@
 	Seconds      float64
 	Jobs         int
 	Tasks        int
+	RunSeconds   float64        // run times of all tasks; divided by Seconds, the slots that they need
 	Cancelled    int            // jobs that are cancelled as planned
 	Answers      map[string]int // by state and reason
 	Response     Percentiles    // of complete jobs, beyond the job's own longest task
@@ -77,6 +78,9 @@
 		w := r.window(j)
 		w.Jobs++
 		w.Tasks += len(j.Runs)
+		for _, run := range j.Runs {
+			w.RunSeconds += run.Seconds()
+		}
 		if j.Cancel > 0 {
 			w.Cancelled++
 		}
--- a/load/text.go
+++ b/load/text.go
@@ -127,7 +127,8 @@
 		title, r.Seconds, r.ProcessorSeconds, r.ProcessorMilliseconds, r.LatestMilliseconds)
 	names := []string{"steady", "burst"}
 	for i, w := range r.windows() {
-		fmt.Fprintf(b, "  %s %.1f s: %d jobs, %d tasks, %d jobs cancelled\n", names[i], w.Seconds, w.Jobs, w.Tasks, w.Cancelled)
+		fmt.Fprintf(b, "  %s %.1f s: %d jobs, %d tasks, %d jobs cancelled, work for %.1f slots\n",
+			names[i], w.Seconds, w.Jobs, w.Tasks, w.Cancelled, ratio(w.RunSeconds, w.Seconds))
 		answers(b, "answers", w.Answers)
 		fmt.Fprintf(b, "    response beyond the longest task, ms: p50 %.1f, p99 %.1f, p99.9 %.1f (%d jobs)\n",
 			w.Response.P50, w.Response.P99, w.Response.P999, w.Response.Count)
