--- a/core/table/size.go
+++ b/core/table/size.go
@@ -6,7 +6,7 @@
 )
 
 // LimitBytes bounds the rows of one table, as upper estimates of their JSON. An answer with all rows of both
-// tables must fit into a frame of 4 MiB of the inner protocol.
+// tables must stay well under the 16 MiB of a frame of the inner protocol.
 const LimitBytes = 1792 << 10
 
 // Upper estimates of the JSON of rows and edits without their names, in bytes.
