--- a/core/allocator/membership.go
+++ b/core/allocator/membership.go
@@ -117,12 +117,12 @@
 }
 
 func (a *Allocator) setPresent(s *server, present bool) {
-	if present != s.present {
-		number := event.BackendAnnounced
-		if !present {
-			number = event.BackendLost
-		}
-		a.recordServer(number, s, s.incarnation)
+	switch {
+	case present == s.present:
+	case present:
+		a.recordServer(event.BackendAnnounced, s, s.incarnation)
+	case !s.leaving:
+		a.recordServer(event.BackendLost, s, s.incarnation)
 	}
 	s.present = present
 	a.silence.set(s, present)
--- a/core/executor/executor_test.go
+++ b/core/executor/executor_test.go
@@ -234,3 +234,15 @@
 	}
 	want(t, e, start(0), task.Accepted)
 }
+
+// A planned goodbye that is reported as a loss would alarm operators at every restart.
+func TestGoodbyeIsNoLoss(t *testing.T) {
+	var numbers []event.Number
+	e := executor.New("agent", func(ev event.Event) { numbers = append(numbers, ev.Number) })
+	announce(t, e, 2, "9")
+	e.Leave(now, "b", "9")
+	e.Tick(now.Add(2 * executor.Silence))
+	if slices.Contains(numbers, event.BackendLost) || !slices.Contains(numbers, event.BackendLeaving) {
+		t.Fatalf("got %v", numbers)
+	}
+}
--- a/core/executor/server.go
+++ b/core/executor/server.go
@@ -157,8 +157,11 @@
 		silence := now.Sub(s.lastHeard)
 		if silence >= Silence && !s.silent {
 			s.silent = true
-			changed = changed || !s.left
-			e.record(event.Event{Number: event.BackendLost, Task: -1, Peer: id, Count: len(s.running)})
+			// A backend server that said goodbye is silent as planned.
+			if !s.left {
+				changed = true
+				e.record(event.Event{Number: event.BackendLost, Task: -1, Peer: id, Count: len(s.running)})
+			}
 		}
 		if silence >= RetentionWindow && len(s.running) == 0 {
 			delete(e.servers, id)
--- a/core/ownership/action.go
+++ b/core/ownership/action.go
@@ -6,7 +6,8 @@
 )
 
 // Action is what Ownership asks its caller to do. The caller performs the actions of one slice in their
-// order, and all of them before it performs those of the next event. Requests may be answered at any later time; a request without an answer counts as failed after
+// order, and all of them before it performs those of the next event. Requests may be answered at any later
+// time; a request without an answer counts as failed after
 // RequestTimeout and is repeated as long as it is needed.
 type Action interface{ isAction() }
 
--- a/entry/allocator.go
+++ b/entry/allocator.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"dogwoodglade/core/allocator"
-	"dogwoodglade/core/event"
 	"dogwoodglade/core/job"
 	"dogwoodglade/core/outbox"
 	"dogwoodglade/core/ownership"
@@ -51,9 +50,9 @@
 	if !ok {
 		return nil
 	}
-	p := &poolAllocator{state: allocator.New(e.options.Name, row, e.record)}
+	options := allocator.DefaultOptions().WithIncarnation(e.incarnation)
+	p := &poolAllocator{state: allocator.NewWithOptions(e.options.Name, row, e.record, options)}
 	a.byPool[pool] = p
-	e.record(event.Event{Number: event.AllocatorStarted, Task: -1, State: pool})
 	return p
 }
 
@@ -139,8 +138,9 @@
 }
 
 func (a *allocators) adopt(e *Entry) {
-	snapshot := e.tables.Current()
 	a.mu.Lock()
+	// Under the lock, so that an allocator that was created for a newer pool is not removed.
+	snapshot := e.tables.Current()
 	existing := maps.Clone(a.byPool)
 	for pool := range existing {
 		if _, ok := snapshot.Pools[pool]; !ok {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -111,6 +111,7 @@
 	e.background.every(aliveInterval, e.tickPeers)
 	e.background.every(ownership.TickInterval, e.tickOwnership)
 	e.background.every(registryInterval, e.cleanRegistry)
+	e.background.every(metricsInterval, e.updateMetrics)
 	options.Recorder.Record(event.Event{Number: event.ProcessStarted, Task: -1, State: e.incarnation})
 	cleanUp := func() {
 		cut := e.drain()
