Test the interface for callers, and fix five faults in it

io/caller had no tests. The new table tests showed: - JSON that is not UTF-8 was accepted with its bytes replaced by U+FFFD, so that different keys became equal. It is refused now (400). - A body without Content-Length over the bound was refused as UnreadableBody; the interface says BodyTooLarge. - A body without Content-Length reserved 8 MiB until its job ended, so that 32 small ones filled the memory budget of an entry. The reservation shrinks to the body once it is read. - Client.Submit sent a deadline under 1 ms as 0, which means the route's. - Look-ups and cancellations of the keys '/', '.' and '..' got 404 or 405: the server's router treats '%2F' alone as an empty segment and removes dot segments. The client escapes dots, and the pattern takes the rest of the path. Look-ups and cancellations with an invalid customer or key are refused (400) like submissions.

--- /dev/null
+++ b/io/caller/caller_test.go
@@ -0,0 +1,360 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/task"
+	"dogwoodglade/internal/memnet"
+)
+
+// fakeDispatcher answers with what it was given, and keeps what it was asked.
+type fakeDispatcher struct {
+	answer    job.Answer
+	submitted []job.Submission
+	asked     []task.JobID
+	run       time.Duration
+	cancelled bool // the context of a submission ended before the job
+	ended     chan struct{}
+	notReady  bool
+}
+
+func (d *fakeDispatcher) Submit(ctx context.Context, s job.Submission) job.Answer {
+	d.submitted = append(d.submitted, s)
+	if d.run > 0 {
+		time.Sleep(d.run)
+		d.cancelled = ctx.Err() != nil
+		close(d.ended)
+	}
+	a := d.ask(s.ID)
+	if a.State == job.Complete {
+		for _, body := range s.Bodies {
+			a.Results = append(a.Results, task.Result{Status: http.StatusOK, Body: body})
+		}
+	}
+	return a
+}
+
+func (d *fakeDispatcher) ask(id task.JobID) job.Answer {
+	d.asked = append(d.asked, id)
+	a := d.answer
+	a.ID = id
+	return a
+}
+
+func (d *fakeDispatcher) Lookup(_ context.Context, id task.JobID) job.Answer { return d.ask(id) }
+
+func (d *fakeDispatcher) Cancel(_ context.Context, id task.JobID) job.Answer { return d.ask(id) }
+
+func (d *fakeDispatcher) IssueTicket(_ context.Context, id task.JobID) job.Answer { return d.ask(id) }
+
+func (d *fakeDispatcher) Ready() bool { return !d.notReady }
+
+func serve(h http.Handler, method, path string, body io.Reader) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(method, path, body))
+	return w
+}
+
+// startServer serves the dispatcher on a paused clock and returns its network and a client of it.
+func startServer(t *testing.T, d Dispatcher) (*memnet.Network, *Client) {
+	t.Helper()
+	network := memnet.New()
+	listener, err := network.Host("entry").Listen("127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(d)
+	go func() { _ = server.Serve(listener) }()
+	transport := &http.Transport{DialContext: network.Host("caller").Dial}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		_ = server.Close()
+		synctest.Wait()
+	})
+	return network, NewClient("127.0.0.1:1", &http.Client{Transport: transport})
+}
+
+// A request that cannot be read must be refused before it reaches an owner, which would keep a wrong key.
+func TestUnreadableRequestsAreRefused(t *testing.T) {
+	const id = `"Customer":"atlas","Key":"k",`
+	const tasks = `"Tasks":[{"Text":"a"}]`
+	for name, test := range map[string]struct{ body, want string }{
+		"not JSON":              {`{"Customer"`, "MalformedBody"},
+		"empty":                 {``, "MalformedBody"},
+		"number as customer":    {`{"Customer":1,"Key":"k",` + tasks + `}`, "MalformedBody"},
+		"text as tasks":         {`{` + id + `"Tasks":"a"}`, "MalformedBody"},
+		"data not in base64":    {`{` + id + `"Tasks":[{"Data":"?"}]}`, "MalformedBody"},
+		"fraction as deadline":  {`{` + id + `"DeadlineMilliseconds":1.5,` + tasks + `}`, "MalformedBody"},
+		"key not in UTF-8":      {"{\"Customer\":\"atlas\",\"Key\":\"\xff\"," + tasks + `}`, "MalformedBody"},
+		"no customer":           {`{"Key":"k",` + tasks + `}`, "InvalidRequest"},
+		"slash in customer":     {`{"Customer":"a/b","Key":"k",` + tasks + `}`, "InvalidRequest"},
+		"customer too long":     {`{"Customer":"` + strings.Repeat("a", 65) + `","Key":"k",` + tasks + `}`, "InvalidRequest"},
+		"no key":                {`{"Customer":"atlas",` + tasks + `}`, "InvalidRequest"},
+		"key too long":          {`{"Customer":"atlas","Key":"` + strings.Repeat("k", 257) + `",` + tasks + `}`, "InvalidRequest"},
+		"bad ticket":            {`{` + id + `"Ticket":"x",` + tasks + `}`, "InvalidRequest"},
+		"negative deadline":     {`{` + id + `"DeadlineMilliseconds":-1,` + tasks + `}`, "InvalidRequest"},
+		"deadline over maximum": {`{` + id + `"DeadlineMilliseconds":300001,` + tasks + `}`, "InvalidRequest"},
+		"no tasks":              {`{` + id + `"Tasks":[]}`, "InvalidRequest"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &fakeDispatcher{}
+			w := serve(Handler(d), "POST", "/v1/jobs", strings.NewReader(test.body))
+			if w.Code != http.StatusBadRequest || !strings.Contains(w.Body.String(), `"Error":"`+test.want+`"`) {
+				t.Errorf("got %d %s, want 400 %s", w.Code, w.Body, test.want)
+			}
+			if len(d.submitted) > 0 {
+				t.Error("the request reached the dispatcher")
+			}
+		})
+	}
+}
+
+// chunked hides the length of a body.
+type chunked struct{ io.Reader }
+
+// Memory that stays reserved after a request, or for more than its body, would refuse all later requests.
+func TestMemoryIsBoundedAndReleased(t *testing.T) {
+	d := &fakeDispatcher{answer: job.Answer{State: job.Complete}}
+	h := &handler{dispatcher: d}
+	post := func(body io.Reader) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		h.postJob(w, httptest.NewRequest("POST", "/v1/jobs", body))
+		return w
+	}
+	large := bytes.Repeat([]byte(" "), MaxBody+1)
+	for name, body := range map[string]io.Reader{
+		"with length": bytes.NewReader(large), "without length": chunked{bytes.NewReader(large)},
+	} {
+		w := post(body)
+		if w.Code != http.StatusRequestEntityTooLarge || !strings.Contains(w.Body.String(), "BodyTooLarge") {
+			t.Errorf("%s: got %d %s, want 413 BodyTooLarge", name, w.Code, w.Body)
+		}
+		if n := h.memory.Load(); n != 0 {
+			t.Errorf("%s: %d bytes stay reserved", name, n)
+		}
+	}
+	const small = `{"Customer":"atlas","Key":"k","Tasks":[{}]}`
+	r := httptest.NewRequest("POST", "/v1/jobs", chunked{strings.NewReader(small)})
+	_, release, ok := h.read(httptest.NewRecorder(), r)
+	if n := h.memory.Load(); !ok || n != int64(len(small)) {
+		t.Errorf("a body of %d bytes without length reserves %d bytes", len(small), n)
+	}
+	release()
+	h.memory.Add(memoryBudget)
+	w := post(strings.NewReader(small))
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" ||
+		!strings.Contains(w.Body.String(), `"Busy"`) || strings.Contains(w.Body.String(), "NotRun") {
+		t.Errorf("over the budget: got %d %s", w.Code, w.Body)
+	}
+	h.memory.Add(-memoryBudget)
+	if w := post(strings.NewReader(small)); w.Code != http.StatusOK || h.memory.Load() != 0 {
+		t.Errorf("after the load: got %d with %d bytes reserved", w.Code, h.memory.Load())
+	}
+}
+
+// A caller that reads a wrong status would resubmit what can never run, or give up what was not run.
+func TestAnswersKeepTheirMeaning(t *testing.T) {
+	for _, test := range []struct {
+		state  job.State
+		reason job.Reason
+		status int
+	}{
+		{job.Complete, job.ReasonNone, 200},
+		{job.Pending, job.ReasonNone, 202},
+		{job.Failed, job.ReasonTaskFailed, 502},
+		{job.Failed, job.ReasonBackendServerLost, 502},
+		{job.Failed, job.ReasonCancelled, 502},
+		{job.Failed, job.ReasonKeyReused, 409},
+		{job.Failed, job.ReasonUnknownRoute, 404},
+		{job.Failed, job.ReasonTooManyTasks, 400},
+		{job.Failed, job.ReasonNoTasks, 400},
+		{job.Failed, job.ReasonBodyTooLarge, 413},
+		{job.NotRun, job.ReasonOverloaded, 503},
+		{job.NotRun, job.ReasonQuotaExceeded, 429},
+		{job.NotRun, job.ReasonEmptyPool, 503},
+		{job.OutcomeUnknown, job.ReasonTicketRequired, 504},
+		{job.OutcomeUnknown, job.ReasonNotFound, 504},
+	} {
+		sent := job.Answer{
+			ID: task.JobID{Customer: "atlas", Key: "k"}, State: test.state, Reason: test.reason,
+			Ticket: shard.Ticket{Shard: 3, Epoch: shard.Epoch{Counter: 7, Incarnation: "e"}},
+		}
+		if test.state == job.NotRun {
+			sent.RetryAfter = 1500 * time.Millisecond
+		}
+		w := httptest.NewRecorder()
+		writeAnswer(w, sent)
+		got, err := readAnswer(w.Result())
+		if err != nil || w.Code != test.status || got.State != test.state || got.Reason != test.reason ||
+			got.Ticket != sent.Ticket || got.ID != sent.ID {
+			t.Errorf("%s %s: got status %d, %+v, %v", test.state, test.reason, w.Code, got, err)
+		}
+		want := time.Duration(0)
+		if test.state == job.NotRun {
+			want = 2 * time.Second // whole seconds, rounded up
+		}
+		if got.RetryAfter != want {
+			t.Errorf("%s %s: retry after %v, want %v", test.state, test.reason, got.RetryAfter, want)
+		}
+		if test.reason != job.ReasonNone && !strings.Contains(w.Body.String(), `"Message":"`) {
+			t.Errorf("%s %s: no message", test.state, test.reason)
+		}
+	}
+}
+
+// Bodies that change on the way give wrong placings; a deadline that is rounded to 0 becomes the longest.
+func TestClientCarriesSubmissions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &fakeDispatcher{answer: job.Answer{State: job.Complete}}
+		_, c := startServer(t, d)
+		bodies := [][]byte{{}, []byte("løp <&> \u2028"), {0, 0xff, 0xfe}, []byte("\ufffd")}
+		s := job.Submission{
+			ID: task.JobID{Customer: "atlas", Key: "k"}, Route: "r", Deadline: time.Microsecond, Bodies: bodies,
+		}
+		a, err := c.Submit(t.Context(), s)
+		if err != nil || len(a.Results) != len(bodies) {
+			t.Fatalf("got %+v, %v", a, err)
+		}
+		for i, want := range bodies {
+			if got := d.submitted[0].Bodies[i]; !bytes.Equal(got, want) {
+				t.Errorf("task %d: sent %q, got %q", i, want, got)
+			}
+			if got := a.Results[i].Body; !bytes.Equal(got, want) {
+				t.Errorf("result %d: sent %q, got %q", i, want, got)
+			}
+		}
+		if got := d.submitted[0].Deadline; got != time.Millisecond {
+			t.Errorf("a deadline of 1 µs became %v", got)
+		}
+		var refused *RequestError
+		_, err = c.Submit(t.Context(), job.Submission{ID: s.ID})
+		if !errors.As(err, &refused) || refused.Status != 400 || refused.Name != "InvalidRequest" {
+			t.Errorf("a submission without tasks: got %v", err)
+		}
+	})
+}
+
+// A key that is changed in a path looks up or cancels another job, or none.
+func TestKeysInPaths(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &fakeDispatcher{answer: job.Answer{State: job.Pending, Ticket: shard.Ticket{Shard: 3, Epoch: shard.Epoch{Counter: 7, Incarnation: "e"}}}}
+		_, c := startServer(t, d)
+		for _, key := range []string{"a/b", "/", "//", ".", "..", "a/../b", "a.b", "%2F", "løp 17?x#y", "+;="} {
+			id := task.JobID{Customer: "atlas", Key: key}
+			d.asked = nil
+			_, lookupErr := c.Lookup(t.Context(), id)
+			_, cancelErr := c.Cancel(t.Context(), id)
+			ticket, ticketErr := c.IssueTicket(t.Context(), id)
+			if err := errors.Join(lookupErr, cancelErr, ticketErr); err != nil || ticket != d.answer.Ticket {
+				t.Errorf("%q: ticket %v, %v", key, ticket, err)
+			}
+			if want := []task.JobID{id, id, id}; !slices.Equal(d.asked, want) {
+				t.Errorf("%q: asked for %v", key, d.asked)
+			}
+		}
+	})
+}
+
+// A single request must take its fields from the headers, and its body and result as they are.
+func TestSingleRequest(t *testing.T) {
+	d := &fakeDispatcher{answer: job.Answer{State: job.Complete}}
+	send := func(header map[string]string, body string) *httptest.ResponseRecorder {
+		r := httptest.NewRequest("POST", "/v1/requests", strings.NewReader(body))
+		for name, value := range header {
+			r.Header.Set(name, value)
+		}
+		w := httptest.NewRecorder()
+		Handler(d).ServeHTTP(w, r)
+		return w
+	}
+	header := map[string]string{
+		HeaderCustomer: "atlas", HeaderKey: "k", HeaderRoute: "r", HeaderIdempotent: "false", HeaderDeadline: "250",
+	}
+	for _, body := range []string{"", "\x00\xff{"} {
+		if w := send(header, body); w.Code != 200 || w.Body.String() != body || w.Header().Get(HeaderState) != "Complete" {
+			t.Errorf("%q: got %d %q", body, w.Code, w.Body)
+		}
+	}
+	s := d.submitted[0]
+	if s.ID.Key != "k" || s.Route != "r" || s.Idempotent == nil || *s.Idempotent || s.Deadline != 250*time.Millisecond {
+		t.Errorf("got %+v", s)
+	}
+	for name, value := range map[string]string{
+		HeaderCustomer: "", HeaderKey: "\xff", HeaderIdempotent: "maybe", HeaderDeadline: "1s", HeaderTicket: "x",
+	} {
+		bad := map[string]string{HeaderCustomer: "atlas", HeaderKey: "k"}
+		bad[name] = value
+		if w := send(bad, "a"); w.Code != http.StatusBadRequest {
+			t.Errorf("%s %q: got %d", name, value, w.Code)
+		}
+	}
+	d.answer = job.Answer{State: job.NotRun, Reason: job.ReasonOverloaded, RetryAfter: time.Second}
+	if w := send(header, "a"); w.Code != 503 || w.Header().Get("Retry-After") != "1" {
+		t.Errorf("not run: got %d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
+	}
+}
+
+// A load balancer must stop offering work to an entry that is not ready.
+func TestReadiness(t *testing.T) {
+	for notReady, want := range map[bool]int{false: 204, true: 503} {
+		if w := serve(Handler(&fakeDispatcher{notReady: notReady}), "GET", "/v1/ready", nil); w.Code != want {
+			t.Errorf("not ready %v: got %d, want %d", notReady, w.Code, want)
+		}
+	}
+}
+
+// A sender that stops in the middle would hold its memory for ever.
+func TestSlowSenderIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, _ := startServer(t, &fakeDispatcher{})
+		conn, err := network.Host("caller").Dial(t.Context(), "tcp", "127.0.0.1:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		begun := time.Now()
+		_, _ = io.WriteString(conn, "POST /v1/jobs HTTP/1.1\r\nHost: e\r\nContent-Length: 9\r\n\r\n{")
+		_, _ = io.ReadAll(conn)
+		if took := time.Since(begun); took < readTimeout || took > readTimeout+time.Second {
+			t.Errorf("cut off after %v, want %v", took, readTimeout)
+		}
+	})
+}
+
+// A job must not be lost with its caller, which resubmits it to get the answer. A job that runs for longer
+// than the read timeout must be answered, too.
+func TestJobOutlivesItsConnection(t *testing.T) {
+	for name, patience := range map[string]time.Duration{"caller leaves": time.Second, "caller waits": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &fakeDispatcher{
+					answer: job.Answer{State: job.Complete}, run: 4 * readTimeout, ended: make(chan struct{}),
+				}
+				_, c := startServer(t, d)
+				ctx, cancel := context.WithTimeout(t.Context(), patience)
+				defer cancel()
+				s := job.Submission{ID: task.JobID{Customer: "atlas", Key: "k"}, Bodies: [][]byte{[]byte("a")}}
+				a, err := c.Submit(ctx, s)
+				if waits := patience > d.run; waits != (err == nil && a.State == job.Complete) {
+					t.Errorf("got %+v, %v", a, err)
+				}
+				<-d.ended
+				if d.cancelled {
+					t.Error("the job was cancelled with its connection")
+				}
+			})
+		})
+	}
+}
--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,7 +49,8 @@
 func (c *Client) Submit(ctx context.Context, s job.Submission) (job.Answer, error) {
 	request := jobRequest{
 		Customer: s.ID.Customer, Key: s.ID.Key, Route: s.Route, Idempotent: s.Idempotent,
-		DeadlineMilliseconds: s.Deadline.Milliseconds(), Ticket: s.Ticket.String(),
+		// Rounded up, because 0 stands for the route's deadline.
+		DeadlineMilliseconds: (s.Deadline + time.Millisecond - 1).Milliseconds(), Ticket: s.Ticket.String(),
 	}
 	for _, body := range s.Bodies {
 		request.Tasks = append(request.Tasks, payloadOf(body))
@@ -73,9 +75,12 @@
 }
 
 func jobPath(id task.JobID) string {
-	return "/v1/jobs/" + url.PathEscape(id.Customer) + "/" + url.PathEscape(id.Key)
+	return "/v1/jobs/" + pathSegment(id.Customer) + "/" + pathSegment(id.Key)
 }
 
+// pathSegment escapes dots too, because the segments "." and ".." would be removed from the path.
+func pathSegment(s string) string { return strings.ReplaceAll(url.PathEscape(s), ".", "%2E") }
+
 func (c *Client) do(ctx context.Context, method, path string, body any) (job.Answer, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -84,8 +85,9 @@
 	mux.HandleFunc("POST /v1/jobs", h.postJob)
 	mux.HandleFunc("POST /v1/requests", h.postRequest)
 	mux.HandleFunc("POST /v1/tickets", h.postTicket)
-	mux.HandleFunc("GET /v1/jobs/{customer}/{key}", h.getJob)
-	mux.HandleFunc("DELETE /v1/jobs/{customer}/{key}", h.deleteJob)
+	// A wildcard of one segment does not match the key "/".
+	mux.HandleFunc("GET /v1/jobs/{customer}/{key...}", aboutJob(d.Lookup))
+	mux.HandleFunc("DELETE /v1/jobs/{customer}/{key...}", aboutJob(d.Cancel))
 	mux.HandleFunc("GET /v1/ready", h.ready)
 	return mux
 }
@@ -184,16 +186,16 @@
 	writeJSON(w, http.StatusOK, answerOf(a))
 }
 
-func (h *handler) getJob(w http.ResponseWriter, r *http.Request) {
-	writeAnswer(w, h.dispatcher.Lookup(r.Context(), pathID(r)))
-}
-
-func (h *handler) deleteJob(w http.ResponseWriter, r *http.Request) {
-	writeAnswer(w, h.dispatcher.Cancel(r.Context(), pathID(r)))
-}
-
-func pathID(r *http.Request) task.JobID {
-	return task.JobID{Customer: r.PathValue("customer"), Key: r.PathValue("key")}
+// aboutJob handles a request about the job in its path.
+func aboutJob(ask func(ctx context.Context, id task.JobID) job.Answer) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := task.JobID{Customer: r.PathValue("customer"), Key: r.PathValue("key")}
+		if err := validateID(id); err != nil {
+			writeError(w, http.StatusBadRequest, "InvalidRequest", err)
+			return
+		}
+		writeAnswer(w, ask(r.Context(), id))
+	}
 }
 
 func (h *handler) ready(w http.ResponseWriter, _ *http.Request) {
@@ -204,7 +206,8 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// read reads a bounded body within the memory budget. The memory is reserved until release is called.
+// read reads a bounded body within the memory budget. The memory of the body is reserved until release is
+// called.
 func (h *handler) read(w http.ResponseWriter, r *http.Request) (body []byte, release func(), ok bool) {
 	size := r.ContentLength
 	if size < 0 {
@@ -223,23 +226,29 @@
 		writeError(w, http.StatusServiceUnavailable, "Busy", &BusyError{})
 		return nil, nil, false
 	}
-	release = func() { h.memory.Add(-size) }
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	if err != nil {
-		release()
-		status := http.StatusBadRequest
+		h.memory.Add(-size)
+		status, name := http.StatusBadRequest, "UnreadableBody"
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
-			status = http.StatusRequestEntityTooLarge
+			status, name = http.StatusRequestEntityTooLarge, "BodyTooLarge"
 		}
-		writeError(w, status, "UnreadableBody", err)
+		writeError(w, status, name, err)
 		return nil, nil, false
 	}
-	return body, release, true
+	used := int64(len(body))
+	h.memory.Add(used - size)
+	return body, func() { h.memory.Add(-used) }, true
 }
 
 func decodeBody(w http.ResponseWriter, body []byte, request any) bool {
-	if err := json.Unmarshal(body, request); err != nil {
+	err := json.Unmarshal(body, request)
+	if !utf8.Valid(body) {
+		// encoding/json would replace the invalid bytes, which makes different keys equal.
+		err = errors.WithStack(&FieldError{Field: "body", Want: "JSON in UTF-8"})
+	}
+	if err != nil {
 		writeError(w, http.StatusBadRequest, "MalformedBody", err)
 		return false
 	}
