--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -99,6 +100,10 @@
 		if !readBody(w, r, &l) {
 			return
 		}
+		if err := l.validate(); err != nil {
+			writeError(w, http.StatusBadRequest, "InvalidAnnouncement", err)
+			return
+		}
 		agent.Leave(l.ID, l.Incarnation)
 		w.WriteHeader(http.StatusNoContent)
 	})
@@ -132,6 +137,16 @@
 	return nil
 }
 
+func (l leave) validate() error {
+	switch {
+	case !route.ValidName(l.ID):
+		return &FieldError{Field: "ID", Want: "a name"}
+	case l.Incarnation == "":
+		return &FieldError{Field: "Incarnation", Want: "that of the announcement"}
+	}
+	return nil
+}
+
 // Serve serves the agent's interface until the returned function is called.
 func Serve(listener net.Listener, agent Agent) (cleanUp func()) {
 	server := &http.Server{
@@ -151,7 +166,13 @@
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(body)
 	if err == nil {
-		return true
+		_, err = decoder.Token()
+		if errors.Is(err, io.EOF) {
+			return true
+		}
+		if err == nil {
+			err = errors.WithStack(&FieldError{Field: "body", Want: "one JSON value"})
+		}
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/io/backend/run.go
+++ b/io/backend/run.go
@@ -88,7 +88,12 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	return &Client{http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+	client := &http.Client{
+		Transport: transport,
+		// Following a redirect would send the task a second time. Its status fails the task.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &Client{http: client}, transport.CloseIdleConnections
 }
 
 // Cancel asks the backend server to stop a task. The task has ended when Run returns.
