Register an agent again whose first connection comes late

Cause: an entry removes the registry row of an agent that it has missed for the retention window, whether or not it was ever connected. The agent measured the time without a connection only from the loss of one, so an agent that connected for the first time after that window accepted starts without a row until the next check of the row, and a takeover in between did not fence it.

Change: the time counts from the start of the agent. Tests of the agent for registration, the gate of starts, and drains are added.

Measured: go test -race -count=3 ./agent passes; TestAgentThatConnectsLateRegistersAgain fails without the change.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -76,7 +76,7 @@
 	connector *inner.Connector
 	ready     chan struct{} // closed when connector is set
 	rejoined  chan struct{} // has an element when the agent was alone for long
-	alone     time.Time     // when the last connection was lost; zero while there is one; guarded by mu
+	alone     time.Time     // when the agent started or lost its last connection; zero while there is one; guarded by mu
 }
 
 // request is a task that runs on a backend server.
@@ -98,6 +98,7 @@
 		requests:    map[task.AttemptID]request{},
 		ready:       make(chan struct{}),
 		rejoined:    make(chan struct{}, 1),
+		alone:       time.Now(),
 	}
 	listener, err := options.Listen(options.BackendAddress)
 	if err != nil {
--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,254 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/core/allocator"
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/ownership"
+	"dogwoodglade/core/task"
+	"dogwoodglade/internal/memnet"
+	"dogwoodglade/io/backend"
+	"dogwoodglade/io/inner"
+	"dogwoodglade/io/platform"
+)
+
+// fakeEntry receives what the agent sends.
+type fakeEntry struct {
+	inner.EntryHandler
+	peer     atomic.Pointer[inner.Peer]
+	replies  chan task.Refusal
+	outcomes chan task.Record
+	server   atomic.Pointer[allocator.BackendServer] // of the last heartbeat
+}
+
+func (f *fakeEntry) Connected(p *inner.Peer)                                    { f.peer.Store(p) }
+func (f *fakeEntry) Disconnected(p *inner.Peer)                                 { f.peer.CompareAndSwap(p, nil) }
+func (f *fakeEntry) StartReply(_ *inner.Peer, _ task.AttemptID, w task.Refusal) { f.replies <- w }
+func (f *fakeEntry) Outcome(_ *inner.Peer, r task.Record)                       { f.outcomes <- r }
+func (f *fakeEntry) Release(*inner.Peer, allocator.Release)                     {}
+func (f *fakeEntry) Heartbeat(_ *inner.Peer, servers []allocator.BackendServer) {
+	if len(servers) > 0 {
+		f.server.Store(&servers[0])
+	}
+}
+
+// fakePlatform refuses writes on request.
+type fakePlatform struct {
+	*platform.Memory
+	down atomic.Bool
+}
+
+func (f *fakePlatform) Commit(ctx context.Context, t platform.Transaction) (uint64, error) {
+	if f.down.Load() {
+		return 0, &platform.UnavailableError{}
+	}
+	return f.Memory.Commit(ctx, t)
+}
+
+// rig is an agent with one entry and one backend server, whose tasks take the time in their body.
+type rig struct {
+	t        *testing.T
+	network  *memnet.Network
+	entry    *fakeEntry
+	platform *fakePlatform
+	agent    *Agent
+	stop     func()
+	starts   int
+}
+
+func startRig(t *testing.T) *rig {
+	t.Helper()
+	return startRigOn(t, memnet.New())
+}
+
+func startRigOn(t *testing.T, network *memnet.Network) *rig {
+	t.Helper()
+	r := &rig{
+		t: t, network: network,
+		entry:    &fakeEntry{replies: make(chan task.Refusal, 64), outcomes: make(chan task.Record, 64)},
+		platform: &fakePlatform{Memory: platform.NewMemory(platform.DefaultLimits, rand.New(rand.NewPCG(1, 0)))},
+	}
+	listener, err := r.network.Host("entry").Listen("127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closeEntry := inner.Serve(listener, inner.Local{
+		Identity: inner.Identity{Role: inner.RoleEntry, Name: "entry", Incarnation: "1"},
+		Clock:    event.NewRecorder("entry", 1, time.Now), Metrics: metrics.NewRegistry(),
+	}, r.entry)
+	host := r.network.Host("agent")
+	r.agent, r.stop, err = New(Options{
+		Name: "agent", Entries: []string{"127.0.0.1:1"}, BackendAddress: "127.0.0.1:2", DrainTimeout: time.Minute,
+		Platform: r.platform, Recorder: event.NewRecorder("agent", 100, time.Now),
+		Dial: host.Dial, DialBackend: host.Dial, Listen: host.Listen,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, stopServer, err := backend.NewServer(backend.ServerSettings{
+		ID: "b", Pool: "p", Agent: "127.0.0.1:2", Slots: 8, Connections: 64, ListenFunc: host.Listen, Dial: host.Dial,
+		Run: func(_ context.Context, t backend.Task) ([]byte, error) {
+			run, err := time.ParseDuration(string(t.Body))
+			time.Sleep(run)
+			return t.Body, err
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		stopServer()
+		closeEntry()
+		synctest.Wait()
+	})
+	time.Sleep(2 * time.Second)
+	return r
+}
+
+// start sends a start and returns the agent's reply.
+func (r *rig) start(run time.Duration) task.Refusal {
+	r.t.Helper()
+	r.starts++
+	key := strconv.Itoa(r.starts)
+	r.entry.peer.Load().Start(task.Start{
+		Attempt:   task.AttemptID{Task: task.ID{Job: task.JobID{Customer: "atlas", Key: key}}, Number: 1},
+		TaskCount: 1, Owner: "entry", Allocator: "entry", BackendServer: "b",
+		Incarnation: r.entry.server.Load().Incarnation, Grant: key, Deadline: time.Minute, Body: []byte(run.String()),
+	})
+	return <-r.entry.replies
+}
+
+func (r *rig) want(when string, want task.Refusal) {
+	r.t.Helper()
+	if got := r.start(0); got != want {
+		r.t.Errorf("%s: got %q, want %q", when, got, want)
+	}
+}
+
+func (r *rig) rows() []platform.Row {
+	r.t.Helper()
+	rows, err := r.platform.List(r.t.Context(), platform.AgentPrefix)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return rows
+}
+
+func (r *rig) deleteRow() {
+	r.t.Helper()
+	_, err := r.platform.Memory.Commit(r.t.Context(), platform.Transaction{
+		Writes: []platform.Write{{Key: r.rows()[0].Key, Delete: true}},
+	})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// Takeovers do not fence an agent whose row was removed, so it must refuse starts until it is registered
+// again: a superseded owner could start tasks there that its successor starts elsewhere.
+func TestAgentRefusesStartsUntilItIsRegisteredAgain(t *testing.T) {
+	for name, test := range map[string]struct {
+		lose func(r *rig)
+		want task.Refusal
+	}{
+		"short loss of connection": {func(r *rig) { r.cut(aloneLimit - 5*time.Second) }, task.Accepted},
+		"long loss of connection":  {func(r *rig) { r.cut(aloneLimit + 5*time.Second) }, task.RefusedUnregistered},
+		"row removed": {func(r *rig) {
+			r.deleteRow()
+			time.Sleep(rowCheckInterval)
+		}, task.RefusedUnregistered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := startRig(t)
+				defer r.stop()
+				r.want("registered", task.Accepted)
+				r.platform.down.Store(true)
+				test.lose(r)
+				r.want("after the loss", test.want)
+				r.platform.down.Store(false)
+				time.Sleep(2 * registerRetry)
+				r.want("after the platform's return", task.Accepted)
+				if n := len(r.rows()); n != 1 {
+					t.Errorf("%d rows, want 1", n)
+				}
+			})
+		})
+	}
+}
+
+// cut cuts the link to the entry for the time, and waits for the next connection.
+func (r *rig) cut(length time.Duration) {
+	r.network.Cut("agent", "entry", true)
+	time.Sleep(length)
+	r.network.Cut("agent", "entry", false)
+	for r.entry.peer.Load() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	synctest.Wait()
+}
+
+// An agent whose first connection comes long after its registration may have lost its row meanwhile.
+func TestAgentThatConnectsLateRegistersAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		network.Cut("agent", "entry", true)
+		r := startRigOn(t, network)
+		defer r.stop()
+		r.platform.down.Store(true)
+		r.cut(aloneLimit + 5*time.Second)
+		time.Sleep(time.Second)
+		r.want("after the first connection", task.RefusedUnregistered)
+	})
+}
+
+// A planned stop must interrupt no task, and must answer the starts that were sent before the entries heard
+// of it: an owner can only tell a start that was refused from one that may have run if it gets an answer.
+func TestDrain(t *testing.T) {
+	for name, run := range map[string]time.Duration{"idle": 0, "with a running task": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := startRig(t)
+				r.start(run)
+				time.Sleep(100 * time.Millisecond)
+				begun, done := time.Now(), make(chan time.Duration)
+				go func() {
+					r.stop()
+					done <- time.Since(begun)
+				}()
+				synctest.Wait()
+				if !r.entry.server.Load().Leaving {
+					t.Error("no goodbye was sent")
+				}
+				time.Sleep(leaveGrace - 100*time.Millisecond)
+				r.want("during the drain", task.RefusedLeaving)
+				took := <-done
+				if least := max(leaveGrace, run-100*time.Millisecond); took < least || took > least+time.Second {
+					t.Errorf("drained after %v, want %v", took, least)
+				}
+				if o := <-r.entry.outcomes; o.State != task.Ended || !o.Result.Succeeded() {
+					t.Errorf("got %+v", o)
+				}
+				var row ownership.AgentRow
+				if err := json.Unmarshal(r.rows()[0].Value, &row); err != nil || !row.Left {
+					t.Fatalf("got row %+v, %v", row, err)
+				}
+				data, err := r.platform.GetObject(t.Context(), row.Records)
+				var records []task.Record
+				if err != nil || json.Unmarshal(data, &records) != nil || len(records) != 1 {
+					t.Errorf("got records %s, %v", data, err)
+				}
+			})
+		})
+	}
+}
