Offer no ticket after a superseded owner answered a submission

Cause: an owner that learns that it was superseded answers its open jobs with OutcomeUnknown, OwnerSuperseded, though their tasks may have started. The front then asks the successor. If the successor's recovery is incomplete, it answers TicketRequired with a ticket, and the front passed the ticket on.

Change: such an answer counts like a message that was not answered, after which the front drops the offer. The answers of fronts and the matching of start records are tested.

--- a/entry/front.go
+++ b/entry/front.go
@@ -115,7 +115,7 @@
 func (e *Entry) askOwner(ctx context.Context, a ask) job.Answer {
 	noOwnerUntil := time.Now().Add(ownerWait)
 	last := job.Answer{ID: a.id, State: job.NotRun, Reason: job.ReasonOwnerUnavailable, RetryAfter: time.Second}
-	lost := false // a message was sent and not answered
+	lost := false // an owner may have taken a message without giving its final answer
 	for {
 		reply, sent, err := e.tryOwner(ctx, a)
 		lost = lost || err != nil && sent
@@ -124,6 +124,8 @@
 			return withoutTicket(reply.Answer, lost)
 		case err == nil && !reply.NotOwner:
 			last = reply.Answer
+			// A superseded owner answers its open jobs like this, whose tasks may have started.
+			lost = lost || last.Reason == job.ReasonOwnerSuperseded
 		case err != nil && sent && last.State == job.NotRun:
 			// The owner may have accepted the submission.
 			last = job.Answer{ID: a.id, State: job.OutcomeUnknown, Reason: job.ReasonOwnerUnavailable}
@@ -139,8 +141,8 @@
 	}
 }
 
-// withoutTicket drops the offer of a ticket if an earlier message was not answered: an owner that was paused
-// may still hold the submission, so the caller must not send it again as a first one.
+// withoutTicket drops the offer of a ticket if an owner may have taken an earlier message: it may still hold
+// the submission or have started its tasks, so the caller must not send it again as a first one.
 func withoutTicket(a job.Answer, lost bool) job.Answer {
 	if lost && a.Reason == job.ReasonTicketRequired {
 		a.Reason, a.Ticket = job.ReasonOwnerUnavailable, shard.Ticket{}
--- /dev/null
+++ b/entry/front_test.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/job"
+	"dogwoodglade/core/shard"
+	"dogwoodglade/core/task"
+	"dogwoodglade/internal/memnet"
+	"dogwoodglade/io/inner"
+	"dogwoodglade/io/platform"
+)
+
+// startEntry starts an entry and waits until it owns all shards.
+func startEntry(t *testing.T) *Entry {
+	t.Helper()
+	host := memnet.New().Host("entry")
+	e, cleanUp, err := New(Options{
+		Name: "entry", InnerAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:2",
+		Platform: platform.NewMemory(platform.DefaultLimits, rand.New(rand.NewPCG(1, 0))),
+		Recorder: event.NewRecorder("entry", 100, time.Now), Dial: host.Dial, Listen: host.Listen,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanUp)
+	time.Sleep(10 * time.Second)
+	return e
+}
+
+// A caller that submitted once may send its submission again with an offered ticket, so a ticket that is
+// offered after an owner may have taken the submission has its tasks start twice. NotRun needs an owner's
+// word.
+func TestFrontReportsWhatOwnersMayHaveDone(t *testing.T) {
+	type attempt struct {
+		reply inner.OwnerReply
+		err   error
+	}
+	ticket := shard.Ticket{Shard: 1, Epoch: shard.Epoch{Counter: 2, Incarnation: "x"}}
+	reply := func(state job.State, reason job.Reason) attempt {
+		return attempt{reply: inner.OwnerReply{Answer: job.Answer{State: state, Reason: reason, Ticket: ticket}}}
+	}
+	notOwner := attempt{reply: inner.OwnerReply{NotOwner: true}}
+	unanswered := attempt{err: errors.New("connection lost")}
+	required := reply(job.OutcomeUnknown, job.ReasonTicketRequired)
+	for name, test := range map[string]struct {
+		attempts []attempt // the last one repeats
+		state    job.State
+		reason   job.Reason
+		ticket   shard.Ticket
+	}{
+		"first try":               {[]attempt{required}, job.OutcomeUnknown, job.ReasonTicketRequired, ticket},
+		"no owner at first":       {[]attempt{notOwner, required}, job.OutcomeUnknown, job.ReasonTicketRequired, ticket},
+		"unanswered":              {[]attempt{unanswered, required}, job.OutcomeUnknown, job.ReasonOwnerUnavailable, shard.Ticket{}},
+		"unanswered, then moving": {[]attempt{unanswered, notOwner, required}, job.OutcomeUnknown, job.ReasonOwnerUnavailable, shard.Ticket{}},
+		"superseded at work": {
+			[]attempt{reply(job.OutcomeUnknown, job.ReasonOwnerSuperseded), required},
+			job.OutcomeUnknown, job.ReasonOwnerUnavailable,
+			shard.Ticket{},
+		},
+		"refused by a draining owner": {
+			[]attempt{reply(job.OutcomeUnknown, job.ReasonDraining), required},
+			job.OutcomeUnknown, job.ReasonTicketRequired, ticket,
+		},
+		"found by the successor": {
+			[]attempt{unanswered, reply(job.Complete, job.ReasonNone)}, job.Complete, job.ReasonNone, ticket,
+		},
+		"not run by the successor": {
+			[]attempt{notOwner, reply(job.NotRun, job.ReasonOverloaded)}, job.NotRun, job.ReasonOverloaded, ticket,
+		},
+		"never an owner":          {[]attempt{notOwner}, job.OutcomeUnknown, job.ReasonOwnerUnavailable, shard.Ticket{}},
+		"never an answer":         {[]attempt{unanswered}, job.OutcomeUnknown, job.ReasonOwnerUnavailable, shard.Ticket{}},
+		"no owner after the loss": {[]attempt{unanswered, notOwner}, job.OutcomeUnknown, job.ReasonOwnerUnavailable, shard.Ticket{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := startEntry(t)
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+				defer cancel()
+				next := 0
+				a := e.askOwner(ctx, ask{
+					id: task.JobID{Customer: "atlas", Key: "k"},
+					local: func(context.Context) (inner.OwnerReply, error) {
+						try := test.attempts[min(next, len(test.attempts)-1)]
+						next++
+						return try.reply, try.err
+					},
+				})
+				if a.State != test.state || a.Reason != test.reason || a.Ticket != test.ticket {
+					t.Errorf("got %s %s with ticket %q, want %s %s with %q",
+						a.State, a.Reason, a.Ticket, test.state, test.reason, test.ticket)
+				}
+				if next < len(test.attempts) {
+					t.Errorf("%d attempts, want %d", next, len(test.attempts))
+				}
+			})
+		})
+	}
+}
+
+// An attempt without a record did not start; one that is matched to the record of another attempt or task
+// would be reported as not run although it ran, or the reverse.
+func TestMatchDividesByTheWholeAttempt(t *testing.T) {
+	attempt := func(key string, index, number int) task.AttemptID {
+		return task.AttemptID{Task: task.ID{Job: task.JobID{Customer: "atlas", Key: key}, Index: index}, Number: number}
+	}
+	records := []task.Record{
+		{Attempt: attempt("a", 0, 1), State: task.Ended},
+		{Attempt: attempt("a", 1, 2), State: task.Lost},
+		{Attempt: attempt("other", 0, 1), State: task.Ended},
+	}
+	ids := []task.AttemptID{attempt("a", 0, 1), attempt("a", 0, 2), attempt("a", 1, 1), attempt("a", 1, 2), attempt("b", 0, 1)}
+	found, unseen := match(ids, records)
+	if want := records[:2]; !reflect.DeepEqual(found, want) {
+		t.Errorf("found %v, want %v", found, want)
+	}
+	if want := []task.AttemptID{ids[1], ids[2], ids[4]}; !reflect.DeepEqual(unseen, want) {
+		t.Errorf("unseen %v, want %v", unseen, want)
+	}
+}
