Give every slot of a backend server a connection

Cause: the agent's client opened at most 64 connections to a backend server, so tasks beyond that were on record as running while they waited, and a cancellation got no connection.

--- a/io/backend/run.go
+++ b/io/backend/run.go
@@ -77,14 +77,15 @@
 // Client runs tasks on backend servers.
 type Client struct{ http *http.Client }
 
-// NewClient returns a client and its clean-up. A nil dial uses the network.
+// NewClient returns a client and its clean-up. It keeps the given number of idle connections to each backend
+// server; the executor bounds those in use, and a cancellation must not wait for one. A nil dial uses the
+// network.
 func NewClient(
-	maxConnections int, dial func(ctx context.Context, network, address string) (net.Conn, error),
+	idleConnections int, dial func(ctx context.Context, network, address string) (net.Conn, error),
 ) (*Client, func()) {
 	transport := &http.Transport{
 		DialContext:         dial,
-		MaxConnsPerHost:     maxConnections,
-		MaxIdleConnsPerHost: maxConnections,
+		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
