Make a takeover linear in the number of agents, and split large files

Change: an answer looks only at its agent and at counters; the next tick does the rest. The scenario test is three files, and the requests of a front share one function.

--- a/core/ownership/recovery.go
+++ b/core/ownership/recovery.go
@@ -95,7 +95,8 @@
 	if r.trusted() {
 		return true
 	}
-	if !r.written() || r.required == nil {
+	// The count excludes most recoveries without a look at each agent.
+	if !r.written() || r.required == nil || len(r.fenced)+len(r.objects) < len(r.required) {
 		return false
 	}
 	for a := range r.required {
@@ -125,7 +126,7 @@
 // incomplete recovery are fenced.
 func (o *Ownership) AgentConnected(now time.Time, agent, incarnation string) []Action {
 	o.agents[agent] = incarnation
-	return o.advance(now, nil)
+	return o.fenceAgent(now, agentID{agent, incarnation}, nil)
 }
 
 // AgentLost reports that an agent's connection ended. Its fences are repeated when it connects again.
@@ -139,22 +140,30 @@
 // advanceFences sends one message to each connected agent with the fences it has not yet answered, and reads
 // the records that drained agents left.
 func (o *Ownership) advanceFences(now time.Time, actions []Action) []Action {
+	if len(o.recoveries) == 0 {
+		return actions
+	}
 	for _, agent := range sortedKeys(o.agents) {
-		a := agentID{agent, o.agents[agent]}
-		var fences []shard.Fence
-		for _, r := range o.recoveries {
-			if r.wants(a, now) {
-				r.sent[a] = now
-				for _, id := range sortedShards(r.shards) {
-					fences = append(fences, shard.Fence{Shard: id, Epoch: r.shards[id].epoch})
-				}
+		actions = o.fenceAgent(now, agentID{agent, o.agents[agent]}, actions)
+	}
+	return o.advanceObjects(now, actions)
+}
+
+// fenceAgent sends the agent the fences that it has not yet answered.
+func (o *Ownership) fenceAgent(now time.Time, a agentID, actions []Action) []Action {
+	var fences []shard.Fence
+	for _, r := range o.recoveries {
+		if r.wants(a, now) {
+			r.sent[a] = now
+			for _, id := range sortedShards(r.shards) {
+				fences = append(fences, shard.Fence{Shard: id, Epoch: r.shards[id].epoch})
 			}
 		}
-		if len(fences) > 0 {
-			actions = append(actions, SendFence{Agent: a.agent, Incarnation: a.incarnation, Fences: fences})
-		}
 	}
-	return o.advanceObjects(now, actions)
+	if len(fences) > 0 {
+		actions = append(actions, SendFence{Agent: a.agent, Incarnation: a.incarnation, Fences: fences})
+	}
+	return actions
 }
 
 // wants reports whether the agent should be fenced now. Before the write there is nothing to fence, because
@@ -206,7 +215,8 @@
 		r.hold(f.Records)
 		o.note(event.ShardFenced, event.Event{Peer: f.Agent, Count: len(r.shards)})
 	}
-	return o.advance(now, actions)
+	// Every agent answers, so an answer must not look at all agents. The next tick does the rest.
+	return o.advanceRecoveries(now, actions)
 }
 
 // raisedBy reports whether the agent's epochs are those of the recovery.
--- /dev/null
+++ b/dev/scenario_fault_test.go
@@ -0,0 +1,138 @@
+package dev_test
+
+import (
+	"github.com/cockroachdb/datadriven"
+
+	"dogwoodglade/io/platform"
+)
+
+func (s *scenario) start(d *datadriven.TestData) string {
+	for _, arg := range d.CmdArgs {
+		var err error
+		switch arg.Key {
+		case "entry":
+			_, err = s.site.StartEntry()
+		case "agent":
+			_, err = s.site.StartAgent()
+		case "failing-server":
+			_, err = s.site.StartFailingServer(s.site.Agents[0].Process.Address())
+		case "server":
+			agent := len(s.site.Agents)
+			_, err = s.site.StartServer(s.site.Agents[agent-1].Process.Address())
+		}
+		if err != nil {
+			d.Fatalf(s.t, "%v", err)
+		}
+	}
+	return ""
+}
+
+// stop begins planned stops, and waits for them unless the argument "later" is given.
+func (s *scenario) stop(d *datadriven.TestData) string {
+	done := make(chan struct{})
+	stops := 0
+	for _, arg := range d.CmdArgs {
+		if stop, _ := s.part(arg.Key); stop != nil {
+			stops++
+			go func() {
+				stop()
+				done <- struct{}{}
+			}()
+		}
+	}
+	if d.HasArg("later") {
+		go func() {
+			for range stops {
+				<-done
+			}
+		}()
+		return ""
+	}
+	for range stops {
+		<-done
+	}
+	return ""
+}
+
+func (s *scenario) kill(d *datadriven.TestData) string {
+	for _, arg := range d.CmdArgs {
+		if _, kill := s.part(arg.Key); kill != nil {
+			kill()
+		}
+	}
+	return ""
+}
+
+// part returns how to stop and to kill a process by its name.
+func (s *scenario) part(name string) (stop, kill func()) {
+	for _, p := range s.site.Entries {
+		if p.Name == name {
+			return p.Stop, p.Kill
+		}
+	}
+	for _, p := range s.site.Agents {
+		if p.Name == name {
+			return p.Stop, p.Kill
+		}
+	}
+	for _, p := range s.site.Servers {
+		if p.Name == name {
+			return p.Stop, p.Kill
+		}
+	}
+	return nil, nil
+}
+
+func (s *scenario) hosts() []string {
+	hosts := []string{"platform", "caller"}
+	for _, p := range s.site.Entries {
+		hosts = append(hosts, p.Name)
+	}
+	for _, p := range s.site.Agents {
+		hosts = append(hosts, p.Name)
+	}
+	for _, p := range s.site.Servers {
+		hosts = append(hosts, p.Name)
+	}
+	return hosts
+}
+
+func (s *scenario) stall(host string, stalled bool) {
+	for _, other := range s.hosts() {
+		s.network.Stall(host, other, stalled)
+	}
+}
+
+func (s *scenario) freeze(d *datadriven.TestData) string {
+	s.stall(d.CmdArgs[0].Key, true)
+	return ""
+}
+
+func (s *scenario) thaw(d *datadriven.TestData) string {
+	s.stall(d.CmdArgs[0].Key, false)
+	return ""
+}
+
+func (s *scenario) cut(d *datadriven.TestData) string {
+	s.network.Cut(d.CmdArgs[0].Key, d.CmdArgs[1].Key, true)
+	return ""
+}
+
+func (s *scenario) heal(d *datadriven.TestData) string {
+	s.network.Cut(d.CmdArgs[0].Key, d.CmdArgs[1].Key, false)
+	return ""
+}
+
+func (s *scenario) platform(d *datadriven.TestData) string {
+	faults := platform.Faults{Down: d.HasArg("down")}
+	delay := "0s"
+	s.scan(d, "delay", &delay)
+	faults.Delay = s.duration(delay)
+	lost := 0
+	s.scan(d, "lost", &lost)
+	faults.LostAnswers = float64(lost) / 100
+	if err := s.site.Platform.SetFaults(faults); err != nil {
+		d.Fatalf(s.t, "%v", err)
+	}
+	return ""
+}
--- a/entry/front.go
+++ b/entry/front.go
@@ -80,34 +80,30 @@
 
 // Lookup implements caller.Dispatcher.
 func (e *Entry) Lookup(ctx context.Context, id task.JobID) job.Answer {
-	ctx, cancel := e.bound(ctx, requestLimit)
-	defer cancel()
-	return e.askOwner(ctx, ask{
-		id:      id,
-		local:   func(ctx context.Context) (inner.OwnerReply, error) { return e.lookupLocal(ctx, id) },
-		message: func() inner.Message { return inner.LookupMessage{ID: id} },
-	})
+	return e.request(ctx, id, e.lookupLocal, inner.LookupMessage{ID: id})
 }
 
 // Cancel implements caller.Dispatcher.
 func (e *Entry) Cancel(ctx context.Context, id task.JobID) job.Answer {
-	ctx, cancel := e.bound(ctx, requestLimit)
-	defer cancel()
-	return e.askOwner(ctx, ask{
-		id:      id,
-		local:   func(ctx context.Context) (inner.OwnerReply, error) { return e.cancelLocal(ctx, id) },
-		message: func() inner.Message { return inner.CancelJobMessage{ID: id} },
-	})
+	return e.request(ctx, id, e.cancelLocal, inner.CancelJobMessage{ID: id})
 }
 
 // IssueTicket implements caller.Dispatcher.
 func (e *Entry) IssueTicket(ctx context.Context, id task.JobID) job.Answer {
+	return e.request(ctx, id, e.issueTicketLocal, inner.IssueTicketMessage{ID: id})
+}
+
+// request asks the owner of a key about its job.
+func (e *Entry) request(
+	ctx context.Context, id task.JobID,
+	local func(ctx context.Context, id task.JobID) (inner.OwnerReply, error), m inner.Message,
+) job.Answer {
 	ctx, cancel := e.bound(ctx, requestLimit)
 	defer cancel()
 	return e.askOwner(ctx, ask{
 		id:      id,
-		local:   func(ctx context.Context) (inner.OwnerReply, error) { return e.issueTicketLocal(ctx, id) },
-		message: func() inner.Message { return inner.IssueTicketMessage{ID: id} },
+		local:   func(ctx context.Context) (inner.OwnerReply, error) { return local(ctx, id) },
+		message: func() inner.Message { return m },
 	})
 }
 
