Report no losses when an entry stops as planned

Cause: an entry that closed its connections at the end of a drain recorded its agents' backend servers as lost. Change: connections that end after the drain are no losses.

--- a/dev/site_test.go
+++ b/dev/site_test.go
@@ -269,3 +269,25 @@
 		checkStarts(t, s.Events(), 1)
 	})
 }
+
+// A planned stop of a whole site that reports losses would alarm operators at every restart.
+func TestPlannedStopReportsNoLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startSite(t, dev.Settings{})
+		mustSubmit(t, s.client(0), sampleJob("job", 3, 100*time.Millisecond))
+		for _, e := range s.Entries {
+			e.Stop()
+		}
+		for _, b := range s.Servers {
+			b.Stop()
+		}
+		for _, a := range s.Agents {
+			a.Stop()
+		}
+		for _, e := range s.Events() {
+			if e.Number == event.BackendLost || e.Number == event.AgentLost {
+				t.Errorf("%s recorded %s of %s", e.Process, e.Number, e.Peer)
+			}
+		}
+	})
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,6 +76,7 @@
 
 	draining    atomic.Bool
 	aborted     atomic.Bool
+	closing     atomic.Bool  // drained; connections that end now are no losses
 	submissions atomic.Int64 // of callers, in progress
 	missed      map[registration]time.Time
 	background  background
@@ -115,6 +116,7 @@
 	options.Recorder.Record(event.Event{Number: event.ProcessStarted, Task: -1, State: e.incarnation})
 	cleanUp := func() {
 		cut := e.drain()
+		e.closing.Store(true)
 		if e.aborted.Load() {
 			stopConnections()
 		}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -70,7 +70,7 @@
 		})
 		return
 	}
-	if !e.directory.removeAgent(p, time.Now()) {
+	if !e.directory.removeAgent(p, time.Now()) || e.closing.Load() {
 		return
 	}
 	e.allocators.each(e, func(now time.Time, a *allocator.Allocator) []allocator.Action {
