Remove a field of an entry that nothing reads

Cause: ownedShard.departing was written in three places and read nowhere; the epoch of starts says the same. A doc comment named its function by an earlier name. Change: the field is gone, the comment is right.

--- a/entry/allocator.go
+++ b/entry/allocator.go
@@ -175,7 +175,7 @@
 	return live
 }
 
-// at returns the connection to the allocator of a pool, or nil with local set if it is this entry.
+// allocatorOf returns the connection to the allocator of a pool, or nil with local set if it is this entry.
 func (e *Entry) allocatorOf(pool string) (p *inner.Peer, local bool) {
 	e.allocators.mu.Lock()
 	at := e.allocators.at[pool]
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -21,7 +21,7 @@
 	case ownership.HandedOver:
 		s := &e.owners[action.Shard]
 		s.mu.Lock()
-		s.departing, s.startAs = true, action.Epoch
+		s.startAs = action.Epoch
 		s.mu.Unlock()
 	case ownership.ForwardOpen:
 		s := &e.owners[action.Shard]
@@ -31,7 +31,7 @@
 	case ownership.ReleaseShard:
 		s := &e.owners[action.Shard]
 		s.mu.Lock()
-		s.owner, s.departing, s.startAs = nil, false, shard.Epoch{}
+		s.owner, s.startAs = nil, shard.Epoch{}
 		s.mu.Unlock()
 	}
 }
--- a/entry/owner.go
+++ b/entry/owner.go
@@ -21,7 +21,6 @@
 	owner     *job.Owner // nil if this entry does not serve the shard
 	epoch     shard.Epoch
 	startAs   shard.Epoch  // epoch of starts after a handover; zero before it
-	departing bool         // the ownership is handed over and the open keys finish here
 	open      []task.JobID // keys that were open at the last report of a drain
 	forwardTo string       // former owner that finishes the keys in forwarded
 	forwarded map[task.JobID]struct{}
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -125,7 +125,7 @@
 	defer s.mu.Unlock()
 	s.owner = job.New(e.options.Name, a.Shard, a.Epoch, a.Complete, newRandom(), e.record)
 	s.owner.ShareBudgets(e.budgets)
-	s.epoch, s.startAs, s.departing = a.Epoch, shard.Epoch{}, false
+	s.epoch, s.startAs = a.Epoch, shard.Epoch{}
 	s.forward(a.To, a.OpenKeys)
 }
 
