Rename io/platform to io/store

The users' platform is met in platform/, so the project's own interface to a table service and object store, and its stand-in, get a name of their own. No behaviour changes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -1,7 +1,7 @@
 // Package agent is the process beside the backend servers of one host.
 //
 // It connects the decisions of core/executor to the entries (io/inner), the backend servers (io/backend) and
-// the platform (io/platform). If an entry fails, its tasks go on and their records wait for its successor;
+// the platform (io/store). If an entry fails, its tasks go on and their records wait for its successor;
 // if the platform fails, a registered agent goes on and a new one waits.
 package agent
 
@@ -24,7 +24,7 @@
 	"dogwoodglade/core/task"
 	"dogwoodglade/io/backend"
 	"dogwoodglade/io/inner"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // Intervals of an agent.
@@ -49,7 +49,7 @@
 	Entries        []string // addresses of the inner protocol
 	BackendAddress string   // where backend servers announce themselves
 	DrainTimeout   time.Duration
-	Platform       platform.Service
+	Platform       store.Service
 	Recorder       *event.Recorder
 	Metrics        metrics.Registry
 	Dial           inner.DialFunc // opens connections to entries
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -19,7 +19,7 @@
 	"dogwoodglade/internal/memnet"
 	"dogwoodglade/io/backend"
 	"dogwoodglade/io/inner"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // fakeEntry receives what the agent sends.
@@ -44,13 +44,13 @@
 
 // fakePlatform refuses writes on request.
 type fakePlatform struct {
-	*platform.Memory
+	*store.Memory
 	down atomic.Bool
 }
 
-func (f *fakePlatform) Commit(ctx context.Context, t platform.Transaction) (uint64, error) {
+func (f *fakePlatform) Commit(ctx context.Context, t store.Transaction) (uint64, error) {
 	if f.down.Load() {
-		return 0, &platform.UnavailableError{}
+		return 0, &store.UnavailableError{}
 	}
 	return f.Memory.Commit(ctx, t)
 }
@@ -76,7 +76,7 @@
 	r := &rig{
 		t: t, network: network,
 		entry:    &fakeEntry{replies: make(chan task.Refusal, 64), outcomes: make(chan task.Record, 64)},
-		platform: &fakePlatform{Memory: platform.NewMemory(platform.DefaultLimits, rand.New(rand.NewPCG(1, 0)))},
+		platform: &fakePlatform{Memory: store.NewMemory(store.DefaultLimits, rand.New(rand.NewPCG(1, 0)))},
 	}
 	listener, err := r.network.Host("entry").Listen("127.0.0.1:1")
 	if err != nil {
@@ -135,9 +135,9 @@
 	}
 }
 
-func (r *rig) rows() []platform.Row {
+func (r *rig) rows() []store.Row {
 	r.t.Helper()
-	rows, err := r.platform.List(r.t.Context(), platform.AgentPrefix)
+	rows, err := r.platform.List(r.t.Context(), store.AgentPrefix)
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -146,8 +146,8 @@
 
 func (r *rig) deleteRow() {
 	r.t.Helper()
-	_, err := r.platform.Memory.Commit(r.t.Context(), platform.Transaction{
-		Writes: []platform.Write{{Key: r.rows()[0].Key, Delete: true}},
+	_, err := r.platform.Memory.Commit(r.t.Context(), store.Transaction{
+		Writes: []store.Write{{Key: r.rows()[0].Key, Delete: true}},
 	})
 	if err != nil {
 		r.t.Fatal(err)
--- a/agent/register.go
+++ b/agent/register.go
@@ -10,7 +10,7 @@
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/ownership"
 	"dogwoodglade/core/task"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // keepRegistered registers the agent, and again if its row is gone. An entry removes the row of an agent
@@ -41,7 +41,7 @@
 func (a *Agent) hasRow(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	rows, err := a.options.Platform.Get(ctx, platform.AgentKey(a.options.Name, a.incarnation))
+	rows, err := a.options.Platform.Get(ctx, store.AgentKey(a.options.Name, a.incarnation))
 	return err != nil || len(rows) == 0 || rows[0].Version > 0
 }
 
@@ -75,7 +75,7 @@
 	if err := a.writeRow(ctx, row); err != nil {
 		return err
 	}
-	rows, err := a.options.Platform.Get(ctx, platform.ShardsKey)
+	rows, err := a.options.Platform.Get(ctx, store.ShardsKey)
 	if err != nil {
 		return errors.Wrap(err, "read the epochs of the shards")
 	}
@@ -96,9 +96,9 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the agent's row")
 	}
-	key := platform.AgentKey(row.Agent, row.Incarnation)
-	_, err = a.options.Platform.Commit(ctx, platform.Transaction{
-		Writes: []platform.Write{{Key: key, Value: data}},
+	key := store.AgentKey(row.Agent, row.Incarnation)
+	_, err = a.options.Platform.Commit(ctx, store.Transaction{
+		Writes: []store.Write{{Key: key, Value: data}},
 	})
 	return errors.Wrap(err, "register the agent")
 }
@@ -112,7 +112,7 @@
 	if err != nil {
 		return
 	}
-	name := platform.RecordsName(a.options.Name, a.incarnation)
+	name := store.RecordsName(a.options.Name, a.incarnation)
 	if err := a.options.Platform.PutObject(ctx, name, data); err != nil {
 		a.options.Recorder.Record(event.Event{Number: event.PlatformFailed, Task: -1, State: err.Error()})
 		return
--- a/capacity/budget_test.go
+++ b/capacity/budget_test.go
@@ -19,7 +19,7 @@
 	"dogwoodglade/internal/memnet"
 	"dogwoodglade/io/backend"
 	"dogwoodglade/io/inner"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 	"dogwoodglade/setting"
 )
 
@@ -135,7 +135,7 @@
 	return s
 }
 
-func (s *surroundings) options(service platform.Service, entries []string) agent.Options {
+func (s *surroundings) options(service store.Service, entries []string) agent.Options {
 	return agent.Options{
 		Name: agentName, Region: "vestland", DataCentre: "vestland-1", Rack: "rack-07", Entries: entries,
 		BackendAddress: "127.0.0.1:0", DrainTimeout: 10 * time.Second, Platform: service,
@@ -174,7 +174,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		before := liveHeap()
 		s := newSurroundings(t)
-		service := platform.NewMemory(platform.DefaultLimits, rand.New(rand.NewPCG(1, 0)))
+		service := store.NewMemory(store.DefaultLimits, rand.New(rand.NewPCG(1, 0)))
 		a, stopAgent, err := agent.New(s.options(service, []string{"10.0.0.1:7300", "10.0.0.2:7300"}))
 		if err != nil {
 			t.Fatal(err)
--- a/cmd/dogwoodglade/commands_test.go
+++ b/cmd/dogwoodglade/commands_test.go
@@ -19,12 +19,12 @@
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/table"
 	"dogwoodglade/io/operator"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 	"dogwoodglade/io/tables"
 )
 
 // startEntry serves the operators' interface of a process whose clock stands at the given second.
-func startEntry(t *testing.T, name string, seconds int64, store platform.Table) string {
+func startEntry(t *testing.T, name string, seconds int64, store store.Table) string {
 	t.Helper()
 	recorder := event.NewRecorder(name, 1000, func() time.Time { return time.Unix(seconds, 0) })
 	current, stop := tables.New(tables.Config{
@@ -63,16 +63,16 @@
 
 // Guards against command lines whose output or exit code differs from what their usage text says.
 func TestCommands(t *testing.T) {
-	store := platform.NewMemory(platform.Limits{}, rand.New(rand.NewPCG(1, 0)))
+	memory := store.NewMemory(store.Limits{}, rand.New(rand.NewPCG(1, 0)))
 	addresses := map[string]string{
-		"ENTRY":  startEntry(t, "entry-1", 10, store),
-		"REGION": startEntry(t, "entry-2", 5, platform.NewMemory(platform.Limits{}, rand.New(rand.NewPCG(2, 0)))),
+		"ENTRY":  startEntry(t, "entry-1", 10, memory),
+		"REGION": startEntry(t, "entry-2", 5, store.NewMemory(store.Limits{}, rand.New(rand.NewPCG(2, 0)))),
 		"NOBODY": "127.0.0.1:1",
 		"FILE":   filepath.Join(t.TempDir(), "f.yaml"),
 	}
 	datadriven.RunTest(t, "testdata/commands", func(t *testing.T, d *datadriven.TestData) string {
 		if d.Cmd == "store" {
-			if err := store.SetFaults(platform.Faults{Down: d.HasArg("down")}); err != nil {
+			if err := memory.SetFaults(store.Faults{Down: d.HasArg("down")}); err != nil {
 				t.Fatal(err)
 			}
 			return ""
--- a/cmd/dogwoodglade/platform.go
+++ b/cmd/dogwoodglade/platform.go
@@ -9,7 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"dogwoodglade/core/event"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 	"dogwoodglade/setting"
 )
 
@@ -47,7 +47,7 @@
 		return withExitCode(errors.Wrap(err, "start platform stand-in"))
 	}
 	random := rand.New(rand.NewPCG(cmd.Uint64("seed"), 0))
-	stop := serveHTTP(listener, platform.Handler(platform.NewMemory(platform.DefaultLimits, random)))
+	stop := serveHTTP(listener, store.Handler(store.NewMemory(store.DefaultLimits, random)))
 	defer stop()
 	p.recorder.Record(event.Event{Number: event.ProcessStarted, Task: -1})
 	untilSignal(ctx)
--- a/cmd/dogwoodglade/process.go
+++ b/cmd/dogwoodglade/process.go
@@ -16,7 +16,7 @@
 
 	"dogwoodglade/core/event"
 	"dogwoodglade/io/operator"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 	"dogwoodglade/setting"
 )
 
@@ -59,8 +59,8 @@
 }
 
 // newPlatform returns the client of the platform's services.
-func newPlatform(address string) platform.Service {
-	return platform.NewClient(address, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}})
+func newPlatform(address string) store.Service {
+	return store.NewClient(address, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}})
 }
 
 // serveOperators serves operators until the returned function is called.
--- a/dev/scenario_fault_test.go
+++ b/dev/scenario_fault_test.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/cockroachdb/datadriven"
 
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 func (s *scenario) start(d *datadriven.TestData) string {
@@ -124,7 +124,7 @@
 }
 
 func (s *scenario) platform(d *datadriven.TestData) string {
-	faults := platform.Faults{Down: d.HasArg("down")}
+	faults := store.Faults{Down: d.HasArg("down")}
 	delay := "0s"
 	s.scan(d, "delay", &delay)
 	faults.Delay = s.duration(delay)
--- a/dev/site.go
+++ b/dev/site.go
@@ -24,7 +24,7 @@
 	"dogwoodglade/core/table"
 	"dogwoodglade/entry"
 	"dogwoodglade/io/backend"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // Names of the sample rows.
@@ -91,7 +91,7 @@
 
 // Site is a running site.
 type Site struct {
-	Platform        *platform.Memory
+	Platform        *store.Memory
 	PlatformAddress string
 	Entries         []*Part[*entry.Entry]
 	Agents          []*Part[*agent.Agent]
@@ -200,9 +200,9 @@
 		return nil, errors.Wrap(err, "start platform stand-in")
 	}
 	random := mathrand.New(mathrand.NewPCG(s.settings.Seed, 0))
-	s.Platform = platform.NewMemory(platform.DefaultLimits, random)
+	s.Platform = store.NewMemory(store.DefaultLimits, random)
 	s.PlatformAddress = listener.Addr().String()
-	server := &http.Server{Handler: platform.Handler(s.Platform), ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: store.Handler(s.Platform), ReadHeaderTimeout: time.Second}
 	var running sync.WaitGroup
 	running.Go(func() { _ = server.Serve(listener) })
 	return func() {
@@ -215,10 +215,10 @@
 }
 
 // service returns the platform's services as a process reaches them.
-func (s *Site) service(process string) platform.Service {
+func (s *Site) service(process string) store.Service {
 	transport := &http.Transport{DialContext: s.settings.Host(process).Dial}
 	s.transports = append(s.transports, transport)
-	return platform.NewClient(s.PlatformAddress, &http.Client{Transport: transport})
+	return store.NewClient(s.PlatformAddress, &http.Client{Transport: transport})
 }
 
 func (s *Site) recorder(name string) *event.Recorder {
--- a/dev/site_test.go
+++ b/dev/site_test.go
@@ -16,7 +16,7 @@
 	"dogwoodglade/dev"
 	"dogwoodglade/internal/memnet"
 	"dogwoodglade/io/caller"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // site is a whole site on a paused clock, with a client of each entry.
@@ -243,7 +243,7 @@
 func TestServiceGoesOnDuringAPlatformOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := startSite(t, dev.Settings{})
-		if err := s.Platform.SetFaults(platform.Faults{Down: true}); err != nil {
+		if err := s.Platform.SetFaults(store.Faults{Down: true}); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(20 * time.Second)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -1,7 +1,7 @@
 // Package entry is the process on an entry host.
 //
 // It connects the decisions of core to callers (io/caller), agents and other entries (io/inner) and the
-// platform (io/platform). Each entry is a front for callers, the owner of some key shards and the allocator
+// platform (io/store). Each entry is a front for callers, the owner of some key shards and the allocator
 // of some pools. If another entry fails, its shards and pools move to the live ones; if the platform fails,
 // service goes on without edits.
 package entry
@@ -27,7 +27,7 @@
 	"dogwoodglade/core/table"
 	"dogwoodglade/io/caller"
 	"dogwoodglade/io/inner"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 	"dogwoodglade/io/tables"
 )
 
@@ -51,7 +51,7 @@
 	CallerAddress string
 	Peers         []string // addresses of the inner protocol of other entries
 	DrainTimeout  time.Duration
-	Platform      platform.Service
+	Platform      store.Service
 	Recorder      *event.Recorder
 	Metrics       metrics.Registry
 	Dial          inner.DialFunc
--- a/entry/front_test.go
+++ b/entry/front_test.go
@@ -15,7 +15,7 @@
 	"dogwoodglade/core/task"
 	"dogwoodglade/internal/memnet"
 	"dogwoodglade/io/inner"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // startEntry starts an entry and waits until it owns all shards.
@@ -24,7 +24,7 @@
 	host := memnet.New().Host("entry")
 	e, cleanUp, err := New(Options{
 		Name: "entry", InnerAddress: "127.0.0.1:1", CallerAddress: "127.0.0.1:2",
-		Platform: platform.NewMemory(platform.DefaultLimits, rand.New(rand.NewPCG(1, 0))),
+		Platform: store.NewMemory(store.DefaultLimits, rand.New(rand.NewPCG(1, 0))),
 		Recorder: event.NewRecorder("entry", 100, time.Now), Dial: host.Dial, Listen: host.Listen,
 	})
 	if err != nil {
--- a/entry/ownership.go
+++ b/entry/ownership.go
@@ -14,7 +14,7 @@
 	"dogwoodglade/core/shard"
 	"dogwoodglade/core/task"
 	"dogwoodglade/io/inner"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // fencesPerCall bounds the records in one answer of an agent.
@@ -179,7 +179,7 @@
 // fetchShards returns the Shards row. An absent row is the zero row.
 func (e *Entry) fetchShards(ctx context.Context) (ownership.ShardsRow, error) {
 	var row ownership.ShardsRow
-	rows, err := e.options.Platform.Get(ctx, platform.ShardsKey)
+	rows, err := e.options.Platform.Get(ctx, store.ShardsKey)
 	if err != nil {
 		return row, errors.Wrap(err, "read the epochs of the shards")
 	}
@@ -207,12 +207,12 @@
 	row := action.Row
 	data, err := json.Marshal(row)
 	if err == nil {
-		row.Version, err = e.options.Platform.Commit(ctx, platform.Transaction{
-			Checks: []platform.Check{{Key: platform.ShardsKey, Version: action.Row.Version}},
-			Writes: []platform.Write{{Key: platform.ShardsKey, Value: data}},
+		row.Version, err = e.options.Platform.Commit(ctx, store.Transaction{
+			Checks: []store.Check{{Key: store.ShardsKey, Version: action.Row.Version}},
+			Writes: []store.Write{{Key: store.ShardsKey, Value: data}},
 		})
 	}
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		e.readShards(ctx)
 		return
@@ -236,7 +236,7 @@
 }
 
 func (e *Entry) fetchRegistry(ctx context.Context) ([]ownership.AgentRow, error) {
-	rows, err := e.options.Platform.List(ctx, platform.AgentPrefix)
+	rows, err := e.options.Platform.List(ctx, store.AgentPrefix)
 	if err != nil {
 		return nil, errors.Wrap(err, "read the registry of agents")
 	}
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -12,7 +12,7 @@
 	"dogwoodglade/core/table"
 	"dogwoodglade/core/task"
 	"dogwoodglade/io/inner"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // dialled handles the connections that this entry opened to other entries. It sends on them; the other
@@ -127,7 +127,7 @@
 
 // recordsOf returns the start records that a drained agent left.
 func (e *Entry) recordsOf(ctx context.Context, r registration) (records []task.Record, left bool) {
-	rows, err := e.options.Platform.Get(ctx, platform.AgentKey(r.agent, r.incarnation))
+	rows, err := e.options.Platform.Get(ctx, store.AgentKey(r.agent, r.incarnation))
 	if err != nil || len(rows) == 0 {
 		return nil, false
 	}
--- a/entry/registry.go
+++ b/entry/registry.go
@@ -8,7 +8,7 @@
 
 	"dogwoodglade/core/ownership"
 	"dogwoodglade/io/inner"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // registryInterval is the time between two clean-ups of the registry of agents.
@@ -22,7 +22,7 @@
 func (e *Entry) cleanRegistry(now time.Time) {
 	ctx, cancel := context.WithTimeout(e.background.ctx, platformTimeout)
 	defer cancel()
-	rows, err := e.options.Platform.List(ctx, platform.AgentPrefix)
+	rows, err := e.options.Platform.List(ctx, store.AgentPrefix)
 	if err != nil {
 		return
 	}
@@ -66,13 +66,13 @@
 	return p != nil && p.Incarnation == incarnation
 }
 
-func (e *Entry) removeAgentRow(ctx context.Context, row platform.Row, a ownership.AgentRow) {
+func (e *Entry) removeAgentRow(ctx context.Context, row store.Row, a ownership.AgentRow) {
 	if a.Records != "" && e.options.Platform.DeleteObject(ctx, a.Records) != nil {
 		return
 	}
 	// A failure is repeated by the next clean-up.
-	_, _ = e.options.Platform.Commit(ctx, platform.Transaction{
-		Checks: []platform.Check{{Key: row.Key, Version: row.Version}},
-		Writes: []platform.Write{{Key: row.Key, Delete: true}},
+	_, _ = e.options.Platform.Commit(ctx, store.Transaction{
+		Checks: []store.Check{{Key: row.Key, Version: row.Version}},
+		Writes: []store.Write{{Key: row.Key, Delete: true}},
 	})
 }
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -19,19 +19,19 @@
 	"dogwoodglade/core/pool"
 	"dogwoodglade/core/route"
 	"dogwoodglade/core/table"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 	"dogwoodglade/io/tables"
 )
 
 type server struct {
-	store   *platform.Memory
+	store   *store.Memory
 	http    *httptest.Server
 	unready []string
 }
 
 func newServer(t *testing.T) *server {
 	t.Helper()
-	s := &server{store: platform.NewMemory(platform.Limits{}, rand.New(rand.NewPCG(1, 0)))}
+	s := &server{store: store.NewMemory(store.Limits{}, rand.New(rand.NewPCG(1, 0)))}
 	wall := time.Unix(0, 0)
 	recorder := event.NewRecorder("entry-1", 100, func() time.Time { return wall })
 	current, stop := tables.New(tables.Config{
@@ -58,7 +58,7 @@
 	datadriven.RunTest(t, "testdata/operator", func(t *testing.T, d *datadriven.TestData) string {
 		switch d.Cmd {
 		case "platform":
-			if err := s.store.SetFaults(platform.Faults{Down: d.HasArg("down")}); err != nil {
+			if err := s.store.SetFaults(store.Faults{Down: d.HasArg("down")}); err != nil {
 				t.Fatal(err)
 			}
 			return ""
--- a/io/platform/key.go
+++ b/io/store/key.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 // Keys of the rows. All rows of the tables share TablesPrefix, so that one List reads a consistent state
 // of heads and rows.
--- a/io/platform/memory_test.go
+++ b/io/store/memory_test.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
--- a/io/platform/platform.go
+++ b/io/store/store.go
@@ -1,10 +1,10 @@
-// Package platform is the conversation with the platform's transactional table service and object store.
+// Package store is the conversation with the platform's transactional table service and object store.
 //
 // It owns the interface of both services, the errors they report, the HTTP client, and an in-memory
 // stand-in with its HTTP server. Entries, agents and the tables of routes and pools call it. If the
 // platform fails, every call returns a typed error within its context's deadline; a write whose answer
 // did not arrive is reported as OutcomeUnknownError, because it may have taken effect.
-package platform
+package store
 
 import "context"
 
--- a/io/tables/bench_test.go
+++ b/io/tables/bench_test.go
@@ -16,7 +16,7 @@
 	"dogwoodglade/core/pool"
 	"dogwoodglade/core/route"
 	"dogwoodglade/core/table"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 var benchmarkRows = []int{10, 100, 1_000, 10_000}
@@ -41,16 +41,16 @@
 
 // fixture is a Tables without its goroutines, over HTTP on loopback, with rows in the store.
 type fixture struct {
-	store  *platform.Memory
+	store  *store.Memory
 	tables *Tables
 	bytes  atomic.Int64
 }
 
 func newFixture(b *testing.B, rows int) *fixture {
 	b.Helper()
-	f := &fixture{store: platform.NewMemory(platform.Limits{}, rand.New(rand.NewPCG(1, 0)))}
+	f := &fixture{store: store.NewMemory(store.Limits{}, rand.New(rand.NewPCG(1, 0)))}
 	fill(b, f.store, rows)
-	server := httptest.NewServer(platform.Handler(f.store))
+	server := httptest.NewServer(store.Handler(f.store))
 	b.Cleanup(server.Close)
 	client := &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -63,7 +63,7 @@
 	}}
 	b.Cleanup(client.CloseIdleConnections)
 	f.tables = newTables(Config{
-		Platform: platform.NewClient(server.Listener.Addr().String(), client),
+		Platform: store.NewClient(server.Listener.Addr().String(), client),
 		Record:   func(event.Event) {},
 		Random:   rand.New(rand.NewPCG(1, 1)),
 	})
@@ -75,34 +75,34 @@
 
 // fill writes a tenth of the rows as pools and the others as routes, with heads that have their full
 // number of recent edits.
-func fill(b *testing.B, store *platform.Memory, rows int) {
+func fill(b *testing.B, memory *store.Memory, rows int) {
 	b.Helper()
 	var heads table.Heads
 	pools := max(1, rows/10)
 	for i := range rows {
 		e := table.SetPool(fmt.Sprintf("edit-%024d", i), pool.New(fmt.Sprintf("pool-%d", i)))
-		head, key, row := &heads.Pools, platform.PoolPrefix, any(e.Pool)
+		head, key, row := &heads.Pools, store.PoolPrefix, any(e.Pool)
 		if i >= pools {
 			e = table.SetRoute(e.ID, route.New(fmt.Sprintf("route-%d", i), fmt.Sprintf("pool-%d", i%pools)))
-			head, key, row = &heads.Routes, platform.RoutePrefix, any(e.Route)
+			head, key, row = &heads.Routes, store.RoutePrefix, any(e.Route)
 		}
 		var err error
 		if *head, err = head.With(e); err != nil {
 			b.Fatal(err)
 		}
-		write(b, store, key+e.Row, row)
+		write(b, memory, key+e.Row, row)
 	}
-	write(b, store, platform.RoutesHeadKey, heads.Routes)
-	write(b, store, platform.PoolsHeadKey, heads.Pools)
+	write(b, memory, store.RoutesHeadKey, heads.Routes)
+	write(b, memory, store.PoolsHeadKey, heads.Pools)
 }
 
-func write(b *testing.B, store *platform.Memory, key string, value any) {
+func write(b *testing.B, memory *store.Memory, key string, value any) {
 	b.Helper()
 	data, err := json.Marshal(value)
 	if err != nil {
 		b.Fatal(err)
 	}
-	if _, err := store.Commit(b.Context(), platform.Transaction{Writes: []platform.Write{{Key: key, Value: data}}}); err != nil {
+	if _, err := memory.Commit(b.Context(), store.Transaction{Writes: []store.Write{{Key: key, Value: data}}}); err != nil {
 		b.Fatal(err)
 	}
 }
@@ -186,7 +186,7 @@
 func (f *fixture) heapPerRow(b *testing.B, rows int) float64 {
 	b.Helper()
 	copies := max(10, 50_000/rows) // so that the snapshots outweigh other changes of the heap
-	stored, err := f.store.List(b.Context(), platform.TablesPrefix)
+	stored, err := f.store.List(b.Context(), store.TablesPrefix)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/io/tables/edit.go
+++ b/io/tables/edit.go
@@ -9,7 +9,7 @@
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/route"
 	"dogwoodglade/core/table"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // Waits between the attempts of an edit. Other entries edit at the same time, so the waits vary.
@@ -46,7 +46,7 @@
 		if err == nil || !repeats(err, d.Sent) {
 			return accepted, err
 		}
-		var limited *platform.RateLimitedError
+		var limited *store.RateLimitedError
 		if errors.As(err, &limited) {
 			wait = max(wait, limited.RetryAfter)
 		}
@@ -58,7 +58,7 @@
 
 // gaveUp returns the error of an edit whose context ended between two attempts.
 func (t *Tables) gaveUp(d table.Draft, last error) error {
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	switch {
 	case d.Sent:
 		return errors.WithSecondaryError(&table.UncertainError{ID: d.Edit.ID, Base: d.Base}, last)
@@ -77,7 +77,7 @@
 		return table.Edit{}, err
 	}
 	if s.state.Versions != s.heads.Versions() {
-		return table.Edit{}, errors.WithStack(&platform.ConflictError{Current: s.checks})
+		return table.Edit{}, errors.WithStack(&store.ConflictError{Current: s.checks})
 	}
 	decision, err := table.Prepare(s.state, s.heads, *d)
 	if err != nil {
@@ -101,7 +101,7 @@
 		return table.Edit{}, err
 	}
 	if _, err := t.config.Platform.Commit(ctx, transaction); err != nil {
-		var lost *platform.OutcomeUnknownError
+		var lost *store.OutcomeUnknownError
 		d.Sent = d.Sent || errors.As(err, &lost)
 		return table.Edit{}, err
 	}
@@ -120,10 +120,10 @@
 // taken effect, its outcome must be read back even though the platform fails now.
 func repeats(err error, sent bool) bool {
 	var (
-		conflict    *platform.ConflictError
-		lost        *platform.OutcomeUnknownError
-		limited     *platform.RateLimitedError
-		unavailable *platform.UnavailableError
+		conflict    *store.ConflictError
+		lost        *store.OutcomeUnknownError
+		limited     *store.RateLimitedError
+		unavailable *store.UnavailableError
 	)
 	return errors.As(err, &conflict) || errors.As(err, &lost) || errors.As(err, &limited) ||
 		sent && errors.As(err, &unavailable)
@@ -169,12 +169,12 @@
 // failureOf returns the name of the kind of a platform's failure, or "" if there is none.
 func failureOf(err error) string {
 	var (
-		lost        *platform.OutcomeUnknownError
-		limited     *platform.RateLimitedError
-		tooLarge    *platform.TooLargeError
+		lost        *store.OutcomeUnknownError
+		limited     *store.RateLimitedError
+		tooLarge    *store.TooLargeError
 		decode      *DecodeError
 		stale       *StaleStoreError
-		unavailable *platform.UnavailableError
+		unavailable *store.UnavailableError
 	)
 	switch {
 	case err == nil:
--- a/io/tables/edit_test.go
+++ b/io/tables/edit_test.go
@@ -18,7 +18,7 @@
 	"dogwoodglade/core/pool"
 	"dogwoodglade/core/route"
 	"dogwoodglade/core/table"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // model is the sequential specification of the tables: three routes to the pools p and q, of which q may
@@ -179,7 +179,7 @@
 
 // read reads the rows from the store, past the entries. A read that fails is no part of the history.
 func (r *race) read(client int, call int64) {
-	rows, err := r.site.store.List(r.site.t.Context(), platform.TablesPrefix)
+	rows, err := r.site.store.List(r.site.t.Context(), store.TablesPrefix)
 	if err != nil {
 		return
 	}
@@ -199,7 +199,7 @@
 // fail injects faults at random until the context ends.
 func (r *race) fail(ctx context.Context, random *rand.Rand) {
 	for sleep(ctx, time.Duration(random.IntN(1500))*time.Millisecond) {
-		r.site.fault([]platform.Faults{
+		r.site.fault([]store.Faults{
 			{},
 			{Down: true},
 			{LostAnswers: 0.5},
@@ -210,7 +210,7 @@
 }
 
 // runRace returns the history of one race over the table service that wrap makes of the store.
-func runRace(t *testing.T, seed uint64, wrap func(platform.Table) platform.Table) (history []porcupine.Operation) {
+func runRace(t *testing.T, seed uint64, wrap func(store.Table) store.Table) (history []porcupine.Operation) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, seed, true)
 		s.service = wrap(s.store)
@@ -227,7 +227,7 @@
 		operators.Wait()
 		cancel()
 		synctest.Wait()
-		s.fault(platform.Faults{})
+		s.fault(store.Faults{})
 		time.Sleep(5 * time.Second)
 		r.read(0, r.clock.Add(1))
 		history = r.history
@@ -247,7 +247,7 @@
 func TestEditHistoryIsLinearizable(t *testing.T) {
 	reasons := map[string]int{}
 	for seed := range uint64(60) {
-		history := runRace(t, seed, func(store platform.Table) platform.Table { return store })
+		history := runRace(t, seed, func(store store.Table) store.Table { return store })
 		for _, op := range history {
 			if !op.Input.(input).read {
 				reasons[op.Output.(output).reason]++
@@ -269,17 +269,17 @@
 }
 
 // uncheckedTable commits transactions without their checks.
-type uncheckedTable struct{ platform.Table }
+type uncheckedTable struct{ store.Table }
 
-func (u uncheckedTable) Commit(ctx context.Context, t platform.Transaction) (uint64, error) {
+func (u uncheckedTable) Commit(ctx context.Context, t store.Transaction) (uint64, error) {
 	t.Checks = nil
 	return u.Table.Commit(ctx, t)
 }
 
 // forgetfulTable commits heads without edit IDs, so that an own edit is not recognised.
-type forgetfulTable struct{ platform.Table }
+type forgetfulTable struct{ store.Table }
 
-func (f forgetfulTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (f forgetfulTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	rows, err := f.Table.Get(ctx, keys...)
 	for i := range rows {
 		rows[i].Value = forgetIDs(rows[i].Value)
@@ -289,7 +289,7 @@
 
 func forgetIDs(head []byte) []byte {
 	var h table.Head
-	if decodeRow(platform.Row{Value: head}, &h) != nil {
+	if decodeRow(store.Row{Value: head}, &h) != nil {
 		return head
 	}
 	for i := range h.Recent {
@@ -305,9 +305,9 @@
 // Guards against a check of histories that accepts anything: it must reject transactions without their
 // checks and edits that are applied twice.
 func TestLinearizabilityCheckRejectsFaultyStores(t *testing.T) {
-	for name, wrap := range map[string]func(platform.Table) platform.Table{
-		"unchecked": func(store platform.Table) platform.Table { return uncheckedTable{store} },
-		"forgetful": func(store platform.Table) platform.Table { return forgetfulTable{store} },
+	for name, wrap := range map[string]func(store.Table) store.Table{
+		"unchecked": func(store store.Table) store.Table { return uncheckedTable{store} },
+		"forgetful": func(store store.Table) store.Table { return forgetfulTable{store} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(60) {
--- a/io/tables/store.go
+++ b/io/tables/store.go
@@ -11,7 +11,7 @@
 	"dogwoodglade/core/pool"
 	"dogwoodglade/core/route"
 	"dogwoodglade/core/table"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // StaleStoreError reports a platform whose tables are older than those already in force. An edit accepted
@@ -25,7 +25,7 @@
 // Error implements error.
 func (e *StaleStoreError) Error() string {
 	return fmt.Sprintf("read %s: the platform has version %d, but version %d is in force; restore the platform's "+
-		"rows under %s to the newer version", e.Table, e.Store, e.Have, platform.TablesPrefix)
+		"rows under %s to the newer version", e.Table, e.Store, e.Have, store.TablesPrefix)
 }
 
 // DecodeError reports a row of the platform that is not what this package writes.
@@ -43,14 +43,14 @@
 // stored is the state of the tables in the platform at one moment.
 type stored struct {
 	heads  table.Heads
-	checks []platform.Check // versions of the rows of the heads
+	checks []store.Check // versions of the rows of the heads
 	state  table.Snapshot   // rows at the versions of the heads; the tables of the process may be newer
 }
 
 // read reads the heads, and all rows if edits are missing, and takes over what is new.
 func (t *Tables) read(ctx context.Context) (stored, error) {
 	before := t.Current().Versions
-	rows, err := t.config.Platform.Get(ctx, platform.RoutesHeadKey, platform.PoolsHeadKey)
+	rows, err := t.config.Platform.Get(ctx, store.RoutesHeadKey, store.PoolsHeadKey)
 	if err != nil {
 		return stored{}, err
 	}
@@ -84,7 +84,7 @@
 }
 
 func (t *Tables) readAll(ctx context.Context) (stored, error) {
-	rows, err := t.config.Platform.List(ctx, platform.TablesPrefix)
+	rows, err := t.config.Platform.List(ctx, store.TablesPrefix)
 	if err != nil {
 		return stored{}, err
 	}
@@ -99,10 +99,10 @@
 }
 
 // decodeHeads decodes the rows of the heads. An absent row is a table without edits.
-func (s *stored) decodeHeads(rows []platform.Row) error {
+func (s *stored) decodeHeads(rows []store.Row) error {
 	for _, row := range rows {
 		head := &s.heads.Routes
-		if row.Key == platform.PoolsHeadKey {
+		if row.Key == store.PoolsHeadKey {
 			head = &s.heads.Pools
 		}
 		if row.Version > 0 {
@@ -110,25 +110,25 @@
 				return err
 			}
 		}
-		s.checks = append(s.checks, platform.Check{Key: row.Key, Version: row.Version})
+		s.checks = append(s.checks, store.Check{Key: row.Key, Version: row.Version})
 	}
 	return nil
 }
 
-func decodeAll(rows []platform.Row) (stored, error) {
-	heads := map[string]platform.Row{}
+func decodeAll(rows []store.Row) (stored, error) {
+	heads := map[string]store.Row{}
 	var routes []route.Route
 	var pools []pool.Pool
 	for _, row := range rows {
 		var err error
 		switch {
-		case row.Key == platform.RoutesHeadKey, row.Key == platform.PoolsHeadKey:
+		case row.Key == store.RoutesHeadKey, row.Key == store.PoolsHeadKey:
 			heads[row.Key] = row
-		case strings.HasPrefix(row.Key, platform.RoutePrefix):
+		case strings.HasPrefix(row.Key, store.RoutePrefix):
 			var r route.Route
 			err = decodeRow(row, &r)
 			routes = append(routes, r)
-		case strings.HasPrefix(row.Key, platform.PoolPrefix):
+		case strings.HasPrefix(row.Key, store.PoolPrefix):
 			var p pool.Pool
 			err = decodeRow(row, &p)
 			pools = append(pools, p)
@@ -138,10 +138,10 @@
 		}
 	}
 	var s stored
-	for _, key := range []string{platform.RoutesHeadKey, platform.PoolsHeadKey} {
+	for _, key := range []string{store.RoutesHeadKey, store.PoolsHeadKey} {
 		row := heads[key]
 		row.Key = key
-		if err := s.decodeHeads([]platform.Row{row}); err != nil {
+		if err := s.decodeHeads([]store.Row{row}); err != nil {
 			return stored{}, err
 		}
 	}
@@ -149,7 +149,7 @@
 	return s, nil
 }
 
-func decodeRow(row platform.Row, value any) error {
+func decodeRow(row store.Row, value any) error {
 	if err := json.Unmarshal(row.Value, value); err != nil {
 		return errors.WithStack(&DecodeError{Key: row.Key, Cause: err})
 	}
@@ -158,27 +158,27 @@
 
 // transaction returns the transaction that writes the row and the head of an edit and requires that
 // neither head has changed.
-func (s stored) transaction(c table.Commit) (platform.Transaction, error) {
-	headKey, rowKey := platform.RoutesHeadKey, platform.RoutePrefix+c.Edit.Row
+func (s stored) transaction(c table.Commit) (store.Transaction, error) {
+	headKey, rowKey := store.RoutesHeadKey, store.RoutePrefix+c.Edit.Row
 	var row any = c.Edit.Route
 	if c.Edit.Table == table.Pools {
-		headKey, rowKey = platform.PoolsHeadKey, platform.PoolPrefix+c.Edit.Row
+		headKey, rowKey = store.PoolsHeadKey, store.PoolPrefix+c.Edit.Row
 		row = c.Edit.Pool
 	}
 	head, err := json.Marshal(c.Head)
 	if err != nil {
-		return platform.Transaction{}, errors.Wrap(err, "encode head")
+		return store.Transaction{}, errors.Wrap(err, "encode head")
 	}
-	write := platform.Write{Key: rowKey, Delete: true}
+	write := store.Write{Key: rowKey, Delete: true}
 	if !c.Edit.Deletes() {
 		data, err := json.Marshal(row)
 		if err != nil {
-			return platform.Transaction{}, errors.Wrap(err, "encode row")
+			return store.Transaction{}, errors.Wrap(err, "encode row")
 		}
-		write = platform.Write{Key: rowKey, Value: data}
+		write = store.Write{Key: rowKey, Value: data}
 	}
-	return platform.Transaction{
+	return store.Transaction{
 		Checks: s.checks,
-		Writes: []platform.Write{{Key: headKey, Value: head}, write},
+		Writes: []store.Write{{Key: headKey, Value: head}, write},
 	}, nil
 }
--- a/io/tables/tables.go
+++ b/io/tables/tables.go
@@ -17,7 +17,7 @@
 
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/table"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 // Times of the poller. An accepted edit must be in force everywhere within 4 s, even on an entry that only
@@ -39,7 +39,7 @@
 
 // Config is what a Tables needs of its process.
 type Config struct {
-	Platform platform.Table
+	Platform store.Table
 	// Pull asks a peer for what it has beyond the given versions.
 	Pull func(ctx context.Context, peer string, since table.Versions) (table.Answer, error)
 	// Adopted is called with each new snapshot, in order. It must neither block nor call the Tables.
--- a/io/tables/tables_test.go
+++ b/io/tables/tables_test.go
@@ -15,7 +15,7 @@
 	"dogwoodglade/core/pool"
 	"dogwoodglade/core/route"
 	"dogwoodglade/core/table"
-	"dogwoodglade/io/platform"
+	"dogwoodglade/io/store"
 )
 
 const (
@@ -26,8 +26,8 @@
 // site is several entries with one platform. Entries ping each other while linked.
 type site struct {
 	t       *testing.T
-	store   *platform.Memory
-	service platform.Table // the store, or a wrapper of it
+	store   *store.Memory
+	service store.Table // the store, or a wrapper of it
 	random  *rand.Rand
 	linked  bool
 	entries []*Tables
@@ -38,7 +38,7 @@
 
 func newSite(t *testing.T, seed uint64, linked bool) *site {
 	random := rand.New(rand.NewPCG(seed, 0))
-	store := platform.NewMemory(platform.DefaultLimits, random)
+	store := store.NewMemory(store.DefaultLimits, random)
 	t.Cleanup(func() { time.Sleep(10 * time.Second) }) // for delayed operations of the store to end
 	return &site{t: t, store: store, service: store, random: random, linked: linked}
 }
@@ -98,7 +98,7 @@
 	time.Sleep(2 * time.Second)
 }
 
-func (s *site) fault(f platform.Faults) {
+func (s *site) fault(f store.Faults) {
 	s.t.Helper()
 	if err := s.store.SetFaults(f); err != nil {
 		s.t.Fatal(err)
@@ -149,10 +149,10 @@
 			s := newSite(t, seed, true)
 			s.startMany(5)
 			accepted := s.edit(s.entries[0], table.SetPool("e1", pool.New("p1")))
-			s.fault(platform.Faults{Down: true})
+			s.fault(store.Faults{Down: true})
 			longest = max(longest, s.inForce(accepted.Version))
 			time.Sleep(30 * time.Second)
-			s.fault(platform.Faults{})
+			s.fault(store.Faults{})
 			time.Sleep(5 * time.Second)
 			for i, entry := range s.entries {
 				if _, ok := entry.Current().Pools["p1"]; !ok {
@@ -176,9 +176,9 @@
 			s := newSite(t, seed, false)
 			s.startMany(5)
 			longest = max(longest, s.inForce(s.edit(s.entries[0], table.SetPool("e1", pool.New("p1"))).Version))
-			s.fault(platform.Faults{Down: true})
+			s.fault(store.Faults{Down: true})
 			time.Sleep(time.Minute)
-			s.fault(platform.Faults{})
+			s.fault(store.Faults{})
 			longest = max(longest, s.inForce(s.edit(s.entries[1], table.SetPool("e2", pool.New("p2"))).Version))
 			for i := range 3 * table.RecentEdits { // more than the head keeps: all rows are read
 				s.edit(s.entries[2], table.SetPool(fmt.Sprint("n", i), pool.New("p3").WithSlots(i)))
@@ -193,7 +193,7 @@
 
 // Guards against an entry that cannot start while the store is down or slow.
 func TestStartDuringOutage(t *testing.T) {
-	for name, faults := range map[string]platform.Faults{
+	for name, faults := range map[string]store.Faults{
 		"down": {Down: true}, "slow": {Delay: 8 * time.Second}, "answers lost": {LostAnswers: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -225,7 +225,7 @@
 		for i := range 2 * table.RecentEdits {
 			s.edit(editor, table.SetPool(fmt.Sprint("n", i), pool.New("p")))
 		}
-		s.fault(platform.Faults{Delay: 3 * time.Second})
+		s.fault(store.Faults{Delay: 3 * time.Second})
 		late := s.start()
 		time.Sleep(10 * time.Second) // a timeout, and two reads of 3 s
 		if !late.Ready() || late.Current().Versions != editor.Current().Versions {
@@ -241,14 +241,14 @@
 
 // countingTable counts reads of the heads by interval.
 type countingTable struct {
-	platform.Table
+	store.Table
 	mu    sync.Mutex
 	reads map[time.Time]int
 }
 
 const herdInterval = 100 * time.Millisecond
 
-func (c *countingTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (c *countingTable) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	c.mu.Lock()
 	c.reads[time.Now().Truncate(herdInterval)]++
 	c.mu.Unlock()
@@ -263,11 +263,11 @@
 		counting := &countingTable{Table: s.store, reads: map[time.Time]int{}}
 		s.service = counting
 		s.startMany(entries)
-		s.fault(platform.Faults{Down: true})
+		s.fault(store.Faults{Down: true})
 		time.Sleep(10 * time.Second)
 		from := time.Now()
 		time.Sleep(10 * time.Second)
-		s.fault(platform.Faults{})
+		s.fault(store.Faults{})
 		time.Sleep(10 * time.Second)
 		total, peak := 0, 0
 		counting.mu.Lock()
@@ -295,7 +295,7 @@
 		s.startMany(1)
 		s.edit(s.entries[0], table.SetPool("e1", pool.New("p1")))
 		s.edit(s.entries[0], table.SetPool("e2", pool.New("p2")))
-		s.service = platform.NewMemory(platform.Limits{}, s.random)
+		s.service = store.NewMemory(store.Limits{}, s.random)
 		other := s.start()
 		s.inForce(2)
 		_, err := other.Edit(t.Context(), table.SetRoute("e3", route.New("r1", "p1")), 0)
