--- /dev/null
+++ b/batchentry/call.go
@@ -0,0 +1,250 @@
+package batchentry
+
+import (
+	"context"
+	"time"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/dispatch"
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/site"
+	"dogwoodglade/io/inner"
+)
+
+// call is an open job, with everyone who waits for its outcome.
+type call struct {
+	job       batch.Job
+	arrived   time.Time
+	waiters   []chan batch.Outcome // callers of this entry
+	origins   map[string]bool      // entries that passed the job on to this one
+	forwarded string               // the entry that dispatches the job; "" is this one
+	retried   bool                 // another entry refused it
+}
+
+// Submit runs a job and returns its outcome. If the context ends first and nobody else waits for the job, the
+// job is cancelled.
+func (e *Entry) Submit(ctx context.Context, j batch.Job) batch.Outcome {
+	outcome := make(chan batch.Outcome, 1)
+	e.mu.Lock()
+	c := e.callOf(j)
+	c.waiters = append(c.waiters, outcome)
+	e.begin(c)
+	e.mu.Unlock()
+	select {
+	case o := <-outcome:
+		return o
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, w := range c.waiters {
+		if w == outcome {
+			c.waiters = append(c.waiters[:i], c.waiters[i+1:]...)
+			e.cancelUnwanted(c, "CallerLeft")
+			break
+		}
+	}
+	return batch.Cancelled{}
+}
+
+// callOf returns the open call of a job, or a new one that is not begun.
+func (e *Entry) callOf(j batch.Job) *call {
+	c, ok := e.calls[j.ID]
+	if !ok {
+		c = &call{job: j, origins: map[string]bool{}}
+	}
+	return c
+}
+
+// begin decides where a new call is dispatched. A call that is open already goes on.
+func (e *Entry) begin(c *call) {
+	if e.calls[c.job.ID] == c {
+		e.log(event.JobResubmitted).Str("Job", string(c.job.ID)).Send()
+		return
+	}
+	c.arrived = e.options.Now()
+	e.calls[c.job.ID] = c
+	e.measures.submitted.Inc(1)
+	e.choose(c)
+}
+
+func (e *Entry) choose(c *call) {
+	now := e.options.Now()
+	// A job that another entry passed on is dispatched here, or jobs could go in circles.
+	if len(c.origins) == 0 {
+		to := e.peers.Choose(now, e.dispatcher.Load(), c.job)
+		if x, ok := e.entries[to]; ok && e.sendTo(x, func(p *inner.Peer) bool {
+			return p.Forward(c.job.WithPatience(max(c.job.Patience-now.Sub(c.arrived), 0)))
+		}) {
+			c.forwarded = to
+			e.measures.forwarded.Inc(1)
+			return
+		}
+	}
+	c.forwarded = ""
+	e.perform(e.dispatcher.Submit(now, c.job))
+}
+
+// sendTo sends on one of the connections of an entry.
+func (e *Entry) sendTo(x *entrySession, send func(p *inner.Peer) bool) bool {
+	for p := range x.peers {
+		if send(p) {
+			return true
+		}
+	}
+	return false
+}
+
+// cancelUnwanted cancels a call that nobody waits for.
+func (e *Entry) cancelUnwanted(c *call, why string) {
+	if len(c.waiters) > 0 || len(c.origins) > 0 || e.calls[c.job.ID] != c {
+		return
+	}
+	e.log(event.JobCancelled).Str("Job", string(c.job.ID)).Str("Route", c.job.Route).Str("State", why).
+		Dur("Taken", e.options.Now().Sub(c.arrived)).Str("Peer", c.forwarded).Send()
+	e.measures.cancelled.Inc(1)
+	delete(e.calls, c.job.ID)
+	e.withdraw(c)
+}
+
+func (e *Entry) withdraw(c *call) {
+	if x, ok := e.entries[c.forwarded]; ok {
+		e.sendTo(x, func(p *inner.Peer) bool { return p.WithdrawJob(c.job.ID, false) })
+		return
+	}
+	if c.forwarded == "" {
+		e.perform(e.dispatcher.Cancel(e.options.Now(), c.job.ID))
+	}
+}
+
+// deliver ends a call.
+func (e *Entry) deliver(c *call, o batch.Outcome) {
+	delete(e.calls, c.job.ID)
+	for _, w := range c.waiters {
+		w <- o
+	}
+	for origin := range c.origins {
+		if x, ok := e.entries[origin]; ok {
+			e.sendTo(x, func(p *inner.Peer) bool { return p.Forwarded(c.job.ID, o) })
+		}
+	}
+}
+
+// perform performs the actions of the dispatcher.
+func (e *Entry) perform(actions []dispatch.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case *dispatch.StartRuns:
+			if a, ok := e.agents[action.Agent]; ok {
+				a.peer.Runs(action.Starts, nil)
+			}
+		case *dispatch.StopRuns:
+			// The runs of a lost agent end with its session.
+			if a, ok := e.agents[action.Agent]; ok {
+				a.peer.Runs(nil, action.Runs)
+			}
+		case dispatch.Answer:
+			e.logAnswer(action)
+			if c, ok := e.calls[action.Job]; ok && c.forwarded == "" {
+				e.deliver(c, action.Outcome)
+			}
+		}
+	}
+}
+
+// Forward implements inner.BatchEntryHandler.
+func (e *Entry) Forward(p *inner.Peer, j batch.Job) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.callOf(j)
+	c.origins[p.Name] = true
+	e.begin(c)
+}
+
+// Forwarded implements inner.BatchEntryHandler.
+func (e *Entry) Forwarded(p *inner.Peer, id batch.JobID, o batch.Outcome) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c, ok := e.calls[id]
+	if !ok || c.forwarded != p.Name {
+		return
+	}
+	if n, ok := o.(batch.NotRun); ok && !c.retried {
+		// The peer's load was not what it had reported. This entry decides once more.
+		c.retried = true
+		e.peers.Forget(p.Name)
+		e.log(event.JobRefused).Str("Job", string(id)).Str("Peer", p.Name).Str("State", string(n.Reason)).Send()
+		e.choose(c)
+		return
+	}
+	e.log(event.JobAnswered).Str("Job", string(id)).Str("Route", c.job.Route).Str("State", batch.Name(o)).
+		Str("Peer", p.Name).Dur("Taken", e.options.Now().Sub(c.arrived)).Send()
+	e.measures.answered(o, e.options.Now().Sub(c.arrived))
+	e.deliver(c, o)
+}
+
+// WithdrawJob implements inner.BatchEntryHandler.
+func (e *Entry) WithdrawJob(p *inner.Peer, id batch.JobID, forAll bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c, ok := e.calls[id]
+	switch {
+	case !ok:
+	case forAll:
+		e.cancel(c)
+	default:
+		delete(c.origins, p.Name)
+		e.cancelUnwanted(c, "Withdrawn")
+	}
+}
+
+// CancelJob cancels a job for all who wait for it, at this entry and the others. It reports whether the job was
+// open here.
+func (e *Entry) CancelJob(id batch.JobID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c, ok := e.calls[id]
+	if !ok {
+		for _, x := range e.entries {
+			e.sendTo(x, func(p *inner.Peer) bool { return p.WithdrawJob(id, true) })
+		}
+		return false
+	}
+	e.cancel(c)
+	return true
+}
+
+func (e *Entry) cancel(c *call) {
+	id := c.job.ID
+	e.log(event.JobCancelled).Str("Job", string(id)).Str("Route", c.job.Route).Str("State", "Asked").
+		Dur("Taken", e.options.Now().Sub(c.arrived)).Str("Peer", c.forwarded).Send()
+	e.measures.cancelled.Inc(1)
+	e.withdraw(c)
+	e.deliver(c, batch.Cancelled{})
+}
+
+// State reports whether a job is open here, and whether a run of it was ordered.
+func (e *Entry) State(id batch.JobID) (open, started bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c, ok := e.calls[id]
+	if !ok {
+		return false, false
+	}
+	_, started = e.dispatcher.Has(id)
+	return true, started || c.forwarded != ""
+}
+
+// Waiting returns the number of jobs of a route that wait here for their first start.
+func (e *Entry) Waiting(route string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dispatcher.Waiting(route)
+}
+
+// Configuration implements inner.BatchEntryHandler. Version 0 means that none was learned yet.
+func (e *Entry) Configuration() site.Configuration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.config
+}
--- /dev/null
+++ b/batchentry/log.go
@@ -0,0 +1,67 @@
+package batchentry
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/dispatch"
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/supervise"
+)
+
+var lostOutcome = batch.Unknown{Reason: batch.PeerLost}
+
+// log starts a line for a numbered event. docs/events.md is the catalogue.
+func (e *Entry) log(n event.Number) *zerolog.Event {
+	return e.options.Logger.Info().Int("Number", int(n)).Str("Event", n.String())
+}
+
+// logAnswer writes the line that explains the outcome of a job.
+func (e *Entry) logAnswer(a dispatch.Answer) {
+	number := event.JobAnswered
+	if _, ok := a.Outcome.(batch.NotRun); ok {
+		number = event.JobRefused
+	}
+	line := e.log(number).Str("Job", string(a.Job)).Str("Route", a.Route).Str("State", batch.Name(a.Outcome)).
+		Dur("Waited", a.Waited).Dur("Taken", a.Taken).Dur("Queue", a.Queue).Uint64("Version", e.config.Version)
+	if a.Agent != "" {
+		line = line.Str("Peer", a.Agent)
+	}
+	if o, ok := a.Outcome.(batch.Failed); ok {
+		line = line.Int("Step", o.Task.Step).Int("Task", o.Task.Index).Int("Attempt", o.Attempts)
+	}
+	line.Send()
+	e.measures.answered(a.Outcome, a.Taken)
+	e.measures.waited.Update(a.Waited.Microseconds())
+}
+
+func (e *Entry) logLost(now time.Time, c *call) {
+	e.log(event.JobAnswered).Str("Job", string(c.job.ID)).Str("Route", c.job.Route).
+		Str("State", batch.Name(lostOutcome)).Str("Peer", c.forwarded).Dur("Taken", now.Sub(c.arrived)).Send()
+	e.measures.answered(lostOutcome, now.Sub(c.arrived))
+}
+
+// logEnd writes a line for a run that did not succeed.
+func (e *Entry) logEnd(agent string, x supervise.Ended) {
+	number := event.TaskEnded
+	switch x.End {
+	case supervise.Done:
+		return
+	case supervise.Lost:
+		number = event.TaskLost
+	case supervise.Refused:
+		number = event.TaskRefused
+	case supervise.Failed, supervise.Stopped:
+	}
+	e.log(number).Str("Job", string(x.Task.Job)).Int("Step", x.Task.Step).Int("Task", x.Task.Index).
+		Int("Attempt", x.Attempt).Str("Peer", agent).Str("State", string(x.End)).Str("Reason", x.Reason).
+		Dur("RunTime", x.RunTime).Send()
+}
+
+// Refused writes the line of a request that was refused before it became a job.
+func (e *Entry) Refused(id, route, reason string) {
+	e.log(event.JobRefused).Str("Job", id).Str("Route", route).Str("State", reason).Send()
+	e.measures.rejected.Inc(1)
+}
--- /dev/null
+++ b/batchentry/measure.go
@@ -0,0 +1,73 @@
+package batchentry
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/dispatch"
+)
+
+// sampleSize bounds the memory of a histogram. The samples are from about the last five minutes.
+const (
+	sampleSize  = 512
+	sampleAlpha = 0.015 // weight of recent samples, as go-metrics recommends for five minutes
+)
+
+// measures are the counters, gauges and histograms of an entry. Histograms are in microseconds.
+type measures struct {
+	registry  metrics.Registry
+	submitted metrics.Counter
+	forwarded metrics.Counter
+	cancelled metrics.Counter
+	rejected  metrics.Counter // before they became jobs
+	waited    metrics.Histogram
+	taken     metrics.Histogram
+	queue     metrics.GaugeFloat64
+	open      metrics.Gauge
+	waiting   metrics.Gauge
+	cores     metrics.GaugeFloat64
+	free      metrics.GaugeFloat64
+	agents    metrics.Gauge
+	entries   metrics.Gauge
+}
+
+func newMeasures(r metrics.Registry) measures {
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	return measures{
+		registry:  r,
+		submitted: metrics.GetOrRegisterCounter("Batch.Submitted", r),
+		forwarded: metrics.GetOrRegisterCounter("Batch.Forwarded", r),
+		cancelled: metrics.GetOrRegisterCounter("Batch.Cancelled", r),
+		rejected:  metrics.GetOrRegisterCounter("Batch.Rejected", r),
+		waited:    histogram("Batch.WaitedMicroseconds"),
+		taken:     histogram("Batch.TakenMicroseconds"),
+		queue:     metrics.GetOrRegisterGaugeFloat64("Batch.QueuedCoreSeconds", r),
+		open:      metrics.GetOrRegisterGauge("Batch.Open", r),
+		waiting:   metrics.GetOrRegisterGauge("Batch.Waiting", r),
+		cores:     metrics.GetOrRegisterGaugeFloat64("Batch.Cores", r),
+		free:      metrics.GetOrRegisterGaugeFloat64("Batch.FreeCores", r),
+		agents:    metrics.GetOrRegisterGauge("Batch.Agents", r),
+		entries:   metrics.GetOrRegisterGauge("Batch.Entries", r),
+	}
+}
+
+func (m measures) answered(o batch.Outcome, taken time.Duration) {
+	metrics.GetOrRegisterCounter("Batch.Answered."+batch.Name(o), m.registry).Inc(1)
+	m.taken.Update(taken.Microseconds())
+}
+
+func (m measures) update(d *dispatch.Dispatcher, agents, entries int) {
+	l := d.Load()
+	open, waiting := d.Jobs()
+	m.queue.Update(l.Queued)
+	m.open.Update(int64(open))
+	m.waiting.Update(int64(waiting))
+	m.cores.Update(l.Cores)
+	m.free.Update(float64(l.Free.Processor) / 1000)
+	m.agents.Update(int64(agents))
+	m.entries.Update(int64(entries))
+}
--- /dev/null
+++ b/batchentry/stop.go
@@ -0,0 +1,60 @@
+package batchentry
+
+import (
+	"context"
+	"time"
+
+	"dogwoodglade/core/event"
+)
+
+const (
+	// noticeTime is how long a stopping entry goes on as before, so that the load balancer notices that it is
+	// not ready: the balancer asks every second and takes it out after two misses.
+	noticeTime = 2500 * time.Millisecond
+	stopPoll   = 20 * time.Millisecond
+)
+
+// Ready reports whether callers can be served here: a configuration is known, and so is a backend server of
+// this entry or another entry that has some.
+func (e *Entry) Ready() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stopping || e.config.Version == 0 {
+		return false
+	}
+	if e.dispatcher.Load().Cores > 0 {
+		return true
+	}
+	now := e.options.Now()
+	for _, x := range e.entries {
+		if now.Sub(x.heard) < readyLoadAge {
+			return true
+		}
+	}
+	return false
+}
+
+// Stop ends the entry in an orderly way: it is not ready at once, goes on until the load balancer has noticed,
+// then leaves its agents to other entries and waits for its open jobs. It returns when nothing is open or the
+// context ends.
+func (e *Entry) Stop(ctx context.Context) {
+	e.mu.Lock()
+	e.stopping = true
+	e.log(event.ProcessDraining).Int("Open", len(e.calls)).Send()
+	e.mu.Unlock()
+	select {
+	case <-time.After(noticeTime):
+	case <-ctx.Done():
+		return
+	}
+	e.mu.Lock()
+	e.handover = true
+	e.generation++
+	e.dispatcher.Drain()
+	e.keepAgents()
+	e.sendLoad()
+	e.mu.Unlock()
+	for ctx.Err() == nil && e.open() > 0 {
+		time.Sleep(stopPoll)
+	}
+}
--- a/cmd/dogwoodglade/main.go
+++ b/cmd/dogwoodglade/main.go
@@ -27,7 +27,7 @@
 		Commands: []*cli.Command{
 			devCommand(), entryCommand(), agentCommand(), platformCommand(), backendCommand(),
 			submitCommand(), routeCommand(), poolCommand(), timelineCommand(), checkCommand(),
-			benchCommand(), traceCommand(), loadCommand(),
+			benchCommand(), traceCommand(), loadCommand(), fleetCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/core/dispatch/dispatch.go
@@ -0,0 +1,230 @@
+// Package dispatch decides, for one entry, which batch job runs when and on which backend server: the queue,
+// the refusals, the placement of tasks, and what happens when runs fail or backend servers are lost.
+//
+// An entry dispatches to the backend servers whose agents chose it as their home. It keeps the queue, so that
+// waiting work is ordered, refused and cancelled without messages, and it is the only one that places on its
+// backend servers, so that no start is rejected for want of room. All of its state can be lost: agents stop
+// the runs of a lost entry, and callers submit again.
+//
+// The package opens no connection and reads no clock. It is called by batchentry, which performs its actions.
+package dispatch
+
+import (
+	"time"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/resource"
+	"dogwoodglade/core/supervise"
+)
+
+// Action is what the entry has to do: StartRuns, StopRuns, Answer.
+type Action interface{ action() }
+
+// StartRuns sends an agent starts of one job.
+type StartRuns struct {
+	Agent  string
+	Starts []supervise.Start
+}
+
+// StopRuns stops runs at an agent.
+type StopRuns struct {
+	Agent string
+	Runs  []supervise.RunID
+}
+
+// Answer ends a job.
+type Answer struct {
+	Job     batch.JobID
+	Route   string
+	Outcome batch.Outcome
+	Waited  time.Duration // from the submission to the first start; the whole time if nothing started
+	Taken   time.Duration // from the submission to the answer
+	Started bool          // whether a run was ordered
+	Queue   time.Duration // predicted wait of the queue at the answer
+	Agent   string        // where the run that decided the outcome was, if one did
+}
+
+func (StartRuns) action() {}
+func (StopRuns) action()  {}
+func (Answer) action()    {}
+
+type taskState int
+
+const (
+	blocked taskState = iota // waits for earlier steps
+	waiting                  // may be placed
+	placed                   // a run was ordered
+	limbo                    // its agent was lost; the run may go on for a while
+	done
+)
+
+type taskRun struct {
+	id       batch.TaskID
+	state    taskState
+	attempt  int
+	failures int
+	server   *server
+	failedOn []*server
+	orderAt  time.Time
+	stopping bool
+}
+
+type step struct {
+	batch.Step
+	tasks []*taskRun
+	open  int // tasks that are not done
+	need  int // steps that must be done before
+	then  []int
+}
+
+type job struct {
+	batch.Job
+	arrived  time.Time
+	target   time.Time // when it should be answered
+	start    time.Time // latest start that can still meet the target
+	limit    time.Time // when the answer is of no use any more
+	first    time.Time // when the first run was ordered
+	steps    []*step
+	open     int  // tasks that are not done
+	runs     int  // runs that may exist
+	begun    bool // a run existed, or may have
+	waiting  []*taskRun
+	work     float64 // of waiting tasks, in core-seconds
+	answered bool
+	queued   bool
+	sequence uint64
+	agent    string
+	next     *batch.Job // the same job, submitted again while its runs are being stopped
+}
+
+// started reports whether a run was ordered that may have begun.
+func (j *job) started() bool { return !j.first.IsZero() }
+
+// Dispatcher decides for one entry. It is not safe for concurrent use.
+type Dispatcher struct {
+	servers  map[string]*server // by agent
+	order    []*server          // by name of the agent
+	jobs     map[batch.JobID]*job
+	queue    queue
+	routes   map[string]*routeState
+	sequence uint64
+	cores    float64 // of usable servers, weighted by their speed
+	queued   float64 // core-seconds of waiting tasks
+	retry    retryClock
+	draining bool
+
+	actions []Action
+	starts  map[string]*StartRuns
+	stops   map[string]*StopRuns
+}
+
+// New returns a dispatcher without backend servers.
+func New() *Dispatcher {
+	return &Dispatcher{
+		servers: map[string]*server{},
+		jobs:    map[batch.JobID]*job{},
+		routes:  map[string]*routeState{},
+		starts:  map[string]*StartRuns{},
+		stops:   map[string]*StopRuns{},
+	}
+}
+
+// take returns the actions decided since the last call. Orders for one agent are in one action.
+func (d *Dispatcher) take() []Action {
+	actions := d.actions
+	d.actions = nil
+	clear(d.starts)
+	clear(d.stops)
+	return actions
+}
+
+func (d *Dispatcher) orderStart(s *server, start supervise.Start) {
+	x := d.starts[s.agent]
+	if x == nil {
+		x = &StartRuns{Agent: s.agent}
+		d.starts[s.agent] = x
+		d.actions = append(d.actions, x)
+	}
+	x.Starts = append(x.Starts, start)
+}
+
+func (d *Dispatcher) orderStop(s *server, id supervise.RunID) {
+	x := d.stops[s.agent]
+	if x == nil {
+		x = &StopRuns{Agent: s.agent}
+		d.stops[s.agent] = x
+		d.actions = append(d.actions, x)
+	}
+	x.Runs = append(x.Runs, id)
+}
+
+// Load is how much an entry has to do, as other entries learn it.
+type Load struct {
+	Cores    float64         // of usable backend servers
+	Free     resource.Amount // not in use
+	Largest  resource.Amount // of one backend server
+	Queued   float64         // core-seconds that wait
+	Draining bool
+}
+
+// Wait predicts how long work that arrives now waits for a backend server.
+func (l Load) Wait() time.Duration {
+	if l.Cores <= 0 {
+		return NoServerWait
+	}
+	return time.Duration(l.Queued / l.Cores * float64(time.Second))
+}
+
+// NoServerWait is the predicted wait at an entry without backend servers.
+const NoServerWait = time.Hour
+
+// Load returns the current load.
+func (d *Dispatcher) Load() Load {
+	l := Load{Cores: d.cores, Queued: d.queued, Draining: d.draining}
+	for _, s := range d.order {
+		if !s.usable() {
+			continue
+		}
+		l.Free = l.Free.Plus(s.free())
+		l.Largest.Processor = max(l.Largest.Processor, s.capacity.Processor)
+		l.Largest.Memory = max(l.Largest.Memory, s.capacity.Memory)
+		l.Largest.Accelerators = max(l.Largest.Accelerators, s.capacity.Accelerators)
+	}
+	return l
+}
+
+// Jobs returns the number of jobs that are not answered, and of those that wait for their first start.
+func (d *Dispatcher) Jobs() (open, waiting int) {
+	for _, j := range d.jobs {
+		if !j.answered {
+			open++
+			if !j.started() {
+				waiting++
+			}
+		}
+	}
+	return open, waiting
+}
+
+// Waiting returns the number of jobs of a route that wait for their first start.
+func (d *Dispatcher) Waiting(route string) int {
+	n := 0
+	for _, j := range d.jobs {
+		if !j.answered && !j.started() && j.Route == route {
+			n++
+		}
+	}
+	return n
+}
+
+// Has reports whether the job is open here.
+func (d *Dispatcher) Has(id batch.JobID) (open, started bool) {
+	j, ok := d.jobs[id]
+	if !ok || j.answered {
+		return false, false
+	}
+	return true, j.started()
+}
+
+// Drain refuses jobs from now on.
+func (d *Dispatcher) Drain() { d.draining = true }
--- /dev/null
+++ b/core/dispatch/job.go
@@ -0,0 +1,347 @@
+package dispatch
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/supervise"
+)
+
+// Submit takes a job. A job that is open already goes on; the caller waits for its answer.
+func (d *Dispatcher) Submit(now time.Time, b batch.Job) []Action {
+	if old, ok := d.jobs[b.ID]; ok {
+		if old.answered {
+			// Its runs are being stopped. Two runs of a task must not overlap.
+			old.next = &b
+		}
+		return nil
+	}
+	j := d.newJob(now, b)
+	if reason, ok := d.admit(now, j); !ok {
+		d.answer(now, j, d.notRun(now, j, reason))
+		return d.take()
+	}
+	d.jobs[j.ID] = j
+	d.queued += j.work
+	d.enqueue(j)
+	d.place(now)
+	return d.take()
+}
+
+func (d *Dispatcher) newJob(now time.Time, b batch.Job) *job {
+	d.sequence++
+	j := &job{Job: b, arrived: now, sequence: d.sequence}
+	r := d.route(b.Route)
+	for i, st := range b.Steps {
+		s := &step{Step: st, open: st.Count, need: len(st.After)}
+		s.tasks = make([]*taskRun, st.Count)
+		for k := range s.tasks {
+			s.tasks[k] = &taskRun{id: batch.TaskID{Job: b.ID, Step: i, Index: k}}
+		}
+		j.open += st.Count
+		j.steps = append(j.steps, s)
+		for _, before := range st.After {
+			j.steps[before].then = append(j.steps[before].then, i)
+		}
+	}
+	chain := d.chain(j)
+	aim := time.Duration(b.Stretch*float64(chain)) + b.Target
+	j.target = now.Add(aim)
+	j.start = j.target.Add(-chain - overheadAllowance)
+	if j.start.Before(now) {
+		j.start = now
+	}
+	j.limit = now.Add(lateFactor*aim - chain)
+	if b.Patience > 0 {
+		j.limit = earlier(j.limit, now.Add(b.Patience-chain))
+	}
+	for _, s := range j.steps {
+		if s.need == 0 {
+			j.release(r, s)
+		}
+	}
+	return j
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// chain predicts the run time of the longest chain of steps.
+func (d *Dispatcher) chain(j *job) time.Duration {
+	r := d.route(j.Route)
+	ends := make([]time.Duration, len(j.steps))
+	var longest time.Duration
+	for i, s := range j.steps {
+		var from time.Duration
+		for _, before := range s.After {
+			from = max(from, ends[before])
+		}
+		ends[i] = from + r.runTime(s.Estimate)
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// release lets the tasks of a step be placed.
+func (j *job) release(r *routeState, s *step) {
+	for _, t := range s.tasks {
+		j.wait(r, s, t)
+	}
+}
+
+func (j *job) wait(r *routeState, s *step, t *taskRun) {
+	t.state = waiting
+	j.waiting = append(j.waiting, t)
+	j.work += workOf(r, s)
+}
+
+// workOf predicts the core-seconds of a task.
+func workOf(r *routeState, s *step) float64 {
+	return r.runTime(s.Estimate).Seconds() * float64(s.Demand.Processor) / 1000
+}
+
+// admit decides whether a job is taken. A job is refused on arrival if it would have to wait too long, so that
+// its caller learns it at once; work that was taken is then mostly in time.
+func (d *Dispatcher) admit(now time.Time, j *job) (reason batch.Reason, ok bool) {
+	if d.draining {
+		return batch.Draining, false
+	}
+	if reason, ok := d.fits(j); !ok {
+		return reason, false
+	}
+	l := d.Load()
+	wait := l.Wait()
+	if now.Add(wait).After(j.limit) {
+		return batch.Overloaded, false
+	}
+	if share := shedShare(wait); share > 0 && d.route(j.Route).shed(share) {
+		return batch.Overloaded, false
+	}
+	return "", true
+}
+
+// fits reports whether some backend server could run each task of the job if it were empty.
+func (d *Dispatcher) fits(j *job) (batch.Reason, bool) {
+	known := false
+	for _, st := range j.steps {
+		fit := false
+		for _, s := range d.order {
+			if !s.usable() || s.info.Pool != j.Pool {
+				continue
+			}
+			known = true
+			if st.Demand.Fits(s.capacity) && (st.Label == "" || slices.Contains(s.info.Labels, st.Label)) {
+				fit = true
+				break
+			}
+		}
+		if !fit {
+			if !known {
+				return batch.NoServer, false
+			}
+			return batch.TooLarge, false
+		}
+	}
+	return "", true
+}
+
+func (d *Dispatcher) notRun(now time.Time, j *job, reason batch.Reason) batch.Outcome {
+	wait := d.Load().Wait()
+	busy := time.Second
+	if d.cores > 0 {
+		busy = time.Duration(j.work / d.cores * float64(time.Second))
+	}
+	return batch.NotRun{Reason: reason, RetryAfter: d.retry.after(now, min(wait, maxRetryAfter), busy)}
+}
+
+// refuse gives up a job that waits.
+func (d *Dispatcher) refuse(now time.Time, j *job, reason batch.Reason) {
+	d.finish(now, j, d.notRun(now, j, reason))
+}
+
+func (d *Dispatcher) startTask(now time.Time, j *job, st *step, t *taskRun, s *server) {
+	t.state, t.server, t.orderAt, t.stopping = placed, s, now, false
+	t.attempt++
+	if j.first.IsZero() {
+		j.first = now
+	}
+	j.runs++
+	work := workOf(d.route(j.Route), st)
+	j.work -= work
+	d.queued = max(d.queued-work, 0)
+	s.used = s.used.Plus(st.Demand)
+	id := supervise.RunID{Task: t.id, Attempt: t.attempt}
+	s.runs[id] = t
+	if s.bad() {
+		s.probeAt = now.Add(max(probeInterval, s.quarantine))
+	}
+	d.orderStart(s, supervise.Start{RunID: id, Demand: st.Demand, Spec: j.Spec})
+}
+
+// ended takes the end of a run into account.
+func (d *Dispatcher) ended(now time.Time, s *server, e supervise.Ended) {
+	t, ok := s.runs[e.RunID]
+	if !ok {
+		return
+	}
+	delete(s.runs, e.RunID)
+	j := d.jobs[t.id.Job]
+	st := j.steps[t.id.Step]
+	s.used = s.used.Minus(st.Demand)
+	j.runs--
+	t.server = nil
+	j.begun = j.begun || e.End != supervise.Refused
+	if j.answered {
+		d.forget(now, j)
+		return
+	}
+	switch e.End {
+	case supervise.Done:
+		d.succeeded(s)
+		d.learn(s, j, st, e.RunTime)
+		d.taskDone(now, j, st, t)
+		return
+	case supervise.Failed:
+		d.failed(now, s, t)
+		t.failures++
+		t.failedOn = append(t.failedOn, s)
+		if t.failures >= j.Attempts {
+			j.agent = s.agent
+			d.finish(now, j, batch.Failed{Task: t.id, Attempts: t.failures})
+			return
+		}
+	case supervise.Refused:
+		if j.runs == 0 && !j.begun {
+			j.first = time.Time{} // nothing of it has run
+			heap.Init(&d.queue)   // the order of the job changed
+		}
+	}
+	j.wait(d.route(j.Route), st, t)
+	d.queued += workOf(d.route(j.Route), st)
+	d.enqueue(j)
+}
+
+func (d *Dispatcher) taskDone(now time.Time, j *job, st *step, t *taskRun) {
+	t.state = done
+	st.open--
+	j.open--
+	if j.open == 0 {
+		d.finish(now, j, batch.Completed{})
+		return
+	}
+	if st.open > 0 {
+		return
+	}
+	r := d.route(j.Route)
+	for _, next := range st.then {
+		s := j.steps[next]
+		s.need--
+		if s.need == 0 {
+			before := j.work
+			j.release(r, s)
+			d.queued += j.work - before
+		}
+	}
+	d.enqueue(j)
+}
+
+// Cancel gives up a job whose caller cancelled it or went away, and stops its runs.
+func (d *Dispatcher) Cancel(now time.Time, id batch.JobID) []Action {
+	if j, ok := d.jobs[id]; ok {
+		j.next = nil
+		if !j.answered {
+			d.finish(now, j, batch.Cancelled{})
+			d.place(now)
+		}
+	}
+	return d.take()
+}
+
+// finish answers a job and stops what still runs of it.
+func (d *Dispatcher) finish(now time.Time, j *job, o batch.Outcome) {
+	d.answer(now, j, o)
+	d.queued = max(d.queued-j.work, 0)
+	j.work, j.waiting = 0, nil
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if t.server != nil && t.state == placed {
+				d.orderStop(t.server, supervise.RunID{Task: t.id, Attempt: t.attempt})
+			}
+		}
+	}
+	d.forget(now, j)
+}
+
+func (d *Dispatcher) answer(now time.Time, j *job, o batch.Outcome) {
+	j.answered = true
+	a := Answer{
+		Job: j.ID, Route: j.Route, Outcome: o, Taken: now.Sub(j.arrived), Started: j.started(),
+		Queue: d.Load().Wait(), Agent: j.agent,
+	}
+	a.Waited = a.Taken
+	if j.started() {
+		a.Waited = j.first.Sub(j.arrived)
+	}
+	d.actions = append(d.actions, a)
+}
+
+// forget drops an answered job when none of its runs remains, and takes its resubmission.
+func (d *Dispatcher) forget(now time.Time, j *job) {
+	if j.runs > 0 || d.jobs[j.ID] != j {
+		return
+	}
+	delete(d.jobs, j.ID)
+	if j.next == nil {
+		return
+	}
+	next := d.newJob(now, *j.next)
+	if reason, ok := d.admit(now, next); !ok {
+		d.answer(now, next, d.notRun(now, next, reason))
+		return
+	}
+	d.jobs[next.ID] = next
+	d.queued += next.work
+	d.enqueue(next)
+}
+
+// Tick ends lost runs whose time is over, and gives up jobs that wait too long.
+func (d *Dispatcher) Tick(now time.Time) []Action {
+	for _, s := range d.order {
+		if len(s.runs) > 0 && !s.lostUntil.IsZero() && now.After(s.lostUntil) {
+			d.resolve(now, s)
+		}
+	}
+	d.expire(now)
+	d.place(now)
+	return d.take()
+}
+
+// expire gives up the jobs that can no longer be of use to their callers.
+func (d *Dispatcher) expire(now time.Time) {
+	var expired []*job
+	for _, j := range d.queue.jobs {
+		if !j.answered && !j.started() && now.After(j.limit) {
+			expired = append(expired, j)
+		}
+	}
+	for _, j := range d.jobs {
+		if !j.answered && j.started() && j.Patience > 0 && now.After(j.arrived.Add(j.Patience)) {
+			expired = append(expired, j)
+		}
+	}
+	slices.SortFunc(expired, func(a, b *job) int { return cmp.Compare(a.sequence, b.sequence) })
+	for _, j := range expired {
+		if j.started() {
+			d.finish(now, j, batch.Unknown{Reason: batch.DeadlinePassed})
+		} else {
+			d.refuse(now, j, batch.DeadlinePassed)
+		}
+	}
+}
--- /dev/null
+++ b/core/dispatch/queue.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+
+	"dogwoodglade/core/batch"
+)
+
+// queue orders the jobs with waiting tasks: jobs that have begun, then jobs that can still meet their target
+// by their latest start, then the late ones by arrival. Work that can be in time is not held up by work that
+// cannot, and a job that has begun is finished.
+type queue struct{ jobs []*job }
+
+// Len implements heap.Interface.
+func (q *queue) Len() int { return len(q.jobs) }
+
+// Less implements heap.Interface.
+func (q *queue) Less(i, k int) bool {
+	a, b := q.jobs[i], q.jobs[k]
+	if a.started() != b.started() {
+		return a.started()
+	}
+	if !a.start.Equal(b.start) {
+		return a.start.Before(b.start)
+	}
+	return a.sequence < b.sequence
+}
+
+// Swap implements heap.Interface.
+func (q *queue) Swap(i, k int) { q.jobs[i], q.jobs[k] = q.jobs[k], q.jobs[i] }
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) { q.jobs = append(q.jobs, x.(*job)) }
+
+// Pop implements heap.Interface.
+func (q *queue) Pop() any {
+	last := q.jobs[len(q.jobs)-1]
+	q.jobs[len(q.jobs)-1] = nil
+	q.jobs = q.jobs[:len(q.jobs)-1]
+	return last
+}
+
+// late marks a latest start that has passed: such a job goes after all others, in the order of arrival.
+const late = 24 * time.Hour
+
+func (d *Dispatcher) enqueue(j *job) {
+	if !j.queued && len(j.waiting) > 0 && !j.answered {
+		j.queued = true
+		heap.Push(&d.queue, j)
+	}
+}
+
+// place starts waiting tasks in the order of the queue while there is room.
+func (d *Dispatcher) place(now time.Time) {
+	var passed []*job
+	for d.queue.Len() > 0 {
+		j := d.queue.jobs[0]
+		switch {
+		case j.answered || len(j.waiting) == 0:
+			heap.Pop(&d.queue)
+			j.queued = false
+			continue
+		case !j.started() && now.After(j.limit):
+			heap.Pop(&d.queue)
+			j.queued = false
+			d.refuse(now, j, batch.DeadlinePassed)
+			continue
+		case !j.started() && now.After(j.start) && j.start.Before(j.limit):
+			// Too late for its target: it goes behind all that is not, in the order of arrival.
+			j.start = j.arrived.Add(late)
+			heap.Fix(&d.queue, 0)
+			continue
+		}
+		full := d.placeJob(now, j)
+		if len(j.waiting) == 0 {
+			heap.Pop(&d.queue)
+			j.queued = false
+			continue
+		}
+		if full {
+			break
+		}
+		// What the job requires is not free; others may use the rest.
+		heap.Pop(&d.queue)
+		passed = append(passed, j)
+	}
+	for _, j := range passed {
+		heap.Push(&d.queue, j)
+	}
+}
+
+// placeJob starts tasks of a job. It reports whether room was short.
+func (d *Dispatcher) placeJob(now time.Time, j *job) (full bool) {
+	rest := j.waiting[:0]
+	for i, t := range j.waiting {
+		st := j.steps[t.id.Step]
+		s, constrained := d.choose(now, j, st, t)
+		if s == nil {
+			rest = append(rest, t)
+			if !constrained {
+				rest = append(rest, j.waiting[i+1:]...)
+				full = true
+				break
+			}
+			continue
+		}
+		d.startTask(now, j, st, t, s)
+	}
+	j.waiting = rest
+	return full
+}
--- /dev/null
+++ b/core/dispatch/route.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// ratioWeight is the weight of one run in what a route's run times are against their estimates.
+	ratioWeight = 0.03
+	// overheadAllowance is the time that a job needs beside its runs: messages, orders and answers.
+	overheadAllowance = 15 * time.Millisecond
+	// lateFactor bounds how late an answer is of use, as a multiple of the target.
+	lateFactor = 3
+
+	// shedFrom and shedAll are predicted waits. Between them, a rising share of the jobs that would have to
+	// wait is refused on arrival; the short targets of short jobs are met and no kind of job is starved.
+	shedFrom = 40 * time.Millisecond
+	shedAll  = 400 * time.Millisecond
+
+	// maxRetryAfter bounds how far returns are spread.
+	maxRetryAfter = 10 * time.Second
+)
+
+// routeState is what the dispatcher knows of a route.
+type routeState struct {
+	ratio float64 // typical run time against the estimate
+	debt  float64 // share of a job that is to be refused
+}
+
+func (d *Dispatcher) route(name string) *routeState {
+	r, ok := d.routes[name]
+	if !ok {
+		r = &routeState{}
+		d.routes[name] = r
+	}
+	return r
+}
+
+func (r *routeState) observe(ratio float64) {
+	if r.ratio == 0 {
+		r.ratio = ratio
+		return
+	}
+	sample := min(max(math.Log(ratio/r.ratio), -maxSpeedSample), maxSpeedSample)
+	r.ratio *= math.Exp(ratioWeight * sample)
+}
+
+// runTime predicts the run time of a task of a step on a typical backend server.
+func (r *routeState) runTime(estimate time.Duration) time.Duration {
+	if r.ratio == 0 {
+		return estimate
+	}
+	return time.Duration(float64(estimate) * r.ratio)
+}
+
+// shed reports whether the next job of the route is refused, so that the given share of them is. The shares
+// add up instead of being drawn, so that no kind of job is refused by chance several times in a row.
+func (r *routeState) shed(share float64) bool {
+	r.debt += share
+	if r.debt < 1 {
+		return false
+	}
+	r.debt--
+	return true
+}
+
+// shedShare is the share of arriving jobs that is refused at a predicted wait.
+func shedShare(wait time.Duration) float64 {
+	share := float64(wait-shedFrom) / float64(shedAll-shedFrom)
+	return min(max(share, 0), 1)
+}
+
+// retryClock spreads the returns of refused callers over the time that the queue needs.
+type retryClock struct{ next time.Time }
+
+// after returns when a caller may return whose job keeps the backend servers busy for the given time.
+func (c *retryClock) after(now time.Time, wait, work time.Duration) time.Duration {
+	earliest := now.Add(wait)
+	if c.next.Before(earliest) {
+		c.next = earliest
+	}
+	c.next = c.next.Add(work)
+	return min(c.next.Sub(now), maxRetryAfter)
+}
--- /dev/null
+++ b/core/dispatch/server.go
@@ -0,0 +1,250 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/resource"
+	"dogwoodglade/core/supervise"
+)
+
+const (
+	// speedWeight is the weight of one run in the speed of a backend server. Run times vary by half around
+	// their estimate, so that about twenty runs make a reliable figure.
+	speedWeight = 0.06
+	// maxSpeedSample bounds what one run says, on a logarithmic scale. One run in thirty takes seven times as
+	// long as the others and says nothing about the backend server.
+	maxSpeedSample = 1.2
+	// slowFactor marks a backend server that is so slow that nothing it runs can be in time.
+	slowFactor = 2.0
+	// probeInterval is how often a slow or failing backend server gets one task, to learn whether it recovered.
+	probeInterval = time.Second
+	// maxQuarantine bounds the interval between the probes of a backend server that goes on failing.
+	maxQuarantine = 4 * time.Second
+	// suspectFailures quarantine a backend server: failures in a row, of different jobs.
+	suspectFailures = 3
+	// maxQuarantined is the share of the backend servers that may be quarantined or slow at once. If more look
+	// bad, the cause is the work.
+	maxQuarantined = 0.5
+)
+
+type server struct {
+	agent     string
+	connected bool
+	offered   bool
+	info      supervise.Server
+	capacity  resource.Amount
+	used      resource.Amount // by runs of this entry
+	others    resource.Amount // by runs of other entries
+	lostUntil time.Time       // when runs of the lost agent have ended
+	runs      map[supervise.RunID]*taskRun
+
+	slowness float64 // natural logarithm of run times against those of other servers
+	samples  int
+
+	failing     int // failures in a row, of different jobs
+	lastFailure batch.JobID
+	quarantined bool
+	quarantine  time.Duration
+	probeAt     time.Time
+}
+
+func (s *server) usable() bool { return s.connected && s.offered }
+
+func (s *server) free() resource.Amount { return s.capacity.Minus(s.used).Minus(s.others) }
+
+func (s *server) factor() float64 { return math.Exp(s.slowness) }
+
+// bad reports whether the backend server gets only probes.
+func (s *server) bad() bool { return s.quarantined || s.factor() > slowFactor }
+
+// Connect takes note of a new session with an agent. Runs of an earlier session may go on until the agent
+// offers its backend server again, or until they must have ended.
+func (d *Dispatcher) Connect(now time.Time, agent string) []Action {
+	s, ok := d.servers[agent]
+	if !ok {
+		s = &server{agent: agent, runs: map[supervise.RunID]*taskRun{}}
+		d.servers[agent] = s
+		d.order = append(d.order, s)
+		slices.SortFunc(d.order, func(a, b *server) int { return cmp.Compare(a.agent, b.agent) })
+	}
+	d.lose(s, now.Add(supervise.LostAfter))
+	s.connected, s.offered = true, false
+	return d.take()
+}
+
+// Disconnect takes note of the end of a session. Runs may go on until the given time.
+func (d *Dispatcher) Disconnect(now time.Time, agent string, ended time.Time) []Action {
+	if s, ok := d.servers[agent]; ok && s.connected {
+		s.connected, s.offered = false, false
+		d.lose(s, ended)
+		d.measure()
+		d.place(now)
+	}
+	return d.take()
+}
+
+// lose marks the runs at an agent as lost.
+func (d *Dispatcher) lose(s *server, until time.Time) {
+	for _, t := range s.runs {
+		if t.state == placed {
+			t.state = limbo
+			s.lostUntil = until
+		}
+	}
+}
+
+// Report takes a report of an agent.
+func (d *Dispatcher) Report(now time.Time, agent string, r supervise.Report) []Action {
+	s, ok := d.servers[agent]
+	if !ok || !s.connected {
+		return nil
+	}
+	for _, e := range r.Ended {
+		d.ended(now, s, e)
+	}
+	if r.Offered {
+		// An agent offers its backend server only when nothing of an earlier session runs there.
+		d.resolve(now, s)
+	}
+	if s.info.ID != r.Server.ID || s.info.Born != r.Server.Born {
+		s.slowness, s.samples, s.failing, s.quarantined, s.quarantine = 0, 0, 0, false, 0
+	}
+	changed := s.offered != r.Offered || s.capacity != r.Server.Capacity
+	s.offered, s.info, s.capacity, s.others = r.Offered, r.Server, r.Server.Capacity, r.Others
+	if changed {
+		d.measure()
+	}
+	d.place(now)
+	return d.take()
+}
+
+// resolve ends the lost runs at an agent.
+func (d *Dispatcher) resolve(now time.Time, s *server) {
+	for id, t := range s.runs {
+		if t.state == limbo {
+			d.ended(now, s, supervise.Ended{RunID: id, End: supervise.Lost})
+		}
+	}
+}
+
+// measure renews the sum of the usable cores.
+func (d *Dispatcher) measure() {
+	d.cores = 0
+	for _, s := range d.order {
+		if s.usable() && !s.quarantined {
+			d.cores += float64(s.capacity.Processor) / 1000 / max(s.factor(), 1)
+		}
+	}
+}
+
+// choose returns the backend server for a task, or nil. constrained reports whether servers with room were
+// passed over because of what the step requires.
+func (d *Dispatcher) choose(now time.Time, j *job, st *step, t *taskRun) (best *server, constrained bool) {
+	var bestScore float64
+	bad, usable := d.count()
+	// A task that failed on every backend server may use any again.
+	avoid := len(t.failedOn) < usable
+	for _, s := range d.order {
+		if !s.usable() || s.info.Pool != j.Pool || !st.Demand.Fits(s.free()) {
+			continue
+		}
+		if (st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) ||
+			(avoid && slices.Contains(t.failedOn, s)) ||
+			(st.MaxPerServer > 0 && countOn(st, s) >= st.MaxPerServer) {
+			constrained = true
+			continue
+		}
+		// Probes go to tasks with attempts to spare, or nothing could be learned about a recovered server.
+		if s.bad() && float64(bad) <= maxQuarantined*float64(usable) && (now.Before(s.probeAt) || len(s.runs) > 0) {
+			continue
+		}
+		score := d.score(s, st)
+		if best == nil || score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	return best, constrained
+}
+
+func countOn(st *step, s *server) int {
+	n := 0
+	for _, t := range st.tasks {
+		if t.server == s && (t.state == placed || t.state == limbo) {
+			n++
+		}
+	}
+	return n
+}
+
+// count returns the numbers of bad and of all usable backend servers.
+func (d *Dispatcher) count() (bad, usable int) {
+	for _, s := range d.order {
+		if !s.usable() {
+			continue
+		}
+		usable++
+		if s.bad() {
+			bad++
+		}
+	}
+	return bad, usable
+}
+
+// score orders the backend servers with room for a task: the lowest is taken. Faster ones go first; among
+// equals the emptier one, so that a loss hits few tasks.
+func (d *Dispatcher) score(s *server, st *step) float64 {
+	used := float64(s.capacity.Processor-s.free().Processor) / float64(max(s.capacity.Processor, 1))
+	score := s.factor() + used/4
+	if st.Rack != "" && !slices.Contains(s.info.Labels, st.Rack) {
+		score++
+	}
+	if s.bad() {
+		score -= 10 // a probe is due
+	}
+	return score
+}
+
+// learn takes the run time of a task that succeeded into account.
+func (d *Dispatcher) learn(s *server, j *job, st *step, runTime time.Duration) {
+	if st.Estimate <= 0 || runTime <= 0 {
+		return
+	}
+	ratio := float64(runTime) / float64(st.Estimate)
+	r := d.route(j.Route)
+	if r.ratio > 0 {
+		sample := math.Log(ratio / r.ratio)
+		sample = min(max(sample, -maxSpeedSample), maxSpeedSample)
+		s.slowness += speedWeight * (sample - s.slowness)
+		s.samples++
+	}
+	r.observe(ratio / s.factor())
+	d.measure()
+}
+
+// succeeded clears the suspicion against a backend server.
+func (d *Dispatcher) succeeded(s *server) {
+	s.failing, s.lastFailure = 0, ""
+	if s.quarantined {
+		s.quarantined, s.quarantine = false, 0
+		d.measure()
+	}
+}
+
+// failed counts a failure against a backend server, unless the task failed elsewhere too.
+func (d *Dispatcher) failed(now time.Time, s *server, t *taskRun) {
+	if len(t.failedOn) > 0 || s.lastFailure == t.id.Job {
+		return
+	}
+	s.lastFailure = t.id.Job
+	s.failing++
+	if s.failing >= suspectFailures || s.quarantined {
+		s.quarantined = true
+		s.quarantine = min(max(2*s.quarantine, probeInterval), maxQuarantine)
+		s.probeAt = now.Add(s.quarantine)
+		d.measure()
+	}
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -37,6 +37,7 @@
 	TaskRetried      Number = 2007
 	OutcomeReceived  Number = 2008
 	OutcomeDiscarded Number = 2009
+	TaskStopped      Number = 2010
 )
 
 // Events of slots and admission.
@@ -64,6 +65,9 @@
 	AgentRegistered  Number = 4009
 	EntryConnected   Number = 4010
 	EntryLost        Number = 4011
+	EntryRegistered  Number = 4012
+	HomeChosen       Number = 4013
+	BackendSilent    Number = 4014
 )
 
 // Events of ownership.
--- a/core/event/name.go
+++ b/core/event/name.go
@@ -9,7 +9,7 @@
 
 	TaskAsked: "TaskAsked", TaskSent: "TaskSent", TaskStarted: "TaskStarted", TaskRefused: "TaskRefused",
 	TaskEnded: "TaskEnded", TaskLost: "TaskLost", TaskRetried: "TaskRetried", OutcomeReceived: "OutcomeReceived",
-	OutcomeDiscarded: "OutcomeDiscarded",
+	OutcomeDiscarded: "OutcomeDiscarded", TaskStopped: "TaskStopped",
 
 	SlotGranted: "SlotGranted", SlotReturned: "SlotReturned", SlotReleased: "SlotReleased",
 	AskRefused: "AskRefused", BackendEjected: "BackendEjected", BackendProbed: "BackendProbed",
@@ -18,7 +18,8 @@
 	ProcessStarted: "ProcessStarted", ProcessStopped: "ProcessStopped", ProcessDraining: "ProcessDraining",
 	BackendAnnounced: "BackendAnnounced", BackendLeaving: "BackendLeaving", BackendLost: "BackendLost",
 	AgentConnected: "AgentConnected", AgentLost: "AgentLost", AgentRegistered: "AgentRegistered",
-	EntryConnected: "EntryConnected", EntryLost: "EntryLost",
+	EntryConnected: "EntryConnected", EntryLost: "EntryLost", EntryRegistered: "EntryRegistered",
+	HomeChosen: "HomeChosen", BackendSilent: "BackendSilent",
 
 	TakeoverStarted: "TakeoverStarted", ShardFenced: "ShardFenced", TakeoverCompleted: "TakeoverCompleted",
 	TakeoverIncomplete: "TakeoverIncomplete", OwnerSuperseded: "OwnerSuperseded", HandoverSent: "HandoverSent",
--- /dev/null
+++ b/core/site/site_test.go
@@ -0,0 +1,46 @@
+package site_test
+
+import (
+	"testing"
+
+	"dogwoodglade/core/route"
+	"dogwoodglade/core/site"
+)
+
+func configuration(version uint64) site.Configuration {
+	return site.Configuration{Version: version, Routes: []site.Route{
+		{Route: route.New("all", "p"), Host: "a.example", PathPrefix: "/x/"},
+		{Route: route.New("some", "p"), Host: "a.example", PathPrefix: "/x/y/"},
+		{Route: route.New("other", "p"), Host: "b.example", PathPrefix: "/x/"},
+	}}
+}
+
+// Guards against requests that get another route than the most specific one of their host.
+func TestMatch(t *testing.T) {
+	for _, c := range []struct{ host, path, route, rest string }{
+		{"a.example", "/x/1", "all", "1"},
+		{"a.example", "/x/y/1", "some", "1"},
+		{"a.example", "/x/y", "all", "y"},
+		{"b.example", "/x/y/1", "other", "y/1"},
+		{"a.example", "/z", "", ""},
+		{"c.example", "/x/1", "", ""},
+	} {
+		r, rest, ok := configuration(1).Match(c.host, c.path)
+		if r.Name != c.route || rest != c.rest || ok != (c.route != "") {
+			t.Errorf("%s%s: got %q %q %v, want %q %q", c.host, c.path, r.Name, rest, ok, c.route, c.rest)
+		}
+	}
+}
+
+// Guards against a process that goes back to an older configuration when a slow answer arrives late.
+func TestNewerNeverGoesBack(t *testing.T) {
+	c, adopted := site.Configuration{}.Newer(configuration(7))
+	if !adopted || c.Version != 7 {
+		t.Fatalf("got version %d, %v", c.Version, adopted)
+	}
+	for _, version := range []uint64{3, 7} {
+		if c, adopted = c.Newer(configuration(version)); adopted || c.Version != 7 {
+			t.Errorf("version %d: got version %d, %v", version, c.Version, adopted)
+		}
+	}
+}
--- a/io/inner/handler.go
+++ b/io/inner/handler.go
@@ -72,6 +72,10 @@
 		maps.Copy(result, slotMethods(h))
 		maps.Copy(result, agentEventMethods(h))
 		maps.Copy(result, peerMethods(h))
+	case BatchEntryHandler:
+		maps.Copy(result, batchEntryMethods(h))
+	case BatchAgentHandler:
+		maps.Copy(result, batchAgentMethods(h))
 	case AgentHandler:
 		maps.Copy(result, startMethods(h))
 		maps.Copy(result, fenceMethods(h))
--- /dev/null
+++ b/io/logs/logs_test.go
@@ -0,0 +1,72 @@
+package logs_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"dogwoodglade/io/logs"
+)
+
+// slow is an output that takes nothing until it is released.
+type slow struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    bytes.Buffer
+}
+
+func (s *slow) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(p)
+}
+
+// Guards against a process that stands still because its log is not read, and against lines that get lost
+// without a trace.
+func TestSlowOutputDropsAndCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &slow{release: make(chan struct{})}
+		w, cleanUp := logs.New(out)
+		line := []byte(strings.Repeat("x", 1023) + "\n")
+		if _, err := w.Write(line); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second) // the first line is being written
+		begun := time.Now()
+		for range 2000 {
+			if _, err := w.Write(line); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if time.Since(begun) > 0 {
+			t.Errorf("writing took %v", time.Since(begun))
+		}
+		close(out.release)
+		time.Sleep(time.Second)
+		cleanUp()
+		if got := strings.Count(out.text.String(), "x\n"); got != 1+1024 {
+			t.Errorf("got %d lines, want 1025", got)
+		}
+		if !strings.Contains(out.text.String(), `"Count":976`) {
+			t.Error("the number of dropped lines is missing")
+		}
+	})
+}
+
+// Guards against lines that are lost when the process ends.
+func TestCleanUpWritesTheRest(t *testing.T) {
+	var out bytes.Buffer
+	w, cleanUp := logs.New(&out)
+	if _, err := io.WriteString(w, "last\n"); err != nil {
+		t.Fatal(err)
+	}
+	cleanUp()
+	if out.String() != "last\n" {
+		t.Errorf("got %q", out.String())
+	}
+}
