Answer open jobs at a planned stop, and refuse early under overload

It now gives open jobs up with an answer, and its callers are told to reconnect. Jobs that were given up or cancelled answered their origin twice, first as cancelled (MIXED); the waiters are answered before the runs are stopped.

Refusals: by predicted wait, less for urgent routes and small jobs; a short job whose latest start cannot be met is refused on arrival.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -26,6 +26,10 @@
 func (e *Entry) Submit(ctx context.Context, j batch.Job) batch.Outcome {
 	outcome := make(chan batch.Outcome, 1)
 	e.mu.Lock()
+	if e.stopped {
+		e.mu.Unlock()
+		return batch.NotRun{Reason: batch.Draining, RetryAfter: stoppedRetry}
+	}
 	c := e.callOf(j)
 	c.waiters = append(c.waiters, outcome)
 	e.begin(c)
@@ -169,8 +173,8 @@
 	if !ok || c.forwarded != p.Name {
 		return
 	}
-	if n, ok := o.(batch.NotRun); ok && !c.retried {
-		// The peer's load was not what it had reported. This entry decides once more.
+	if n, ok := o.(batch.NotRun); ok && !c.retried && n.Reason != batch.Overloaded {
+		// The peer has lost its backend servers since its report. This entry decides once more.
 		c.retried = true
 		e.peers.Forget(p.Name)
 		e.log(event.JobRefused).Str("Job", string(id)).Str("Peer", p.Name).Str("State", string(n.Reason)).Send()
@@ -219,8 +223,8 @@
 	e.log(event.JobCancelled).Str("Job", string(id)).Str("Route", c.job.Route).Str("State", "Asked").
 		Dur("Taken", e.options.Now().Sub(c.arrived)).Str("Peer", c.forwarded).Send()
 	e.measures.cancelled.Inc(1)
-	e.withdraw(c)
 	e.deliver(c, batch.Cancelled{})
+	e.withdraw(c)
 }
 
 // State reports whether a job is open here, and whether a run of it was ordered.
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -97,6 +97,7 @@
 	calls      map[batch.JobID]*call
 	config     site.Configuration
 	stopping   bool // not ready any more
+	stopped    bool // no job is taken any more
 	handover   bool // agents are asked to choose another entry
 	generation int  // of the list of entries that agents get
 }
--- a/batchentry/log.go
+++ b/batchentry/log.go
@@ -11,8 +11,6 @@
 	"dogwoodglade/core/supervise"
 )
 
-var lostOutcome = batch.Unknown{Reason: batch.PeerLost}
-
 // log starts a line for a numbered event. docs/events.md is the catalogue.
 func (e *Entry) log(n event.Number) *zerolog.Event {
 	return e.options.Logger.Info().Int("Number", int(n)).Str("Event", n.String())
@@ -37,10 +35,12 @@
 	e.measures.waited.Update(a.Waited.Microseconds())
 }
 
-func (e *Entry) logLost(now time.Time, c *call) {
+// logGivenUp writes the line of a job that is answered although it may go on elsewhere for a short time.
+func (e *Entry) logGivenUp(now time.Time, c *call, why batch.Reason) {
+	o := batch.Unknown{Reason: why}
 	e.log(event.JobAnswered).Str("Job", string(c.job.ID)).Str("Route", c.job.Route).
-		Str("State", batch.Name(lostOutcome)).Str("Peer", c.forwarded).Dur("Taken", now.Sub(c.arrived)).Send()
-	e.measures.answered(lostOutcome, now.Sub(c.arrived))
+		Str("State", batch.Name(o)).Str("Peer", c.forwarded).Dur("Taken", now.Sub(c.arrived)).Send()
+	e.measures.answered(o, now.Sub(c.arrived))
 }
 
 // logEnd writes a line for a run that did not succeed.
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dogwoodglade/core/batch"
 	"dogwoodglade/core/event"
 	"dogwoodglade/io/inner"
 )
@@ -74,8 +75,8 @@
 			e.cancelUnwanted(c, "OriginLost")
 		}
 		if c.forwarded == name {
-			e.logLost(now, c)
-			e.deliver(c, lostOutcome)
+			e.logGivenUp(now, c, batch.PeerLost)
+			e.deliver(c, batch.Unknown{Reason: batch.PeerLost})
 		}
 	}
 }
--- a/batchentry/stop.go
+++ b/batchentry/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dogwoodglade/core/batch"
 	"dogwoodglade/core/event"
 )
 
@@ -12,6 +13,8 @@
 	// not ready: the balancer asks every second and takes it out after two misses.
 	noticeTime = 2500 * time.Millisecond
 	stopPoll   = 20 * time.Millisecond
+	// stoppedRetry is when a caller may return that reached an entry which has stopped. Another entry serves it.
+	stoppedRetry = time.Second
 )
 
 // Ready reports whether callers can be served here: a configuration is known, and so is a backend server of
@@ -57,4 +60,25 @@
 	for ctx.Err() == nil && e.open() > 0 {
 		time.Sleep(stopPoll)
 	}
+	e.giveUp()
+}
+
+// giveUp answers the jobs that are still open. Their callers learn at once that they have to submit again.
+func (e *Entry) giveUp() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopped = true
+	now := e.options.Now()
+	for _, c := range e.calls {
+		e.logGivenUp(now, c, batch.Draining)
+		e.deliver(c, batch.Unknown{Reason: batch.Draining})
+		e.withdraw(c)
+	}
+}
+
+// Leaving reports whether callers should use another entry for their next request.
+func (e *Entry) Leaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.handover
 }
--- a/cmd/dogwoodglade/fleet.go
+++ b/cmd/dogwoodglade/fleet.go
@@ -189,8 +189,10 @@
 	defer cancel()
 	e.Stop(stopCtx)
 	if callers != nil {
-		// Open requests have their answers by now, or get none in time.
-		if err := callers.Shutdown(stopCtx); err != nil {
+		// All requests have been decided; what remains is to write their answers.
+		writeCtx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+		defer cancel()
+		if err := callers.Shutdown(writeCtx); err != nil {
 			f.logger.Warn().Err(err).Msg("requests were cut off")
 		}
 	}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -121,12 +121,28 @@
 	if now.Add(wait).After(j.limit) {
 		return batch.Overloaded, false
 	}
-	if share := shedShare(wait); share > 0 && d.route(j.Route).shed(share) {
+	r := d.route(j.Route)
+	weight := r.shedWeight(j.Priority, j.work)
+	if share := shedShare(wait) * weight; share > 0 && r.shed(share) {
+		return batch.Overloaded, false
+	}
+	if wait > shedFrom && d.waitFor(j) > time.Duration(slackShare*float64(j.start.Sub(now))) {
 		return batch.Overloaded, false
 	}
 	return "", true
 }
 
+// waitFor predicts how long a job waits behind the work that goes first.
+func (d *Dispatcher) waitFor(j *job) time.Duration {
+	ahead := 0.0
+	for _, other := range d.queue.jobs {
+		if !other.answered && (other.started() || !other.start.After(j.start)) {
+			ahead += other.work
+		}
+	}
+	return time.Duration(ahead / d.cores * float64(time.Second))
+}
+
 // fits reports whether some backend server could run each task of the job if it were empty.
 func (d *Dispatcher) fits(j *job) (batch.Reason, bool) {
 	known := false
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -44,6 +44,18 @@
 // late marks a latest start that has passed: such a job goes after all others, in the order of arrival.
 const late = 24 * time.Hour
 
+// lateOdds is how many times the predicted wait a late job must have left. Under overload, work that goes first
+// keeps arriving.
+const lateOdds = 3
+
+const (
+	// lookAhead is how many jobs are tried for room that the first ones cannot use. Tasks differ in size, and
+	// without it a tenth of the processors stands idle under overload.
+	lookAhead = 16
+	// smallTask is the processor demand, in thousandths of a core, below which room is not looked at.
+	smallTask = 250
+)
+
 func (d *Dispatcher) enqueue(j *job) {
 	if !j.queued && len(j.waiting) > 0 && !j.answered {
 		j.queued = true
@@ -67,31 +79,37 @@
 			d.refuse(now, j, batch.DeadlinePassed)
 			continue
 		case !j.started() && now.After(j.start) && j.start.Before(j.limit):
-			// Too late for its target: it goes behind all that is not, in the order of arrival.
+			// Too late for its target. It goes behind all that is not, in the order of arrival, if there is a
+			// chance that its turn comes: work that arrives meanwhile goes first.
+			if d.Load().Wait()*lateOdds > j.limit.Sub(now) {
+				heap.Pop(&d.queue)
+				j.queued = false
+				d.refuse(now, j, batch.Overloaded)
+				continue
+			}
 			j.start = j.arrived.Add(late)
 			heap.Fix(&d.queue, 0)
 			continue
 		}
-		full := d.placeJob(now, j)
+		d.placeJob(now, j)
+		heap.Pop(&d.queue)
 		if len(j.waiting) == 0 {
-			heap.Pop(&d.queue)
 			j.queued = false
 			continue
 		}
-		if full {
+		// What is free is not enough for its next task, but may be for another job's.
+		passed = append(passed, j)
+		if len(passed) >= lookAhead || d.full() {
 			break
 		}
-		// What the job requires is not free; others may use the rest.
-		heap.Pop(&d.queue)
-		passed = append(passed, j)
 	}
 	for _, j := range passed {
 		heap.Push(&d.queue, j)
 	}
 }
 
-// placeJob starts tasks of a job. It reports whether room was short.
-func (d *Dispatcher) placeJob(now time.Time, j *job) (full bool) {
+// placeJob starts tasks of a job while one fits.
+func (d *Dispatcher) placeJob(now time.Time, j *job) {
 	rest := j.waiting[:0]
 	for i, t := range j.waiting {
 		st := j.steps[t.id.Step]
@@ -100,7 +118,6 @@
 			rest = append(rest, t)
 			if !constrained {
 				rest = append(rest, j.waiting[i+1:]...)
-				full = true
 				break
 			}
 			continue
@@ -108,5 +125,14 @@
 		d.startTask(now, j, st, t, s)
 	}
 	j.waiting = rest
-	return full
+}
+
+// full reports whether no backend server has room for a small task.
+func (d *Dispatcher) full() bool {
+	for _, s := range d.order {
+		if s.usable() && s.free().Processor >= smallTask {
+			return false
+		}
+	}
+	return true
 }
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -15,8 +15,19 @@
 
 	// shedFrom and shedAll are predicted waits. Between them, a rising share of the jobs that would have to
 	// wait is refused on arrival; the short targets of short jobs are met and no kind of job is starved.
-	shedFrom = 40 * time.Millisecond
-	shedAll  = 400 * time.Millisecond
+	shedFrom = 60 * time.Millisecond
+	shedAll  = 300 * time.Millisecond
+
+	// slackShare of the time until a job's latest start may be taken up by the work that goes first now. More
+	// such work arrives meanwhile.
+	slackShare = 0.6
+	// urgentShare is the part of the share that applies to jobs of the most urgent routes.
+	urgentShare = 0.25
+	// sizeExponent spreads refusals over the jobs of a route by their work: the fewer core-seconds a job needs,
+	// the more callers are served with the same processors. The square root keeps large jobs served.
+	sizeExponent = 0.5
+	maxSize      = 4.0 // times the typical work; larger jobs count like this
+	workWeight   = 0.02
 
 	// maxRetryAfter bounds how far returns are spread.
 	maxRetryAfter = 10 * time.Second
@@ -26,6 +37,7 @@
 type routeState struct {
 	ratio float64 // typical run time against the estimate
 	debt  float64 // share of a job that is to be refused
+	work  float64 // typical core-seconds of a job
 }
 
 func (d *Dispatcher) route(name string) *routeState {
@@ -65,6 +77,22 @@
 	return true
 }
 
+// shedWeight is how much of the share of refusals applies to a job.
+func (r *routeState) shedWeight(priority int, work float64) float64 {
+	if r.work == 0 {
+		r.work = work
+	}
+	r.work += workWeight * (work - r.work)
+	weight := 1.0
+	if r.work > 0 {
+		weight = math.Pow(min(max(work/r.work, 1/maxSize), maxSize), sizeExponent)
+	}
+	if priority == 0 {
+		weight *= urgentShare
+	}
+	return weight
+}
+
 // shedShare is the share of arriving jobs that is refused at a predicted wait.
 func shedShare(wait time.Duration) float64 {
 	share := float64(wait-shedFrom) / float64(shedAll-shedFrom)
