--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -33,8 +33,11 @@
 	holdMargin = 200 * time.Millisecond
 	// holdPause keeps repeated calls apart when the answer is not held back.
 	holdPause = 20 * time.Millisecond
-	noServer  = 50 * time.Millisecond // between looks for a backend server
-	stopPoll  = 20 * time.Millisecond
+	// maxHoldShift bounds how often the pause doubles while the backend server is silent. Each call may open a
+	// connection, which has a price.
+	maxHoldShift = 4
+	noServer     = 50 * time.Millisecond // between looks for a backend server
+	stopPoll     = 20 * time.Millisecond
 	// stopReserve is left at the end of a planned stop to stop what still runs.
 	stopReserve = 400 * time.Millisecond
 )
@@ -55,9 +58,20 @@
 // Error implements error.
 func (e *FencedError) Error() string { return "the backend server has seen a higher token" }
 
-// Directory tells an agent the entries of its region.
+// MisdirectedError reports that another run of the backend server answered.
+type MisdirectedError struct{}
+
+// Error implements error.
+func (e *MisdirectedError) Error() string { return "another run of the backend server answered" }
+
+// Directory is what agents share through the platform's store.
 type Directory interface {
+	// Entries returns the entries of the region.
 	Entries(ctx context.Context) ([]home.Entry, error)
+	// SaveServer keeps what an agent knows of its backend server, for an agent that starts after it.
+	SaveServer(ctx context.Context, agent string, s supervise.Server) error
+	// Server returns what was saved; its ID is empty if nothing was.
+	Server(ctx context.Context, agent string) (supervise.Server, error)
 }
 
 // Options are what an agent needs to start.
@@ -87,6 +101,7 @@
 	peers      map[string]*inner.Peer // by name of the entry
 	known      map[string]home.Entry  // by name
 	avoid      map[string]time.Time   // entries that are not tried before the time
+	saved      supervise.Server
 	stopping   bool
 }
 
@@ -122,6 +137,7 @@
 	running.Go(func() { a.every(ctx, reportInterval, a.reportAll) })
 	running.Go(func() { a.holdRuns(ctx) })
 	running.Go(func() { a.keepHome(ctx) })
+	running.Go(func() { a.restore(ctx) })
 	a.log(event.ProcessStarted).Str("Incarnation", incarnation).Send()
 	return a, func() {
 		stop()
@@ -208,7 +224,12 @@
 		switch {
 		case !ok:
 			sleep(ctx, noServer)
-		case !a.hold(ctx, h) || h.Wait == 0:
+		case !a.hold(ctx, h):
+			a.mu.Lock()
+			pause := holdPause << min(a.supervisor.Silence(), maxHoldShift)
+			a.mu.Unlock()
+			sleep(ctx, pause)
+		case h.Wait == 0:
 			sleep(ctx, holdPause)
 		}
 	}
@@ -227,12 +248,15 @@
 	defer cancel()
 	answer, err := a.options.Server.Hold(ctx, h)
 	var fenced *FencedError
+	var misdirected *MisdirectedError
 	a.decide(func(now time.Time) []supervise.Action {
 		switch {
 		case err == nil:
 			return a.supervisor.Held(now, h, answer)
 		case errors.As(err, &fenced):
 			return a.supervisor.HoldFenced(now, h, fenced.Clock)
+		case errors.As(err, &misdirected):
+			return a.supervisor.HoldMisdirected(now, h)
 		default:
 			return a.supervisor.HoldFailed(now, h)
 		}
@@ -285,8 +309,15 @@
 	}
 }
 
-// Announced takes what the backend server says of itself.
+// Announced takes what the backend server says of itself. It returns when a change was saved, or could not be
+// saved in time: once it is acknowledged that a backend server leaves, a restarted agent must know it too.
 func (a *Agent) Announced(s supervise.Server) {
+	if a.announced(s) {
+		a.save(s)
+	}
+}
+
+func (a *Agent) announced(s supervise.Server) (changed bool) {
 	a.decide(func(now time.Time) []supervise.Action {
 		before, _ := a.supervisor.Server()
 		actions := a.supervisor.Announce(now, s)
@@ -299,8 +330,10 @@
 			a.log(number).Str("Peer", after.ID).Int64("Born", after.Born).Stringer("Capacity", after.Capacity).
 				Int("Running", a.supervisor.Running()).Send()
 		}
+		changed = !after.Same(a.saved)
 		return actions
 	})
+	return changed
 }
 
 // Left takes note that the backend server ended as planned.
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -6,6 +6,7 @@
 package batch
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -33,6 +34,11 @@
 // String returns the ID for logs.
 func (t TaskID) String() string { return fmt.Sprintf("%s/%d/%d", t.Job, t.Step, t.Index) }
 
+// Compare orders tasks by job, step and index.
+func (t TaskID) Compare(other TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, other.Job), cmp.Compare(t.Step, other.Step), cmp.Compare(t.Index, other.Index))
+}
+
 // Step is a group of parallel tasks with equal demands.
 type Step struct {
 	Count        int
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -12,7 +12,7 @@
 	for _, x := range starts {
 		refusal := ""
 		switch _, exists := s.runs[x.Task]; {
-		case now.After(c.until):
+		case !c.kept || now.After(c.until):
 			refusal = "SessionLost"
 		case !s.known || s.gone || !s.checked || s.server.Leaving || s.draining:
 			refusal = "NoServer"
@@ -116,7 +116,7 @@
 // repeatStops repeats the stops of runs whose end is not listed. An answered stop normally shows within
 // StopTime, so it is repeated only if the answer was to an earlier start of the run.
 func (s *Supervisor) repeatStops(now time.Time) {
-	for _, r := range s.runs {
+	for _, r := range s.sorted() {
 		if r.stopping && now.Sub(r.stopAt) >= stopRetry {
 			s.callStop(now, r)
 		}
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -7,6 +7,10 @@
 	"dogwoodglade/core/batch"
 )
 
+// maxFenceShift bounds the steps by which the token is raised when calls are fenced in a row: to about 17
+// minutes of the clock that tokens follow.
+const maxFenceShift = 20
+
 // Announce takes what the backend server says of itself. Announcements of an earlier run of it, or that were
 // overtaken by a later one, are ignored.
 func (s *Supervisor) Announce(now time.Time, server Server) []Action {
@@ -14,12 +18,15 @@
 		(server.ID == s.leftID && server.Born <= s.leftBorn) {
 		return nil
 	}
-	if !s.known || server.Born != s.server.Born || server.ID != s.server.ID {
+	switch {
+	case !s.known || server.ID != s.server.ID:
 		s.replaced(now, server)
+	case server.Born != s.server.Born:
+		s.reborn(now, server.Born, server.Clock)
 	}
-	changed := s.server.Leaving != server.Leaving || s.server.Capacity != server.Capacity ||
+	changed := s.renewed || s.server.Leaving != server.Leaving || s.server.Capacity != server.Capacity ||
 		!slices.Equal(s.server.Labels, server.Labels)
-	s.server = server
+	s.server, s.restored, s.renewed = server, false, false
 	s.readClock(now, server.Clock)
 	if changed {
 		s.reportAll()
@@ -27,9 +34,42 @@
 	return s.take()
 }
 
-// replaced forgets the earlier run of the backend server. What ran there has ended with its process.
-func (s *Supervisor) replaced(now time.Time, server Server) {
+// Restore takes what an earlier agent on the host knew of the backend server, so that a restarted agent need
+// not wait for the next announcement. The backend server is offered once it has answered as the same run.
+func (s *Supervisor) Restore(now time.Time, server Server) []Action {
+	if s.known || server.ID == "" {
+		return nil
+	}
+	server.Sequence = 0
+	s.replaced(now, server)
+	s.restored = true
+	return s.take()
+}
+
+// unrestore forgets a backend server that turned out to be another one.
+func (s *Supervisor) unrestore() {
+	s.server, s.known, s.restored = Server{}, false, false
+	s.reportAll()
+}
+
+// reborn takes note that the backend server restarted under its ID. What ran before has ended with its process,
+// but orders that were sent before the agent knew of the restart may have reached the new run. They are fenced,
+// and the next list tells which runs are there.
+func (s *Supervisor) reborn(now time.Time, born int64, clock time.Duration) {
 	for _, r := range s.runs {
+		r.state, r.token, r.reborn = unclear, s.token, true
+	}
+	s.server.Born, s.server.Sequence = born, 0
+	s.gone, s.checked, s.renewed = false, false, true
+	s.silent, s.seen = 0, 0
+	s.clock, s.clockAt = clock, now
+	s.raiseToken(now)
+	s.reportAll()
+}
+
+// replaced forgets the earlier backend server. What ran there has ended with its process.
+func (s *Supervisor) replaced(now time.Time, server Server) {
+	for _, r := range s.sorted() {
 		s.end(now, r, Lost, "")
 	}
 	s.foreign = map[batch.TaskID]foreign{}
@@ -57,7 +97,7 @@
 }
 
 func (s *Supervisor) reportAll() {
-	for entry := range s.sessions {
+	for _, entry := range s.entries() {
 		s.report(entry)
 	}
 }
@@ -115,15 +155,17 @@
 	if !s.known || h.Server != s.server.ID || answer.Born < s.server.Born {
 		return nil
 	}
+	if s.restored && answer.Born != s.server.Born {
+		s.unrestore()
+		return s.take()
+	}
+	s.restored = false
 	if answer.Born > s.server.Born {
-		// It restarted under its ID. Its announcement follows with what it has now.
-		next := s.server
-		next.Born, next.Clock, next.Sequence = answer.Born, answer.Clock, 0
-		s.replaced(now, next)
+		s.reborn(now, answer.Born, answer.Clock)
 		return s.take()
 	}
 	wasSilent := s.silent
-	s.silent = 0
+	s.silent, s.fences = 0, 0
 	s.readClock(now, answer.Clock)
 	for _, e := range answer.Ended {
 		s.taskEnded(now, e)
@@ -171,14 +213,17 @@
 	}
 	wasOrphaned := s.orphaned()
 	s.foreign = found
-	for _, r := range s.runs {
+	for _, r := range s.sorted() {
 		// The list was made after the token of the lost order was fenced.
 		if r.state != unclear || h.Token <= r.token {
 			continue
 		}
-		if present[r.Task] {
+		switch {
+		case present[r.Task]:
 			s.started(now, r)
-		} else {
+		case r.reborn:
+			s.end(now, r, Lost, "")
+		default:
 			s.end(now, r, Refused, Unanswered.String())
 		}
 	}
@@ -202,6 +247,21 @@
 	return s.take()
 }
 
+// HoldMisdirected takes note that another run of the backend server answered. Its announcement follows.
+func (s *Supervisor) HoldMisdirected(now time.Time, h Hold) []Action {
+	if !s.known || h.Server != s.server.ID {
+		return nil
+	}
+	if s.restored {
+		s.unrestore()
+		return s.take()
+	}
+	return s.HoldFailed(now, h)
+}
+
+// Silence returns how many calls in a row the backend server did not answer.
+func (s *Supervisor) Silence() int { return s.silent }
+
 // HoldFenced takes note that the backend server has seen a higher token, and its clock.
 func (s *Supervisor) HoldFenced(now time.Time, h Hold, clock time.Duration) []Action {
 	if !s.known || h.Server != s.server.ID {
@@ -209,7 +269,11 @@
 	}
 	s.readClock(now, clock)
 	if h.Token == s.token {
+		// The token that was seen is not told. It is from an earlier agent, or from before a restart that began
+		// the backend server's clock anew, so it may be far ahead.
 		s.raiseToken(now)
+		s.token += 1 << min(s.fences, maxFenceShift)
+		s.fences++
 	}
 	return s.take()
 }
--- a/core/supervise/session.go
+++ b/core/supervise/session.go
@@ -28,7 +28,7 @@
 	if s.home == entry {
 		s.home = ""
 	}
-	for _, r := range s.runs {
+	for _, r := range s.sorted() {
 		if r.entry == entry {
 			r.sessionLost = true
 			s.stop(now, r)
@@ -39,8 +39,12 @@
 // Keep extends the session of an entry until a time of the agent's clock. A message that was delayed carries
 // an early time, so it extends nothing.
 func (s *Supervisor) Keep(entry string, until time.Time) {
-	if c, ok := s.sessions[entry]; ok && until.After(c.until) {
-		c.until = until
+	c, ok := s.sessions[entry]
+	if !ok || until.Equal(Time(0)) {
+		return
+	}
+	if !c.kept || until.After(c.until) {
+		c.kept, c.until = true, until
 	}
 }
 
@@ -63,15 +67,13 @@
 // Drain offers the backend server to no entry from now on. Its runs go on.
 func (s *Supervisor) Drain() []Action {
 	s.draining = true
-	for entry := range s.sessions {
-		s.report(entry)
-	}
+	s.reportAll()
 	return s.take()
 }
 
 // StopAll stops every run, for an agent that must exit.
 func (s *Supervisor) StopAll(now time.Time) []Action {
-	for _, r := range s.runs {
+	for _, r := range s.sorted() {
 		s.stop(now, r)
 	}
 	return s.take()
@@ -79,8 +81,8 @@
 
 // Tick ends sessions that were not kept and repeats stops. It returns the entries whose sessions ended.
 func (s *Supervisor) Tick(now time.Time) (lost []string, actions []Action) {
-	for entry, c := range s.sessions {
-		if now.After(c.until) {
+	for _, entry := range s.entries() {
+		if now.After(s.sessions[entry].until) {
 			lost = append(lost, entry)
 			s.endSession(now, entry)
 		}
@@ -100,7 +102,7 @@
 	if (s.silent == 0 && !s.gone) || !now.After(s.heldUntil) {
 		return
 	}
-	for _, r := range s.runs {
+	for _, r := range s.sorted() {
 		s.end(now, r, Lost, "")
 	}
 	s.foreign = map[batch.TaskID]foreign{}
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -14,6 +14,8 @@
 package supervise
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"dogwoodglade/core/batch"
@@ -47,8 +49,12 @@
 // The clock of a backend server may be this much slower or faster than the agent's.
 const clockError = 0.02
 
+// leaseLimit is the longest lease that a backend server grants. One that restarted without the agent's knowledge
+// began its clock anew, so that a lease which the agent grants ends late on it and is cut to this limit.
+const leaseLimit = time.Second
+
 // LapsedAfter is how long the runs of an agent may go on after its process has ended.
-const LapsedAfter = ServerLease + ServerLease*3/100 + StopTime + clockSlack
+const LapsedAfter = leaseLimit + leaseLimit*3/100 + StopTime + clockSlack
 
 // LostAfter is how long the runs of an agent may go on after its last message, if the agent cannot be
 // reached.
@@ -67,6 +73,12 @@
 	Clock    time.Duration // its steady clock
 }
 
+// Same reports whether two announcements say the same but for their time.
+func (s Server) Same(other Server) bool {
+	return s.ID == other.ID && s.Pool == other.Pool && s.Address == other.Address && s.Born == other.Born &&
+		s.Leaving == other.Leaving && s.Capacity == other.Capacity && slices.Equal(s.Labels, other.Labels)
+}
+
 // RunID identifies a run of a task within the session of the entry that ordered it.
 type RunID struct {
 	Task    batch.TaskID
@@ -229,6 +241,7 @@
 	percent   int
 	restarts  int
 
+	reborn      bool // the backend server restarted since the order
 	stopping    bool
 	stopAt      time.Time // of the latest stop call
 	stopped     bool      // a stop was answered
@@ -239,6 +252,7 @@
 type session struct {
 	entry string
 	until time.Time
+	kept  bool // the entry has answered a report; until then it may be out of reach, and orders are refused
 	ended []Ended
 }
 
@@ -260,6 +274,9 @@
 	gone      bool // it left, or did not answer until its lease ran out
 	silent    int  // unanswered holds in a row
 	checked   bool // its runs were listed since this agent first saw it
+	restored  bool // it is known from an earlier agent only, and did not answer yet
+	renewed   bool // it restarted, and did not say yet what it has now
+	fences    int  // fenced calls in a row
 	leftID    string
 	leftBorn  int64
 	token     uint64
@@ -313,6 +330,14 @@
 // Server returns what the backend server last said of itself, and whether it is there.
 func (s *Supervisor) Server() (Server, bool) { return s.server, s.known && !s.gone }
 
+// sorted returns the runs in a fixed order, so that the same events lead to the same actions.
+func (s *Supervisor) sorted() []*run {
+	return slices.SortedFunc(maps.Values(s.runs), func(a, b *run) int { return a.Task.Compare(b.Task) })
+}
+
+// entries returns the entries with a session in a fixed order.
+func (s *Supervisor) entries() []string { return slices.Sorted(maps.Keys(s.sessions)) }
+
 // inUse returns what runs may use, of all sessions but the given one.
 func (s *Supervisor) inUse(except string) resource.Amount {
 	var sum resource.Amount
@@ -339,7 +364,7 @@
 }
 
 func (s *Supervisor) offered(entry string) bool {
-	return entry == s.home && s.known && !s.gone && s.checked && !s.server.Leaving && !s.draining &&
+	return entry == s.home && s.known && !s.gone && s.checked && !s.renewed && !s.server.Leaving && !s.draining &&
 		s.silent < 2 && !s.orphaned()
 }
 
@@ -349,7 +374,7 @@
 	if c, ok := s.sessions[entry]; ok {
 		r.Ended, c.ended = c.ended, nil
 	}
-	for _, x := range s.runs {
+	for _, x := range s.sorted() {
 		if x.entry == entry && x.state == running && !x.stopping {
 			r.Progress = append(r.Progress, Progress{RunID: x.RunID, Percent: x.percent, Age: now.Sub(x.startedAt)})
 		}
