--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -244,7 +244,6 @@
 	reborn      bool // the backend server restarted since the order
 	stopping    bool
 	stopAt      time.Time // of the latest stop call
-	stopped     bool      // a stop was answered
 	sessionLost bool
 }
 
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -85,7 +85,7 @@
 		Job    batch.JobID
 		ForAll bool `json:",omitempty"`
 	}
-	configuration     struct{ Configuration site.Configuration }
+	configuration struct{ Configuration site.Configuration }
 )
 
 // forwardedParams carries an outcome by its kind.
--- a/io/tables/store.go
+++ b/io/tables/store.go
@@ -43,8 +43,8 @@
 // stored is the state of the tables in the platform at one moment.
 type stored struct {
 	heads  table.Heads
-	checks []store.Check // versions of the rows of the heads
-	state  table.Snapshot   // rows at the versions of the heads; the tables of the process may be newer
+	checks []store.Check  // versions of the rows of the heads
+	state  table.Snapshot // rows at the versions of the heads; the tables of the process may be newer
 }
 
 // read reads the heads, and all rows if edits are missing, and takes over what is new.
