Ask for a ticket only for a key that its caller calls new

Separate processes from examples/: entry and agent killed together, six jobs submitted again with their keys at the other entry: two of them ran a second time. The command had asked for a fresh ticket for each key, and the owner took it as proof of a first submission.

--- a/cmd/dogwoodglade/submit.go
+++ b/cmd/dogwoodglade/submit.go
@@ -19,9 +19,9 @@
 const submitUsage = `dogwoodglade submit [options] BODY...
 
 Submits a job with one task for each BODY, waits for the whole answer and prints it as JSON. Each entry
-address is tried in turn until one answers; the same key makes that a resubmission. Without --ticket, the
-command gets a ticket first, so that a first submission is served even during a recovery. A resubmission of
-an earlier call must repeat its key and its ticket.
+address is tried in turn until one answers; the same key makes that a resubmission. With --new, the command
+gets a ticket first, so that the job is served even during a recovery: give it only for a key that nobody has
+submitted before. A resubmission of an earlier call must repeat its key and its ticket.
 
 EXAMPLES:
    dogwoodglade submit -r sample -c atlas -k key-1 hello world
@@ -47,7 +47,7 @@
 			&cli.DurationFlag{Name: "deadline", Aliases: []string{"d"}, Usage: "longest `TIME` to wait for the answer"},
 			&cli.BoolFlag{Name: "idempotent", Usage: "allow tasks to run again as the route says"},
 			&cli.StringFlag{Name: "ticket", Usage: "`TICKET` of the first submission"},
-			&cli.BoolFlag{Name: "no-ticket", Usage: "submit without a ticket"},
+			&cli.BoolFlag{Name: "new", Usage: "the key was never submitted before; get a ticket that says so"},
 			&cli.BoolFlag{Name: "lookup", Usage: "print the state of the job instead"},
 			&cli.BoolFlag{Name: "cancel", Usage: "cancel the job instead"},
 		},
@@ -108,7 +108,9 @@
 	case cmd.Bool("cancel"):
 		return c.Cancel(ctx, s.ID)
 	}
-	if s.Ticket.IsZero() && !cmd.Bool("no-ticket") {
+	// Only whoever made the key knows that it is new. A ticket for a key that was submitted before would let a
+	// new owner start its tasks a second time.
+	if s.Ticket.IsZero() && cmd.Bool("new") {
 		ticket, err := c.IssueTicket(ctx, s.ID)
 		if err != nil {
 			return job.Answer{}, err
