Play slow and hanging backend servers, and mark one only if all it runs is slow

All runs of four jobs have to be slow now; a probe counts more, so that a backend server that recovered is used again.

--- a/core/dispatch/overload_test.go
+++ b/core/dispatch/overload_test.go
@@ -87,12 +87,34 @@
 	}
 }
 
-// Guards against work that waits for the slowest backend server while others are free.
+// Guards against work that waits for a backend server that turned slow while others are free: only what it runs
+// when that begins may be late.
 func TestSlowServerIsAvoided(t *testing.T) {
 	p := newPlay(1, 11, 32, raceKinds, constant(0.5*fullLoad))
-	p.servers["agent-00"].speed = 6
+	p.at(p.now.Add(5*time.Second), func() { p.servers["agent-00"].speed = 6 })
 	p.run(20)
-	if got := p.earned(""); got < 0.9 {
+	if got := p.earned(""); got < 0.97 {
 		t.Errorf("callers got %.3f of the worth", got)
 	}
 }
+
+// Guards against jobs that wait for a backend server on which everything stands still although it reports that it
+// is well: its runs are begun anew elsewhere.
+func TestHangingServerIsLeft(t *testing.T) {
+	p := newPlay(1, 11, 32, raceKinds, constant(0.5*fullLoad))
+	p.at(p.now.Add(5*time.Second), func() { p.hang("agent-00") })
+	p.run(20)
+	if got := p.earned(""); got < 0.95 {
+		t.Errorf("callers got %.3f of the worth", got)
+	}
+	unanswered := 0
+	for _, j := range p.jobs {
+		if !j.answered {
+			unanswered++
+		}
+	}
+	// The probes, one a second, stay there.
+	if unanswered > 20 {
+		t.Errorf("%d of %d jobs have no answer", unanswered, len(p.jobs))
+	}
+}
--- a/core/dispatch/play_test.go
+++ b/core/dispatch/play_test.go
@@ -3,8 +3,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"dogwoodglade/core/batch"
@@ -65,6 +67,21 @@
 	capacity resource.Amount
 	used     resource.Amount
 	gone     bool
+	hangs    bool // nothing that runs gets on
+	runs     map[supervise.RunID]*playRun
+}
+
+type playRun struct {
+	started time.Time
+	runTime time.Duration
+	hung    time.Time // when it stopped getting on
+}
+
+func (r *playRun) percent(now time.Time) int {
+	if !r.hung.IsZero() {
+		now = r.hung
+	}
+	return int(min(100*now.Sub(r.started)/max(r.runTime, 1), 99))
 }
 
 type playJob struct {
@@ -120,6 +137,7 @@
 		speed := []float64{0.8, 1, 1.25}[i%3]
 		p.servers[name] = &playServer{
 			speed: speed, capacity: resource.Amount{Processor: int(cores * 1000), Memory: 65536},
+			runs: map[supervise.RunID]*playRun{},
 		}
 		p.perform(p.d.Connect(p.now, name))
 		p.report(name, nil)
@@ -137,8 +155,17 @@
 
 func (p *play) report(agent string, ended []supervise.Ended) {
 	s := p.servers[agent]
+	var progress []supervise.Progress
+	if ended == nil {
+		ids := slices.SortedFunc(maps.Keys(s.runs), func(a, b supervise.RunID) int { return a.Task.Compare(b.Task) })
+		for _, id := range ids {
+			if r := s.runs[id]; p.now.Sub(r.started) > 80*time.Millisecond {
+				progress = append(progress, supervise.Progress{RunID: id, Percent: r.percent(p.now), Age: p.now.Sub(r.started)})
+			}
+		}
+	}
 	p.perform(p.d.Report(p.now, agent, supervise.Report{
-		Offered: !s.gone, Ended: ended,
+		Offered: !s.gone, Ended: ended, Progress: progress,
 		Server: supervise.Server{ID: agent, Pool: "pool", Born: 1, Capacity: s.capacity},
 	}))
 }
@@ -150,9 +177,15 @@
 	for _, k := range p.kinds {
 		p.arrive(k, begun, end)
 	}
+	ticks := 0
 	var tick func()
 	tick = func() {
 		p.perform(p.d.Tick(p.now))
+		if ticks++; ticks%3 == 0 {
+			for _, agent := range slices.Sorted(maps.Keys(p.servers)) {
+				p.report(agent, nil)
+			}
+		}
 		if p.now.Before(end.Add(30 * time.Second)) {
 			p.at(p.now.Add(50*time.Millisecond), tick)
 		}
@@ -222,6 +255,9 @@
 				p.start(a.Agent, s)
 			}
 		case *dispatch.StopRuns:
+			for _, id := range a.Runs {
+				p.at(p.now.Add(2*messages), func() { p.end(a.Agent, id, supervise.Stopped) })
+			}
 		case dispatch.Answer:
 			p.answer(a)
 		}
@@ -241,12 +277,40 @@
 	if server.fails {
 		runTime, end = runTime/10, supervise.Failed
 	}
+	r := &playRun{started: p.now.Add(messages), runTime: runTime}
+	if server.hangs {
+		r.hung = r.started
+	}
+	server.runs[s.RunID] = r
 	p.at(p.now.Add(2*messages+runTime), func() {
-		server.used = server.used.Minus(s.Demand)
-		p.report(agent, []supervise.Ended{{RunID: s.RunID, End: end, RunTime: runTime}})
+		if server.hangs {
+			return
+		}
+		p.end(agent, s.RunID, end)
 	})
 }
 
+// end ends a run, if it goes on, and reports it.
+func (p *play) end(agent string, id supervise.RunID, how supervise.End) {
+	server := p.servers[agent]
+	r, ok := server.runs[id]
+	if !ok {
+		return
+	}
+	delete(server.runs, id)
+	server.used = server.used.Minus(p.jobs[id.Task.Job].demand)
+	p.report(agent, []supervise.Ended{{RunID: id, End: how, RunTime: r.runTime}})
+}
+
+// hang stops the progress of all that runs on a backend server, now and later.
+func (p *play) hang(agent string) {
+	s := p.servers[agent]
+	s.hangs = true
+	for _, r := range s.runs {
+		r.hung = p.now
+	}
+}
+
 func (p *play) answer(a dispatch.Answer) {
 	j := p.jobs[a.Job]
 	t := p.results[j.kind.name]
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -15,6 +15,8 @@
 	// speedWeight is the weight of one run in the speed of a backend server. Run times vary by half around
 	// their estimate, so that about twenty runs make a reliable figure.
 	speedWeight = 0.06
+	// probeWeight is the weight of a probe in the speed of a slow backend server, which gets few.
+	probeWeight = 0.4
 	// maxSpeedSample bounds what one run says, on a logarithmic scale. One run in thirty takes seven times as
 	// long as the others and says nothing about the backend server.
 	maxSpeedSample = 1.2
@@ -26,12 +28,13 @@
 	maxQuarantine = 4 * time.Second
 	// suspectFailures quarantine a backend server: failures in a row, of different jobs.
 	suspectFailures = 3
-	// slowProgress marks a backend server by the progress of what it runs. It is above slowFactor, because runs
-	// that take long are seen more often than others.
+	// slowProgress marks a backend server by the progress of what it runs.
 	slowProgress = 2.5
+	// minExpected is the run time from which a run is seen in progress whether it is slow or not.
+	minExpected = 120 * time.Millisecond
 	// minProgressJobs have to run on a backend server before their progress says anything of it: the estimate of
 	// one job may be far off.
-	minProgressJobs = 3
+	minProgressJobs = 4
 	// A run is moved if the time that it still needs is moveGain times that of a new one, and moveCost.
 	moveGain = 2
 	moveCost = 100 * time.Millisecond
@@ -234,7 +237,11 @@
 	if r.ratio > 0 {
 		sample := math.Log(ratio / r.ratio)
 		sample = min(max(sample, -maxSpeedSample), maxSpeedSample)
-		s.slowness += speedWeight * (sample - s.slowness)
+		weight := speedWeight
+		if s.bad() {
+			weight = probeWeight
+		}
+		s.slowness += weight * (sample - s.slowness)
 		s.samples++
 	}
 	r.observe(ratio / s.factor())
@@ -242,7 +249,8 @@
 }
 
 // observe takes the progress of runs into account. It tells a slow backend server, or one on which everything
-// stands still, long before its runs end. The middle one of the runs decides: a few take much longer everywhere.
+// stands still, long before its runs end. All that it runs has to be slow, because some runs take much longer
+// everywhere, and those are in progress more often than others.
 func (d *Dispatcher) observe(now time.Time, s *server, progress []supervise.Progress) {
 	var ratios []float64
 	jobs := map[*job]bool{}
@@ -252,23 +260,23 @@
 			continue
 		}
 		j := d.jobs[t.id.Job]
-		jobs[j] = true
 		expected := d.route(j.Route).runTime(j.steps[t.id.Step].Estimate)
-		if expected > 0 {
-			ratios = append(ratios, float64(projected(p))/float64(expected))
+		if expected < minExpected {
+			continue // only those that take long are seen
 		}
+		jobs[j] = true
+		ratios = append(ratios, float64(projected(p))/float64(expected))
 	}
 	if len(jobs) < minProgressJobs {
 		return
 	}
-	slices.Sort(ratios)
-	middle := ratios[len(ratios)/2]
+	least := slices.Min(ratios)
 	before := s.bad()
 	switch {
-	case middle > slowProgress:
-		s.slowness = max(s.slowness, math.Log(middle))
-	case middle < slowFactor && s.factor() > slowFactor:
-		s.slowness = math.Log(middle)
+	case least > slowProgress:
+		s.slowness = max(s.slowness, math.Log(least))
+	case least < 1 && s.factor() > slowFactor:
+		s.slowness = math.Log(least)
 	default:
 		return
 	}
