--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -81,7 +81,7 @@
 			return p.Forward(c.job.WithPatience(max(c.job.Patience-now.Sub(c.arrived), 0)))
 		}) {
 			c.forwarded = to
-			e.measures.forwarded.Inc(1)
+			e.logForward(c)
 			return
 		}
 	}
@@ -140,6 +140,7 @@
 		switch action := action.(type) {
 		case *dispatch.StartRuns:
 			if a, ok := e.agents[action.Agent]; ok {
+				e.logStarts(action)
 				a.peer.Runs(action.Starts, nil)
 			}
 		case *dispatch.StopRuns:
--- a/batchentry/log.go
+++ b/batchentry/log.go
@@ -43,6 +43,30 @@
 	e.measures.answered(o, now.Sub(c.arrived))
 }
 
+// logStarts writes a line for each job whose tasks are sent to an agent.
+func (e *Entry) logStarts(action *dispatch.StartRuns) {
+	queue := e.dispatcher.Load().Wait()
+	for i, begin := 1, 0; i <= len(action.Starts); i++ {
+		first := action.Starts[begin]
+		if i < len(action.Starts) && action.Starts[i].Task.Job == first.Task.Job {
+			continue
+		}
+		e.log(event.TaskSent).Str("Job", string(first.Task.Job)).Int("Step", first.Task.Step).
+			Int("Task", first.Task.Index).Int("Attempt", first.Attempt).Int("Count", i-begin).
+			Str("Peer", action.Agent).Dur("Queue", queue).Send()
+		begin = i
+	}
+}
+
+// logForward writes the line of a job that another entry dispatches, with what this one knew of both.
+func (e *Entry) logForward(c *call) {
+	now := e.options.Now()
+	e.log(event.JobForwarded).Str("Job", string(c.job.ID)).Str("Route", c.job.Route).Str("Peer", c.forwarded).
+		Dur("Queue", e.dispatcher.Load().Wait()).Dur("PeerAge", now.Sub(e.entries[c.forwarded].heard)).
+		Uint64("Version", c.job.Version).Send()
+	e.measures.forwarded.Inc(1)
+}
+
 // logEnd writes a line for a run that did not succeed.
 func (e *Entry) logEnd(agent string, x supervise.Ended) {
 	number := event.TaskEnded
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -26,6 +26,9 @@
 	}
 	d.jobs[j.ID] = j
 	d.queued += j.work
+	if d.hasRoom(j) {
+		d.placeJob(now, j)
+	}
 	d.enqueue(j)
 	d.place(now)
 	return d.take()
@@ -116,8 +119,10 @@
 	if reason, ok := d.fits(j); !ok {
 		return reason, false
 	}
-	l := d.Load()
-	wait := l.Wait()
+	if d.hasRoom(j) {
+		return "", true
+	}
+	wait := d.Load().Wait()
 	if now.Add(wait).After(j.limit) {
 		return batch.Overloaded, false
 	}
@@ -132,6 +137,29 @@
 	return "", true
 }
 
+// hasRoom reports whether all tasks that may start now fit on the backend servers, beside those that wait. The
+// tasks that wait are then too large for the room that is left.
+func (d *Dispatcher) hasRoom(j *job) bool {
+	for _, st := range j.steps {
+		if st.need > 0 {
+			continue
+		}
+		left := st.Count
+		for _, s := range d.order {
+			if s.usable() && s.info.Pool == j.Pool && !s.bad() && (st.Label == "" || slices.Contains(s.info.Labels, st.Label)) {
+				left -= s.free().Holds(st.Demand)
+			}
+			if left <= 0 {
+				break
+			}
+		}
+		if left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // waitFor predicts how long a job waits behind the work that goes first.
 func (d *Dispatcher) waitFor(j *job) time.Duration {
 	ahead := 0.0
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -20,7 +20,7 @@
 
 	// slackShare of the time until a job's latest start may be taken up by the work that goes first now. More
 	// such work arrives meanwhile.
-	slackShare = 0.6
+	slackShare = 0.45
 	// urgentShare is the part of the share that applies to jobs of the most urgent routes.
 	urgentShare = 0.2
 	// sizeExponent spreads refusals over the jobs of a route by their work: the fewer core-seconds a job needs,
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -24,6 +24,7 @@
 	JobCancelled    Number = 1005
 	JobRecovered    Number = 1006
 	AnswerDelivered Number = 1007
+	JobForwarded    Number = 1008
 )
 
 // Events of tasks.
--- a/core/event/name.go
+++ b/core/event/name.go
@@ -5,7 +5,7 @@
 var names = map[Number]string{
 	JobAccepted: "JobAccepted", JobResubmitted: "JobResubmitted", JobAnswered: "JobAnswered",
 	JobRefused: "JobRefused", JobCancelled: "JobCancelled", JobRecovered: "JobRecovered",
-	AnswerDelivered: "AnswerDelivered",
+	AnswerDelivered: "AnswerDelivered", JobForwarded: "JobForwarded",
 
 	TaskAsked: "TaskAsked", TaskSent: "TaskSent", TaskStarted: "TaskStarted", TaskRefused: "TaskRefused",
 	TaskEnded: "TaskEnded", TaskLost: "TaskLost", TaskRetried: "TaskRetried", OutcomeReceived: "OutcomeReceived",
--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -2,7 +2,10 @@
 // task asks of it.
 package resource
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // Amount is an amount of each resource. It is a value.
 type Amount struct {
@@ -31,6 +34,22 @@
 	return a.Processor <= room.Processor && a.Memory <= room.Memory && a.Accelerators <= room.Accelerators
 }
 
+// Holds returns how many times the demand fits into the amount.
+func (a Amount) Holds(demand Amount) int {
+	n := math.MaxInt
+	for _, x := range [][2]int{
+		{a.Processor, demand.Processor}, {a.Memory, demand.Memory}, {a.Accelerators, demand.Accelerators},
+	} {
+		switch {
+		case x[1] > 0:
+			n = min(n, max(x[0], 0)/x[1])
+		case x[0] < 0:
+			n = 0
+		}
+	}
+	return n
+}
+
 // Valid reports whether no resource is negative.
 func (a Amount) Valid() bool { return a.Processor >= 0 && a.Memory >= 0 && a.Accelerators >= 0 }
 
