--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -114,6 +114,7 @@
 	queued   float64 // core-seconds of waiting tasks
 	retry    retryClock
 	draining bool
+	begun    time.Time // of this dispatcher
 
 	actions []Action
 	starts  map[string]*StartRuns
@@ -131,6 +132,17 @@
 	}
 }
 
+// startGrace is how long an entry that has just started takes jobs for pools without a backend server. After the
+// loss of a whole site the agents choose their entry some 100 ms after it is up.
+const startGrace = 500 * time.Millisecond
+
+func (d *Dispatcher) starting(now time.Time) bool {
+	if d.begun.IsZero() {
+		d.begun = now
+	}
+	return now.Sub(d.begun) < startGrace
+}
+
 // take returns the actions decided since the last call. Orders for one agent are in one action.
 func (d *Dispatcher) take() []Action {
 	actions := d.actions
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -117,6 +117,9 @@
 		return batch.Draining, false
 	}
 	if reason, ok := d.fits(j); !ok {
+		if reason == batch.NoServer && d.starting(now) {
+			return "", true
+		}
 		return reason, false
 	}
 	if d.hasRoom(j) {
@@ -358,6 +361,7 @@
 
 // Tick ends lost runs whose time is over, and gives up jobs that wait too long.
 func (d *Dispatcher) Tick(now time.Time) []Action {
+	d.starting(now)
 	for _, s := range d.order {
 		if len(s.runs) > 0 && !s.lostUntil.IsZero() && now.After(s.lostUntil) {
 			d.resolve(now, s)
--- /dev/null
+++ b/core/dispatch/start_test.go
@@ -0,0 +1,61 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/dispatch"
+	"dogwoodglade/core/resource"
+	"dogwoodglade/core/supervise"
+)
+
+func outcomesOf(actions []dispatch.Action) []batch.Outcome {
+	var outcomes []batch.Outcome
+	for _, a := range actions {
+		if answer, ok := a.(dispatch.Answer); ok {
+			outcomes = append(outcomes, answer.Outcome)
+		}
+	}
+	return outcomes
+}
+
+var smallJob = batch.Job{
+	ID: "1", Route: "r", Pool: "pool", Attempts: 2, Stretch: 1.6, Target: 60 * time.Millisecond,
+	Steps: []batch.Step{{Count: 2, Demand: resource.Amount{Processor: 1000}, Estimate: 500 * time.Millisecond}},
+}
+
+// Guards against callers who are refused in the moment in which a whole site comes back: entries are up some 100 ms
+// before their agents have chosen them.
+func TestStartingEntryWaitsForAgents(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := dispatch.New()
+	d.Tick(now)
+	if o := outcomesOf(d.Submit(now.Add(50*time.Millisecond), smallJob)); len(o) > 0 {
+		t.Fatalf("got %s at once", batch.Name(o[0]))
+	}
+	now = now.Add(200 * time.Millisecond)
+	d.Connect(now, "agent-1")
+	started := false
+	for _, a := range d.Report(now, "agent-1", supervise.Report{
+		Offered: true, Server: supervise.Server{ID: "i-1", Pool: "pool", Capacity: resource.Amount{Processor: 4000}},
+	}) {
+		_, ok := a.(*dispatch.StartRuns)
+		started = started || ok
+	}
+	if !started {
+		t.Error("the job was not started when the agent came")
+	}
+}
+
+// Guards against callers who are held although nobody can serve them: an entry that has been up for a while and has
+// no backend server says so at once.
+func TestEntryWithoutServersRefuses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := dispatch.New()
+	d.Tick(now)
+	o := outcomesOf(d.Submit(now.Add(2*time.Second), smallJob))
+	if len(o) != 1 || batch.Name(o[0]) != "NotRun:NoServer" {
+		t.Errorf("got %v", o)
+	}
+}
