Rest an agent that refuses, answer in short planned stops, and skip silent entries

A test of a silent entry hung: an agent that was stopping runs of an earlier session refused each order at once, and the entry ordered again at the speed of the network. An entry with little time to stop returned without answering its open jobs. Agents tried an entry whose session had lapsed again before any other.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -275,6 +275,8 @@
 	lost, actions := a.supervisor.Tick(now)
 	for _, entry := range lost {
 		a.log(event.EntryLost).Str("Peer", entry).Str("State", "SessionLapsed").Send()
+		// It does not answer, so another attempt to connect would only take time.
+		a.avoid[entry] = now.Add(retryDelay)
 		a.closePeer(entry)
 	}
 	a.perform(actions)
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -538,3 +538,45 @@
 		}
 	})
 }
+
+// Guards against a planned stop that cuts its callers off because less time is given than the load balancer needs to
+// notice it.
+func TestShortPlannedStop(t *testing.T) {
+	run(t, 1, 1, func(s *testSite) {
+		e := s.entries["entry-1"]
+		answer := make(chan batch.Outcome, 1)
+		go func() { answer <- e.Submit(s.t.Context(), newJob("long", 4, time.Minute)) }()
+		time.Sleep(100 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(s.t.Context(), 2*time.Second)
+		defer cancel()
+		e.Stop(ctx)
+		time.Sleep(time.Millisecond)
+		select {
+		case o := <-answer:
+			if _, ok := o.(batch.Unknown); !ok {
+				s.t.Errorf("got %s", batch.Name(o))
+			}
+		default:
+			s.t.Error("the job has no answer when the entry has stopped")
+			e.CancelJob("long")
+		}
+	})
+}
+
+// Guards against agents that go on trying an entry which does not answer before they choose another one.
+func TestAgentsLeaveSilentEntry(t *testing.T) {
+	run(t, 2, 2, func(s *testSite) {
+		for _, other := range []string{"entry-2", "agent-1", "agent-2"} {
+			s.network.Stall("entry-1", other, true)
+		}
+		time.Sleep(900 * time.Millisecond)
+		begun := time.Now()
+		o := s.entries["entry-2"].Submit(s.t.Context(), newJob("job-1", 20, 200*time.Millisecond))
+		if _, ok := o.(batch.Completed); !ok || time.Since(begun) > 300*time.Millisecond {
+			s.t.Errorf("got %s after %v; both backend servers should be at entry-2", batch.Name(o), time.Since(begun))
+		}
+		for _, other := range []string{"entry-2", "agent-1", "agent-2"} {
+			s.network.Stall("entry-1", other, false)
+		}
+	})
+}
--- a/batchentry/stop.go
+++ b/batchentry/stop.go
@@ -45,10 +45,13 @@
 	e.stopping = true
 	e.log(event.ProcessDraining).Int("Open", len(e.calls)).Send()
 	e.mu.Unlock()
+	notice := noticeTime
+	if end, ok := ctx.Deadline(); ok {
+		notice = min(notice, time.Until(end)/2)
+	}
 	select {
-	case <-time.After(noticeTime):
+	case <-time.After(notice):
 	case <-ctx.Done():
-		return
 	}
 	e.mu.Lock()
 	e.handover = true
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -266,6 +266,7 @@
 			return
 		}
 	case supervise.Refused:
+		s.restUntil = now.Add(refusalRest)
 		if j.runs == 0 && !j.begun {
 			j.first = time.Time{} // nothing of it has run
 			heap.Init(&d.queue)   // the order of the job changed
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -38,6 +38,9 @@
 	// A run is moved if the time that it still needs is moveGain times that of a new one, and moveCost.
 	moveGain = 2
 	moveCost = 100 * time.Millisecond
+	// refusalRest is how long nothing is ordered from an agent that refused. It stops runs of an earlier session, or
+	// its backend server is not well, and would refuse again at once.
+	refusalRest = 50 * time.Millisecond
 	// sameServer is the preference for the backend server of the job's previous task. Tasks of a job on one backend
 	// server need one message instead of several, and the loss of a backend server hits fewer jobs.
 	sameServer = 0.3
@@ -57,6 +60,8 @@
 	lostUntil time.Time       // when runs of the lost agent have ended
 	runs      map[supervise.RunID]*taskRun
 
+	restUntil time.Time // after a refusal
+
 	slowness float64 // natural logarithm of run times against those of other servers
 	samples  int
 
@@ -165,7 +170,7 @@
 	// A task that failed on every backend server may use any again.
 	avoid := len(t.failedOn) < usable
 	for _, s := range d.order {
-		if !s.usable() || s.info.Pool != j.Pool || !st.Demand.Fits(s.free()) {
+		if !s.usable() || s.info.Pool != j.Pool || !st.Demand.Fits(s.free()) || now.Before(s.restUntil) {
 			continue
 		}
 		if (st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) ||
--- a/core/dispatch/start_test.go
+++ b/core/dispatch/start_test.go
@@ -59,3 +59,35 @@
 		t.Errorf("got %v", o)
 	}
 }
+
+// Guards against orders and refusals that chase each other at the speed of the network: an agent that cannot start
+// anything for a moment refuses at once.
+func TestRefusedServerRests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := dispatch.New()
+	d.Connect(now, "agent-1")
+	report := supervise.Report{
+		Offered: true, Server: supervise.Server{ID: "i-1", Pool: "pool", Capacity: resource.Amount{Processor: 4000}},
+	}
+	d.Report(now, "agent-1", report)
+	job := smallJob
+	job.Patience = 10 * time.Second
+	actions := d.Submit(now, job)
+	orders := 0
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		report.Ended = nil
+		for _, a := range actions {
+			if s, ok := a.(*dispatch.StartRuns); ok {
+				orders += len(s.Starts)
+				for _, x := range s.Starts {
+					report.Ended = append(report.Ended, supervise.Ended{RunID: x.RunID, End: supervise.Refused, Reason: "Orphans"})
+				}
+			}
+		}
+		actions = append(d.Report(now, "agent-1", report), d.Tick(now)...)
+	}
+	if orders > 100 {
+		t.Errorf("%d orders in a second", orders)
+	}
+}
--- a/io/inner/batch_test.go
+++ b/io/inner/batch_test.go
@@ -25,6 +25,7 @@
 func (f *fakeBatchEntry) Forward(_ *Peer, j batch.Job)         { f.got <- j }
 func (f *fakeBatchEntry) WithdrawJob(*Peer, batch.JobID, bool) {}
 func (f *fakeBatchEntry) Configuration() site.Configuration    { return site.Configuration{Version: 7} }
+
 func (f *fakeBatchEntry) Forwarded(_ *Peer, id batch.JobID, o batch.Outcome) {
 	f.got <- string(id) + " " + batch.Name(o)
 }
@@ -60,8 +61,11 @@
 			p.Report(supervise.Report{Clock: time.Duration(i)})
 		}
 		outcomes := []batch.Outcome{
-			batch.Completed{}, batch.Failed{Attempts: 2}, batch.NotRun{Reason: batch.Overloaded, RetryAfter: time.Second},
-			batch.Unknown{Reason: batch.PeerLost}, batch.Cancelled{},
+			batch.Completed{},
+			batch.Failed{Attempts: 2},
+			batch.NotRun{Reason: batch.Overloaded, RetryAfter: time.Second},
+			batch.Unknown{Reason: batch.PeerLost},
+			batch.Cancelled{},
 		}
 		for _, o := range outcomes {
 			p.Forwarded("job", o)
