Let one of two entries dispatch a job that both passed to the other

A caller that submits a job at two entries at once, each of which has less room than it knows of the other: both passed it on and waited for each other's answer until the caller left, and then kept it. The entry whose name sorts first dispatches it now, and an answer that does not come in time is given up. Test first (TestSameJobAtTwoEntries).

Remove limits of the configuration that nothing uses, and share the queue of played events between two tests.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -11,6 +11,9 @@
 	"dogwoodglade/io/inner"
 )
 
+// answerMargin is allowed to the entry that dispatches a job beyond the time for which the caller waits.
+const answerMargin = 500 * time.Millisecond
+
 // call is an open job, with everyone who waits for its outcome.
 type call struct {
 	job       batch.Job
@@ -162,10 +165,32 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c := e.callOf(j)
+	if c.forwarded == p.Name {
+		// Its caller submitted the job at both entries, and both passed it on. One of them dispatches it.
+		if e.options.Name < p.Name {
+			c.origins[p.Name] = true
+			c.forwarded = ""
+			e.perform(e.dispatcher.Submit(e.options.Now(), c.job))
+		}
+		return
+	}
 	c.origins[p.Name] = true
 	e.begin(c)
 }
 
+// expire gives up the jobs that other entries did not answer while their callers wait. The entry that dispatches a
+// job does so itself in time, so this is for an answer that was lost.
+func (e *Entry) expire(now time.Time) {
+	for _, c := range e.calls {
+		if c.forwarded == "" || now.Sub(c.arrived) <= c.job.Patience+answerMargin {
+			continue
+		}
+		e.logGivenUp(now, c, batch.DeadlinePassed)
+		e.deliver(c, batch.Unknown{Reason: batch.DeadlinePassed})
+		e.withdraw(c)
+	}
+}
+
 // Forwarded implements inner.BatchEntryHandler.
 func (e *Entry) Forwarded(p *inner.Peer, id batch.JobID, o batch.Outcome) {
 	e.mu.Lock()
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -36,6 +36,8 @@
 	keepInterval = 150 * time.Millisecond
 	// loadInterval is how old the other entries' view of this one's load gets.
 	loadInterval = 100 * time.Millisecond
+	// expireInterval is how often jobs at other entries are looked at. Their time limits are seconds.
+	expireInterval = time.Second
 	// silenceLimit is how long a connection may bring nothing before it is taken as lost. Connections can go
 	// silent without being reset.
 	silenceLimit = supervise.SessionLease
@@ -194,7 +196,7 @@
 func (e *Entry) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	var kept, loaded time.Time
+	var kept, loaded, expired time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -213,6 +215,10 @@
 			loaded = now
 			e.sendLoad()
 		}
+		if now.Sub(expired) >= expireInterval {
+			expired = now
+			e.expire(now)
+		}
 		e.measures.update(e.dispatcher, len(e.agents), len(e.entries))
 		e.mu.Unlock()
 	}
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -580,3 +580,33 @@
 		}
 	})
 }
+
+// Guards against two entries that pass the same job to each other and both wait: its caller submitted it at both at
+// once, and each had less room than it knew of the other.
+func TestSameJobAtTwoEntries(t *testing.T) {
+	run(t, 2, 2, func(s *testSite) {
+		filler := make(chan batch.Outcome, 2)
+		for _, name := range []string{"entry-1", "entry-2"} {
+			go func() {
+				filler <- s.entries[name].Submit(s.t.Context(), newJob("filler-"+name, 9, 600*time.Millisecond))
+			}()
+		}
+		time.Sleep(30 * time.Millisecond) // the entries do not know of each other's load yet
+		answers := make(chan batch.Outcome, 2)
+		for _, name := range []string{"entry-1", "entry-2"} {
+			go func() { answers <- s.entries[name].Submit(s.t.Context(), newJob("same", 4, 100*time.Millisecond)) }()
+		}
+		for range 2 {
+			select {
+			case o := <-answers:
+				if _, ok := o.(batch.Completed); !ok {
+					s.t.Errorf("got %s", batch.Name(o))
+				}
+			case <-time.After(5 * time.Second):
+				s.t.Error("no answer")
+			}
+		}
+		<-filler
+		<-filler
+	})
+}
--- a/core/dispatch/play_test.go
+++ b/core/dispatch/play_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math"
@@ -13,6 +12,7 @@
 	"dogwoodglade/core/dispatch"
 	"dogwoodglade/core/resource"
 	"dogwoodglade/core/supervise"
+	"dogwoodglade/internal/timeline"
 )
 
 // kind is a kind of job of a played load.
@@ -48,7 +48,7 @@
 type play struct {
 	random   *rand.Rand
 	now      time.Time
-	events   timeline
+	events   timeline.Timeline
 	d        *dispatch.Dispatcher
 	servers  map[string]*playServer
 	jobs     map[batch.JobID]*playJob
@@ -102,30 +102,6 @@
 	refusalWait                                   []time.Duration
 }
 
-type timedEvent struct {
-	at       time.Time
-	sequence int
-	do       func()
-}
-
-type timeline []timedEvent
-
-func (t timeline) Len() int { return len(t) }
-func (t timeline) Less(i, k int) bool {
-	if t[i].at.Equal(t[k].at) {
-		return t[i].sequence < t[k].sequence
-	}
-	return t[i].at.Before(t[k].at)
-}
-func (t timeline) Swap(i, k int) { t[i], t[k] = t[k], t[i] }
-func (t *timeline) Push(x any)   { *t = append(*t, x.(timedEvent)) }
-func (t *timeline) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	*t = old[:len(old)-1]
-	return last
-}
-
 func newPlay(seed uint64, servers int, cores float64, kinds []kind, load func(t float64) float64) *play {
 	p := &play{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), d: dispatch.New(),
@@ -148,10 +124,7 @@
 	return p
 }
 
-func (p *play) at(t time.Time, do func()) {
-	p.sequence++
-	heap.Push(&p.events, timedEvent{at: t, sequence: p.sequence, do: do})
-}
+func (p *play) at(t time.Time, do func()) { p.events.At(t, do) }
 
 func (p *play) report(agent string, ended []supervise.Ended) {
 	s := p.servers[agent]
@@ -191,10 +164,13 @@
 		}
 	}
 	p.at(p.now, tick)
-	for p.events.Len() > 0 {
-		e := heap.Pop(&p.events).(timedEvent)
-		p.now = e.at
-		e.do()
+	for {
+		at, do, ok := p.events.Next()
+		if !ok {
+			return
+		}
+		p.now = at
+		do()
 	}
 }
 
--- a/core/site/site.go
+++ b/core/site/site.go
@@ -25,12 +25,7 @@
 }
 
 // Limits bound the requests of callers.
-type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
-}
+type Limits struct{ BodyBytes int64 }
 
 // Configuration is a version of the document. It is a value.
 type Configuration struct {
--- a/core/supervise/world_test.go
+++ b/core/supervise/world_test.go
@@ -1,7 +1,6 @@
 package supervise_test
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"dogwoodglade/core/batch"
 	"dogwoodglade/core/resource"
 	"dogwoodglade/core/supervise"
+	"dogwoodglade/internal/timeline"
 )
 
 // world is one supervisor, its backend server and two entries, in simulated time. Orders to the backend server
@@ -22,7 +22,7 @@
 	seed   uint64
 	random *rand.Rand
 	now    time.Time
-	events timeline
+	events timeline.Timeline
 	next   int
 
 	agent       *supervise.Supervisor
@@ -62,34 +62,7 @@
 	count   uint64
 }
 
-type timedEvent struct {
-	at time.Time
-	n  int
-	do func()
-}
-
-type timeline []timedEvent
-
-func (t timeline) Len() int { return len(t) }
-func (t timeline) Less(i, k int) bool {
-	if t[i].at.Equal(t[k].at) {
-		return t[i].n < t[k].n
-	}
-	return t[i].at.Before(t[k].at)
-}
-func (t timeline) Swap(i, k int) { t[i], t[k] = t[k], t[i] }
-func (t *timeline) Push(x any)   { *t = append(*t, x.(timedEvent)) }
-func (t *timeline) Pop() any {
-	old := *t
-	last := old[len(old)-1]
-	*t = old[:len(old)-1]
-	return last
-}
-
-func (w *world) after(d time.Duration, do func()) {
-	w.next++
-	heap.Push(&w.events, timedEvent{at: w.now.Add(d), n: w.next, do: do})
-}
+func (w *world) after(d time.Duration, do func()) { w.events.At(w.now.Add(d), do) }
 
 // atAgent does something in the agent's process, later if it is frozen.
 func (w *world) atAgent(d time.Duration, do func()) {
@@ -451,9 +424,12 @@
 		w.disturb()
 		end := w.now.Add(30 * time.Second)
 		for w.now.Before(end) {
-			x := heap.Pop(&w.events).(timedEvent)
-			w.now = x.at
-			x.do()
+			at, do, ok := w.events.Next()
+			if !ok {
+				break
+			}
+			w.now = at
+			do()
 		}
 		starts += w.starts
 	}
--- /dev/null
+++ b/internal/timeline/timeline_test.go
@@ -0,0 +1,31 @@
+package timeline_test
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodglade/internal/timeline"
+)
+
+// Guards against events that are played out of order, which would make every test on it meaningless.
+func TestOrder(t *testing.T) {
+	var line timeline.Timeline
+	begin := time.Unix(1000, 0)
+	var got []int
+	for i, second := range []int{3, 1, 2, 1} {
+		line.At(begin.Add(time.Duration(second)*time.Second), func() { got = append(got, i) })
+	}
+	for {
+		_, do, ok := line.Next()
+		if !ok {
+			break
+		}
+		do()
+	}
+	want := []int{1, 3, 2, 0}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	}
+}
