--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -148,6 +148,7 @@
 		}
 		left := a.supervisor.Running()
 		a.mu.Unlock()
+		// No call begins any more, so the wait below does not miss one.
 		running.Wait()
 		a.calls.Wait()
 		a.log(event.ProcessStopped).Int("Running", left).Send()
@@ -180,6 +181,9 @@
 
 func (a *Agent) perform(actions []supervise.Action) {
 	for _, action := range actions {
+		if a.stopping {
+			return // the clean-up waits for the calls that are in progress and ends all connections
+		}
 		switch action := action.(type) {
 		case supervise.CallStart:
 			a.calls.Go(func() { a.start(action) })
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -63,7 +63,6 @@
 	restUntil time.Time // after a refusal
 
 	slowness float64 // natural logarithm of run times against those of other servers
-	samples  int
 
 	failing     int // failures in a row, of different jobs
 	lastFailure batch.JobID
@@ -131,7 +130,7 @@
 		d.resolve(now, s)
 	}
 	if s.info.ID != r.Server.ID || s.info.Born != r.Server.Born {
-		s.slowness, s.samples, s.failing, s.quarantined, s.quarantine = 0, 0, 0, false, 0
+		s.slowness, s.failing, s.quarantined, s.quarantine = 0, 0, false, 0
 	}
 	d.observe(now, s, r.Progress)
 	changed := s.offered != r.Offered || s.capacity != r.Server.Capacity
@@ -179,7 +178,8 @@
 			constrained = true
 			continue
 		}
-		// Probes go to tasks with attempts to spare, or nothing could be learned about a recovered server.
+		// One task at a time, at intervals, tells whether a bad server has recovered. If most are bad, the cause is
+		// the work, and all are used.
 		if s.bad() && float64(bad) <= maxQuarantined*float64(usable) && (now.Before(s.probeAt) || len(s.runs) > 0) {
 			continue
 		}
@@ -247,7 +247,6 @@
 			weight = probeWeight
 		}
 		s.slowness += weight * (sample - s.slowness)
-		s.samples++
 	}
 	r.observe(ratio / s.factor())
 	d.measure()
