--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -115,7 +115,6 @@
 	home.Entry
 	peers   map[*inner.Peer]bool // the connection that this entry dialled, and the one that the other did
 	heard   time.Time
-	version uint64 // of its configuration
 	pulling bool
 }
 
@@ -301,14 +300,13 @@
 // keepAgents extends the sessions of the agents. The end of a session counts from the agent's own clock at its
 // latest report, so that a message that was held up extends nothing.
 func (e *Entry) keepAgents() {
-	list := e.entryList()
 	for _, a := range e.agents {
 		k := inner.KeepAlive{Draining: e.handover}
 		if a.clock > 0 {
 			k.Until = a.clock + supervise.SessionLease
 		}
 		if a.entries != e.generation {
-			a.entries, k.Entries = e.generation, list
+			a.entries, k.Entries = e.generation, e.entryList()
 		}
 		a.peer.Keep(k)
 	}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -37,7 +37,7 @@
 	if x.Weight != l.Weight {
 		e.generation++
 	}
-	x.heard, x.version, x.Weight = now, l.Version, l.Weight
+	x.heard, x.Weight = now, l.Weight
 	e.peers.Report(now, p.Name, l.Load)
 	if l.Version > e.config.Version && !x.pulling {
 		x.pulling = true
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -20,7 +20,7 @@
 // Action is what the entry has to do: StartRuns, StopRuns, Answer.
 type Action interface{ action() }
 
-// StartRuns sends an agent starts of one job.
+// StartRuns sends an agent starts, of one job or several.
 type StartRuns struct {
 	Agent  string
 	Starts []supervise.Start
@@ -39,7 +39,6 @@
 	Outcome batch.Outcome
 	Waited  time.Duration // from the submission to the first start; the whole time if nothing started
 	Taken   time.Duration // from the submission to the answer
-	Started bool          // whether a run was ordered
 	Queue   time.Duration // predicted wait of the queue at the answer
 	Agent   string        // where the run that decided the outcome was, if one did
 }
@@ -65,7 +64,6 @@
 	failures int
 	server   *server
 	failedOn []*server
-	orderAt  time.Time
 	stopping bool
 	moved    bool // it was taken off a slow backend server once
 }
@@ -81,7 +79,6 @@
 type job struct {
 	batch.Job
 	arrived  time.Time
-	target   time.Time // when it should be answered
 	start    time.Time // latest start that can still meet the target
 	limit    time.Time // when the answer is of no use any more
 	first    time.Time // when the first run was ordered
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -52,8 +52,7 @@
 	}
 	chain := d.chain(j)
 	aim := time.Duration(b.Stretch*float64(chain)) + b.Target
-	j.target = now.Add(aim)
-	j.start = j.target.Add(-chain - overheadAllowance)
+	j.start = now.Add(aim - chain - overheadAllowance)
 	if j.start.Before(now) {
 		j.start = now
 	}
@@ -214,7 +213,7 @@
 }
 
 func (d *Dispatcher) startTask(now time.Time, j *job, st *step, t *taskRun, s *server) {
-	t.state, t.server, t.orderAt, t.stopping = placed, s, now, false
+	t.state, t.server, t.stopping = placed, s, false
 	t.attempt++
 	j.last = s
 	if j.first.IsZero() {
@@ -331,7 +330,7 @@
 func (d *Dispatcher) answer(now time.Time, j *job, o batch.Outcome) {
 	j.answered = true
 	a := Answer{
-		Job: j.ID, Route: j.Route, Outcome: o, Taken: now.Sub(j.arrived), Started: j.started(),
+		Job: j.ID, Route: j.Route, Outcome: o, Taken: now.Sub(j.arrived),
 		Queue: d.Load().Wait(), Agent: j.agent,
 	}
 	a.Waited = a.Taken
