Count queued work exactly, and pass jobs on by the room that their tasks can use

Cause: an entry that had nothing queued reported up to 1e-17 core-seconds of queued work, from rounding, and after a change of the learned run time a whole remainder. An entry with a queue counts as full, so entries passed jobs on although their own backend servers were free, all to the peer with the most room, which refused them.

- Queued work is an integer, taken away as it was added.
- Room is counted in whole tasks of the usual size; backend servers that get only probes do not count.
- A job goes to a peer drawn in proportion to room; if the peer refuses it as overloaded, another entry with room is tried once.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -78,20 +78,26 @@
 func (e *Entry) choose(c *call) {
 	now := e.options.Now()
 	// A job that another entry passed on is dispatched here, or jobs could go in circles.
-	if len(c.origins) == 0 {
-		to := e.peers.Choose(now, e.dispatcher.Load(), c.job)
-		if x, ok := e.entries[to]; ok && e.sendTo(x, func(p *inner.Peer) bool {
-			return p.Forward(c.job.WithPatience(max(c.job.Patience-now.Sub(c.arrived), 0)))
-		}) {
-			c.forwarded = to
-			e.logForward(c)
-			return
-		}
+	if len(c.origins) == 0 && !e.dispatcher.HasRoom(c.job) && e.forward(c, e.peers.Choose(now, e.dispatcher.Load(), c.job)) {
+		return
 	}
 	c.forwarded = ""
 	e.perform(e.dispatcher.Submit(now, c.job))
 }
 
+// forward passes a call on to an entry, and reports whether that could be sent.
+func (e *Entry) forward(c *call, to string) bool {
+	x, ok := e.entries[to]
+	if !ok || !e.sendTo(x, func(p *inner.Peer) bool {
+		return p.Forward(c.job.WithPatience(max(c.job.Patience-e.options.Now().Sub(c.arrived), 0)))
+	}) {
+		return false
+	}
+	c.forwarded = to
+	e.logForward(c)
+	return true
+}
+
 // sendTo sends on one of the connections of an entry.
 func (e *Entry) sendTo(x *entrySession, send func(p *inner.Peer) bool) bool {
 	for p := range x.peers {
@@ -199,12 +205,7 @@
 	if !ok || c.forwarded != p.Name {
 		return
 	}
-	if n, ok := o.(batch.NotRun); ok && !c.retried && n.Reason != batch.Overloaded {
-		// The peer has lost its backend servers since its report. This entry decides once more.
-		c.retried = true
-		e.peers.Forget(p.Name)
-		e.log(event.JobRefused).Str("Job", string(id)).Str("Peer", p.Name).Str("State", string(n.Reason)).Send()
-		e.choose(c)
+	if n, ok := o.(batch.NotRun); ok && !c.retried && e.retry(c, n.Reason) {
 		return
 	}
 	e.log(event.JobAnswered).Str("Job", string(id)).Str("Route", c.job.Route).Str("State", batch.Name(o)).
@@ -213,6 +214,32 @@
 	e.deliver(c, o)
 }
 
+// retry decides once more about a job that a peer refused: its report was older than what happened there since. An
+// overloaded peer is replaced only by an entry with room, so that a site without room refuses at once. It reports
+// whether the job goes on.
+func (e *Entry) retry(c *call, why batch.Reason) bool {
+	peer := c.forwarded
+	c.retried = true
+	if why != batch.Overloaded {
+		e.logRefusedByPeer(c, why)
+		e.peers.Forget(peer)
+		e.choose(c)
+		return true
+	}
+	e.peers.Full(peer)
+	if e.dispatcher.HasRoom(c.job) {
+		e.logRefusedByPeer(c, why)
+		c.forwarded = ""
+		e.perform(e.dispatcher.Submit(e.options.Now(), c.job))
+		return true
+	}
+	if to, ok := e.peers.Roomy(e.options.Now(), c.job); ok && to != peer {
+		e.logRefusedByPeer(c, why)
+		return e.forward(c, to)
+	}
+	return false
+}
+
 // WithdrawJob implements inner.BatchEntryHandler.
 func (e *Entry) WithdrawJob(p *inner.Peer, id batch.JobID, forAll bool) {
 	e.mu.Lock()
--- a/batchentry/log.go
+++ b/batchentry/log.go
@@ -84,6 +84,11 @@
 		Dur("RunTime", x.RunTime).Send()
 }
 
+// logRefusedByPeer writes the line of a job that another entry refused and that goes on.
+func (e *Entry) logRefusedByPeer(c *call, why batch.Reason) {
+	e.log(event.JobRefused).Str("Job", string(c.job.ID)).Str("Peer", c.forwarded).Str("State", string(why)).Send()
+}
+
 // Refused writes the line of a request that was refused before it became a job.
 func (e *Entry) Refused(id, route, reason string) {
 	e.log(event.JobRefused).Str("Job", id).Str("Route", route).Str("State", reason).Send()
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -65,7 +65,8 @@
 	server   *server
 	failedOn []*server
 	stopping bool
-	moved    bool // it was taken off a slow backend server once
+	moved    bool     // it was taken off a slow backend server once
+	work     coreTime // predicted when it began to wait; 0 while it does not
 }
 
 type step struct {
@@ -87,7 +88,7 @@
 	runs     int  // runs that may exist
 	begun    bool // a run existed, or may have
 	waiting  []*taskRun
-	work     float64 // of waiting tasks, in core-seconds
+	work     coreTime // of waiting tasks
 	answered bool
 	queued   bool
 	sequence uint64
@@ -107,8 +108,9 @@
 	queue    queue
 	routes   map[string]*routeState
 	sequence uint64
-	cores    float64 // of usable servers, weighted by their speed
-	queued   float64 // core-seconds of waiting tasks
+	cores    float64  // of usable servers, weighted by their speed
+	usual    int      // thousandths of a core that a task usually asks for; 0 before the first
+	queued   coreTime // of waiting tasks
 	retry    retryClock
 	draining bool
 	begun    time.Time // of this dispatcher
@@ -172,7 +174,7 @@
 // Load is how much an entry has to do, as other entries learn it.
 type Load struct {
 	Cores    float64         // of usable backend servers
-	Free     resource.Amount // not in use
+	Free     resource.Amount // not in use, as far as tasks of the usual size fit
 	Largest  resource.Amount // of one backend server
 	Queued   float64         // core-seconds that wait
 	Draining bool
@@ -191,12 +193,14 @@
 
 // Load returns the current load.
 func (d *Dispatcher) Load() Load {
-	l := Load{Cores: d.cores, Queued: d.queued, Draining: d.draining}
+	l := Load{Cores: d.cores, Queued: d.queued.seconds(), Draining: d.draining}
 	for _, s := range d.order {
 		if !s.usable() {
 			continue
 		}
-		l.Free = l.Free.Plus(s.free())
+		if !s.bad() {
+			l.Free = l.Free.Plus(d.useful(s.free()))
+		}
 		l.Largest.Processor = max(l.Largest.Processor, s.capacity.Processor)
 		l.Largest.Memory = max(l.Largest.Memory, s.capacity.Memory)
 		l.Largest.Accelerators = max(l.Largest.Accelerators, s.capacity.Accelerators)
@@ -204,6 +208,15 @@
 	return l
 }
 
+// useful returns what tasks of the usual size can use of a backend server's room. What is left over on several
+// backend servers does not add up to room for a task.
+func (d *Dispatcher) useful(free resource.Amount) resource.Amount {
+	if d.usual > 0 {
+		free.Processor = free.Processor / d.usual * d.usual
+	}
+	return free
+}
+
 // Jobs returns the number of jobs that are not answered, and of those that wait for their first start.
 func (d *Dispatcher) Jobs() (open, waiting int) {
 	for _, j := range d.jobs {
@@ -237,5 +250,18 @@
 	return true, j.started()
 }
 
+// HasRoom reports whether all tasks of the job that may start at first could start now.
+func (d *Dispatcher) HasRoom(j batch.Job) bool {
+	if d.draining || d.queued > 0 {
+		return false
+	}
+	for _, st := range j.Steps {
+		if len(st.After) == 0 && !d.roomFor(j.Pool, st) {
+			return false
+		}
+	}
+	return true
+}
+
 // Drain refuses jobs from now on.
 func (d *Dispatcher) Drain() { d.draining = true }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -41,6 +41,7 @@
 	for i, st := range b.Steps {
 		s := &step{Step: st, open: st.Count, need: len(st.After)}
 		s.tasks = make([]*taskRun, st.Count)
+		d.observeDemand(st)
 		for k := range s.tasks {
 			s.tasks[k] = &taskRun{id: batch.TaskID{Job: b.ID, Step: i, Index: k}}
 		}
@@ -68,6 +69,14 @@
 	return j
 }
 
+// observeDemand learns what a task usually asks for.
+func (d *Dispatcher) observeDemand(st batch.Step) {
+	if d.usual == 0 {
+		d.usual = st.Demand.Processor
+	}
+	d.usual += int(demandWeight * float64(st.Demand.Processor-d.usual))
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -100,13 +109,20 @@
 
 func (j *job) wait(r *routeState, s *step, t *taskRun) {
 	t.state = waiting
+	t.work = workOf(r, s)
 	j.waiting = append(j.waiting, t)
-	j.work += workOf(r, s)
+	j.work += t.work
 }
 
-// workOf predicts the core-seconds of a task.
-func workOf(r *routeState, s *step) float64 {
-	return r.runTime(s.Estimate).Seconds() * float64(s.Demand.Processor) / 1000
+// coreTime is processor time in thousandths of a core times nanoseconds. It is an integer, so that what was added
+// when tasks began to wait is what is taken away when they start, and an empty queue is exactly 0.
+type coreTime int64
+
+func (c coreTime) seconds() float64 { return float64(c) / 1000 / float64(time.Second) }
+
+// workOf predicts the processor time of a task.
+func workOf(r *routeState, s *step) coreTime {
+	return coreTime(r.runTime(s.Estimate)) * coreTime(s.Demand.Processor)
 }
 
 // admit decides whether a job is taken. A job is refused on arrival if it would have to wait too long, so that
@@ -129,7 +145,7 @@
 		return batch.Overloaded, false
 	}
 	r := d.route(j.Route)
-	weight := r.shedWeight(j.Priority, j.work)
+	weight := r.shedWeight(j.Priority, j.work.seconds())
 	if share := shedShare(wait) * weight; share > 0 && r.shed(share) {
 		return batch.Overloaded, false
 	}
@@ -143,34 +159,36 @@
 // tasks that wait are then too large for the room that is left.
 func (d *Dispatcher) hasRoom(j *job) bool {
 	for _, st := range j.steps {
-		if st.need > 0 {
-			continue
-		}
-		left := st.Count
-		for _, s := range d.order {
-			if s.usable() && s.info.Pool == j.Pool && !s.bad() && (st.Label == "" || slices.Contains(s.info.Labels, st.Label)) {
-				left -= s.free().Holds(st.Demand)
-			}
-			if left <= 0 {
-				break
-			}
-		}
-		if left > 0 {
+		if st.need == 0 && !d.roomFor(j.Pool, st.Step) {
 			return false
 		}
 	}
 	return true
 }
 
+// roomFor reports whether all tasks of a step fit on the backend servers of a pool.
+func (d *Dispatcher) roomFor(pool string, st batch.Step) bool {
+	left := st.Count
+	for _, s := range d.order {
+		if s.usable() && s.info.Pool == pool && !s.bad() && (st.Label == "" || slices.Contains(s.info.Labels, st.Label)) {
+			left -= s.free().Holds(st.Demand)
+		}
+		if left <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // waitFor predicts how long a job waits behind the work that goes first.
 func (d *Dispatcher) waitFor(j *job) time.Duration {
-	ahead := 0.0
+	var ahead coreTime
 	for _, other := range d.queue.jobs {
 		if !other.answered && !other.start.After(j.start) {
 			ahead += other.work
 		}
 	}
-	return time.Duration(ahead / d.cores * float64(time.Second))
+	return time.Duration(ahead.seconds() / d.cores * float64(time.Second))
 }
 
 // fits reports whether some backend server could run each task of the job if it were empty.
@@ -202,7 +220,7 @@
 	wait := d.Load().Wait()
 	busy := time.Second
 	if d.cores > 0 {
-		busy = time.Duration(j.work / d.cores * float64(time.Second))
+		busy = time.Duration(j.work.seconds() / d.cores * float64(time.Second))
 	}
 	return batch.NotRun{Reason: reason, RetryAfter: d.retry.after(now, min(wait, maxRetryAfter), busy)}
 }
@@ -220,9 +238,9 @@
 		j.first = now
 	}
 	j.runs++
-	work := workOf(d.route(j.Route), st)
-	j.work -= work
-	d.queued = max(d.queued-work, 0)
+	j.work -= t.work
+	d.queued -= t.work
+	t.work = 0
 	s.used = s.used.Plus(st.Demand)
 	id := supervise.RunID{Task: t.id, Attempt: t.attempt}
 	s.runs[id] = t
@@ -272,7 +290,7 @@
 		}
 	}
 	j.wait(d.route(j.Route), st, t)
-	d.queued += workOf(d.route(j.Route), st)
+	d.queued += t.work
 	d.enqueue(j)
 }
 
@@ -315,7 +333,7 @@
 // finish answers a job and stops what still runs of it.
 func (d *Dispatcher) finish(now time.Time, j *job, o batch.Outcome) {
 	d.answer(now, j, o)
-	d.queued = max(d.queued-j.work, 0)
+	d.queued -= j.work
 	j.work, j.waiting = 0, nil
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
--- /dev/null
+++ b/core/dispatch/queue_test.go
@@ -0,0 +1,95 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/dispatch"
+	"dogwoodglade/core/resource"
+	"dogwoodglade/core/supervise"
+)
+
+// Guards against an entry that passes jobs on although its backend servers are free: it reported a remainder of
+// queued work that no task stood for, from rounding and from run times that were learned while tasks waited.
+func TestQueueIsEmptyWhenNothingWaits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := dispatch.New()
+	d.Connect(now, "agent-1")
+	server := supervise.Server{ID: "i-1", Pool: "pool", Capacity: resource.Amount{Processor: 16000}}
+	d.Report(now, "agent-1", supervise.Report{Offered: true, Server: server})
+	var running []supervise.Start
+	take := func(actions []dispatch.Action) {
+		for _, a := range actions {
+			if s, ok := a.(*dispatch.StartRuns); ok {
+				running = append(running, s.Starts...)
+			}
+		}
+	}
+	for i := range 40 {
+		take(d.Submit(now, batch.Job{
+			ID: batch.JobID(fmt.Sprint(i)), Route: "r", Pool: "pool", Attempts: 2, Stretch: 20, Target: time.Second,
+			Steps: []batch.Step{{
+				Count: 3, Demand: resource.Amount{Processor: 1000 + 37*i}, Estimate: time.Duration(51+7*i) * time.Millisecond,
+			}},
+		}))
+		now = now.Add(3 * time.Millisecond)
+		if len(running) > 12 {
+			ended := supervise.Ended{RunID: running[0].RunID, End: supervise.Done, RunTime: time.Duration(40+11*i) * time.Millisecond}
+			running = running[1:]
+			take(d.Report(now, "agent-1", supervise.Report{Offered: true, Server: server, Ended: []supervise.Ended{ended}}))
+		}
+		if _, waiting := d.Jobs(); waiting == 0 && d.Load().Queued != 0 && d.Load().Free.Processor >= 3*(1000+37*i) {
+			t.Fatalf("after job %d: %g core-seconds wait, but no task does", i, d.Load().Queued)
+		}
+	}
+	for len(running) > 0 {
+		ended := supervise.Ended{RunID: running[0].RunID, End: supervise.Done, RunTime: 300 * time.Millisecond}
+		running = running[1:]
+		take(d.Report(now, "agent-1", supervise.Report{Offered: true, Server: server, Ended: []supervise.Ended{ended}}))
+		if _, waiting := d.Jobs(); waiting == 0 && len(running) <= 3 && d.Load().Queued != 0 {
+			t.Fatalf("%g core-seconds wait, but no task does", d.Load().Queued)
+		}
+	}
+}
+
+// Guards against jobs that stay at an entry, or are sent to one, where only remainders of room are left on each backend
+// server, and against an entry that keeps jobs although others wait there.
+func TestRoomIsForWholeTasks(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := dispatch.New()
+	for _, name := range []string{"agent-1", "agent-2", "agent-3"} {
+		d.Connect(now, name)
+		d.Report(now, name, supervise.Report{
+			Offered: true, Server: supervise.Server{ID: name, Pool: "pool", Capacity: resource.Amount{Processor: 10000}},
+		})
+	}
+	job := func(id string, tasks int) batch.Job {
+		return batch.Job{
+			ID: batch.JobID(id), Route: "r", Pool: "pool", Attempts: 1, Stretch: 2, Target: time.Second,
+			Steps: []batch.Step{
+				{Count: tasks, Demand: resource.Amount{Processor: 3000}, Estimate: time.Second},
+				{Count: 50, Demand: resource.Amount{Processor: 3000}, Estimate: time.Second, After: []int{0}},
+			},
+		}
+	}
+	for i, c := range []struct {
+		tasks int
+		room  bool // before it is submitted
+		free  int  // after it
+	}{
+		{7, true, 6000},
+		{3, false, 0}, // two of its tasks start
+		{1, false, 0},
+	} {
+		j := job(fmt.Sprint(i), c.tasks)
+		if got := d.HasRoom(j); got != c.room {
+			t.Errorf("job %d: got room %v", i, got)
+		}
+		d.Submit(now, j)
+		if got := d.Load().Free.Processor; got != c.free {
+			t.Errorf("after job %d: %d thousandths of a core are free, want %d", i, got, c.free)
+		}
+	}
+}
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -17,12 +17,14 @@
 
 	// shedFrom and shedAll are predicted waits. Between them, a rising share of the jobs that would have to
 	// wait is refused on arrival; the short targets of short jobs are met and no kind of job is starved.
-	shedFrom = 70 * time.Millisecond
-	shedAll  = 300 * time.Millisecond
+	shedFrom = 60 * time.Millisecond
+	shedAll  = 200 * time.Millisecond
 
 	// slackShare of the time until a job's latest start may be taken up by the work that goes first now. More
 	// such work arrives meanwhile.
-	slackShare = 0.5
+	slackShare = 1.0
+	// demandWeight is the weight of a job in what a task usually asks for.
+	demandWeight = 0.05
 	// urgentShare is the part of the share that applies to jobs of the most urgent routes.
 	urgentShare = 0.35
 	// sizeExponent spreads refusals over the jobs of a route by their work: the fewer core-seconds a job needs,
--- a/core/overflow/overflow.go
+++ b/core/overflow/overflow.go
@@ -9,7 +9,9 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -78,28 +80,17 @@
 	return l.Wait()
 }
 
-// Choose returns the peer that dispatches the job, or "" for this entry, whose load is given.
+// Choose returns the peer that dispatches a job which cannot start here at once, or "" for this entry, whose load
+// is given.
 func (p *Peers) Choose(now time.Time, local dispatch.Load, j batch.Job) string {
 	n := needOf(j)
-	if !local.Draining && startsAtOnce(local, n) {
-		return ""
-	}
-	best := ""
-	bestWait := wait(local, n)
-	var bestFree int
-	for _, name := range slices.SortedFunc(maps.Keys(p.byName), cmp.Compare[string]) {
-		x := p.byName[name]
-		if now.Sub(x.at) > maxAge || x.load.Draining {
-			continue
-		}
-		if startsAtOnce(x.load, n) {
-			if x.load.Free.Processor > bestFree {
-				best, bestFree, bestWait = name, x.load.Free.Processor, 0
+	best, ok := p.roomy(now, j.ID, n)
+	if !ok {
+		bestWait := wait(local, n)
+		for _, name := range p.names() {
+			if x := p.byName[name]; x.usable(now) && wait(x.load, n)+passCost < bestWait {
+				best, bestWait = name, wait(x.load, n)+passCost
 			}
-			continue
-		}
-		if w := wait(x.load, n); bestFree == 0 && w+passCost < bestWait {
-			best, bestWait = name, w+passCost
 		}
 	}
 	if best != "" {
@@ -108,6 +99,57 @@
 	return best
 }
 
+// Roomy returns a peer that can start the job at once, if there is one.
+func (p *Peers) Roomy(now time.Time, j batch.Job) (string, bool) {
+	n := needOf(j)
+	best, ok := p.roomy(now, j.ID, n)
+	if ok {
+		p.sent(best, n)
+	}
+	return best, ok
+}
+
+// roomy draws one of the peers that can start a job at once, in proportion to their room: if all entries chose the
+// one with the most, they would fill it together before its next report. The ID of the job decides the draw.
+func (p *Peers) roomy(now time.Time, id batch.JobID, n need) (best string, ok bool) {
+	var bestScore float64
+	for _, name := range p.names() {
+		x := p.byName[name]
+		if !x.usable(now) || !startsAtOnce(x.load, n) {
+			continue
+		}
+		if score := draw(id, name) / float64(max(x.load.Free.Processor, 1)); !ok || score < bestScore {
+			best, bestScore, ok = name, score, true
+		}
+	}
+	return best, ok
+}
+
+// draw returns an exponentially distributed number that depends on a job and a peer. Divided by weights, the lowest
+// such number chooses a peer with a probability that is proportional to its weight.
+func draw(id batch.JobID, name string) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(string(id) + "\x00" + name)) // a hash accepts every write
+	x := h.Sum64()
+	// FNV leaves the high bits of similar texts similar.
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return -math.Log((float64(x>>11) + 0.5) / (1 << 53))
+}
+
+func (p *Peers) names() []string { return slices.SortedFunc(maps.Keys(p.byName), cmp.Compare[string]) }
+
+// usable reports whether a report is young enough to say something, and the peer takes jobs.
+func (x *peer) usable(now time.Time) bool { return now.Sub(x.at) <= maxAge && !x.load.Draining }
+
+// Full takes note that a peer refused a job although its report promised room.
+func (p *Peers) Full(name string) {
+	if x, ok := p.byName[name]; ok {
+		x.load.Free = resource.Amount{}
+	}
+}
+
 // sent counts a job that the peer's report does not include yet.
 func (p *Peers) sent(name string, n need) {
 	x := p.byName[name]
