Drop jobs that another entry passed on and has given up

An entry froze for 1.06 s. The entry that had passed a job to it took it as lost after 0.5 s and told its caller, who submitted again 1.3 s later. The frozen entry woke up, got a new connection before it handled the end of the old one, and so kept the session, which was identified by name: it went on with the job beside its resubmission. Ruled out: the agents (they refused its orders until it had a new session with them), the backend servers' leases (no run outlived its lease).

Entries number their sessions with each other and say the number with their load; a higher one, or another incarnation, drops what was passed on before. An entry also drops it when the other one has not confirmed a reading of its clock for a second, because messages that waited while it was frozen say nothing of now.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -19,7 +19,7 @@
 	job       batch.Job
 	arrived   time.Time
 	waiters   []chan batch.Outcome // callers of this entry
-	origins   map[string]bool      // entries that passed the job on to this one
+	origins   map[string]uint64    // entries that passed the job on to this one, with their sessions
 	forwarded string               // the entry that dispatches the job; "" is this one
 	retried   bool                 // another entry refused it
 }
@@ -58,7 +58,7 @@
 func (e *Entry) callOf(j batch.Job) *call {
 	c, ok := e.calls[j.ID]
 	if !ok {
-		c = &call{job: j, origins: map[string]bool{}}
+		c = &call{job: j, origins: map[string]uint64{}}
 	}
 	return c
 }
@@ -170,17 +170,22 @@
 func (e *Entry) Forward(p *inner.Peer, j batch.Job) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	x, ok := e.entries[p.Name]
+	session, own := x.peerSession(ok, p)
+	if !own || session < x.theirs {
+		return // its origin has given it up
+	}
 	c := e.callOf(j)
 	if c.forwarded == p.Name {
 		// Its caller submitted the job at both entries, and both passed it on. One of them dispatches it.
 		if e.options.Name < p.Name {
-			c.origins[p.Name] = true
+			c.origins[p.Name] = session
 			c.forwarded = ""
 			e.perform(e.dispatcher.Submit(e.options.Now(), c.job))
 		}
 		return
 	}
-	c.origins[p.Name] = true
+	c.origins[p.Name] = session
 	e.begin(c)
 }
 
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -41,6 +42,10 @@
 	// silenceLimit is how long a connection may bring nothing before it is taken as lost. Connections can go
 	// silent without being reset.
 	silenceLimit = supervise.SessionLease
+	// originLease is how long the jobs of another entry go on after the last reading of this entry's clock that the
+	// other one confirmed. That one takes this entry as lost silenceLimit after the latest message that it got, and its
+	// callers submit again 1.3 s later, so everything has ended by then.
+	originLease = time.Second
 	// dialTimeout bounds a connection attempt: a host without power does not answer it.
 	dialTimeout = time.Second
 	// readyLoadAge is how old a peer's load may be to count on the peer for callers.
@@ -102,6 +107,7 @@
 	stopped    bool // no job is taken any more
 	handover   bool // agents are asked to choose another entry
 	generation int  // of the list of entries that agents get
+	sessions   uint64
 }
 
 type agentSession struct {
@@ -111,11 +117,19 @@
 	entries int           // generation of the list of entries that was sent
 }
 
+// entrySession is what an entry knows of another one since it last took it as lost. Both number their sessions, so
+// that neither goes on with jobs that the other has given up, even if only one of them noticed the loss.
 type entrySession struct {
 	home.Entry
-	peers   map[*inner.Peer]bool // the connection that this entry dialled, and the one that the other did
-	heard   time.Time
-	pulling bool
+	incarnation string
+	peers       map[*inner.Peer]uint64 // by connection, dialled here or there: the other one's session when it last wrote
+	heard       time.Time
+	pulling     bool
+
+	number    uint64        // of this entry's session
+	theirs    uint64        // the highest of the other one's
+	clock     time.Duration // the other one's latest
+	confirmed time.Time     // the latest reading of this entry's clock that the other one has got
 }
 
 // New starts an entry. Stop ends it in an orderly way; the clean-up ends it at once.
@@ -235,6 +249,8 @@
 		if now.Sub(x.heard) > silenceLimit {
 			e.log(event.EntryLost).Str("Peer", name).Dur("Silent", now.Sub(x.heard)).Send()
 			e.loseEntry(now, name, x)
+		} else if now.Sub(x.confirmed) > originLease {
+			e.dropOrigins(name, math.MaxUint64)
 		}
 	}
 }
@@ -255,17 +271,25 @@
 		return
 	}
 	x, ok := e.entries[p.Name]
+	if ok && x.incarnation != p.Incarnation {
+		e.log(event.EntryLost).Str("Peer", p.Name).Str("State", "Restarted").Send()
+		e.loseEntry(now, p.Name, x)
+		ok = false
+	}
 	if !ok {
-		x = &entrySession{peers: map[*inner.Peer]bool{}}
+		e.sessions++
+		x = &entrySession{
+			incarnation: p.Incarnation, peers: map[*inner.Peer]uint64{}, number: e.sessions, confirmed: now,
+		}
 		e.entries[p.Name] = x
-		e.log(event.EntryConnected).Str("Peer", p.Name).Str("Incarnation", p.Incarnation).Send()
+		e.log(event.EntryConnected).Str("Peer", p.Name).Str("Incarnation", p.Incarnation).Uint64("Session", x.number).Send()
 	}
 	x.Entry = home.Entry{Name: p.Name, Address: p.Address, DataCentre: p.DataCentre, Weight: x.Weight}
-	x.peers[p] = true
+	x.peers[p] = 0
 	x.heard = now
 	e.generation++
 	e.connector.Learn(p.Address)
-	p.Load(e.load())
+	p.Load(e.loadFor(x))
 }
 
 // Disconnected implements inner.Handler.
@@ -279,7 +303,7 @@
 		return
 	}
 	x, ok := e.entries[p.Name]
-	if !ok || !x.peers[p] {
+	if _, own := x.peerSession(ok, p); !own {
 		return
 	}
 	delete(x.peers, p)
--- /dev/null
+++ b/batchentry/origin_test.go
@@ -0,0 +1,107 @@
+package batchentry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/event"
+	"dogwoodglade/core/site"
+	"dogwoodglade/core/supervise"
+	"dogwoodglade/io/inner"
+)
+
+// otherEntry is another entry that does only what a test tells it.
+type otherEntry struct {
+	loads chan inner.EntryLoad
+}
+
+func (o *otherEntry) Connected(*inner.Peer)    {}
+func (o *otherEntry) Disconnected(*inner.Peer) {}
+func (o *otherEntry) Load(_ *inner.Peer, l inner.EntryLoad) {
+	select {
+	case o.loads <- l:
+	default:
+	}
+}
+func (o *otherEntry) Report(*inner.Peer, supervise.Report)              {}
+func (o *otherEntry) Forward(*inner.Peer, batch.Job)                    {}
+func (o *otherEntry) Forwarded(*inner.Peer, batch.JobID, batch.Outcome) {}
+func (o *otherEntry) WithdrawJob(*inner.Peer, batch.JobID, bool)        {}
+func (o *otherEntry) Configuration() site.Configuration                 { return site.Configuration{} }
+
+func (o *otherEntry) dial(s *testSite, incarnation string) *inner.Peer {
+	s.t.Helper()
+	p, err := inner.Dial(s.t.Context(), s.network.Host("other").Dial, "entry-1:1", inner.Local{
+		Identity: inner.Identity{Role: inner.RoleEntry, Name: "other", Incarnation: incarnation, Address: "other:1"},
+		Clock:    event.NewRecorder("other", 1, time.Now), Metrics: metrics.NewRegistry(),
+	}, o)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return p
+}
+
+// Guards against two runs of a task at the same time: an entry that froze for a moment was taken as lost by the one that
+// had passed a job to it, which told its caller so. It woke up, got a new connection before it noticed the end of
+// the old one, and went on with the job, while the caller had submitted it again.
+func TestGivenUpJobIsDropped(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play func(s *testSite, o *otherEntry, p *inner.Peer)
+		runs int // that go on in the end
+	}{
+		{"same session", func(s *testSite, o *otherEntry, p *inner.Peer) {
+			o.keep(s, p, 1, true)
+		}, 1},
+		{"taken as lost, and connected again", func(s *testSite, o *otherEntry, p *inner.Peer) {
+			again := o.dial(s, "first")
+			o.keep(s, again, 2, true)
+			again.Close()
+		}, 0},
+		{"restarted before its connection ended", func(s *testSite, o *otherEntry, p *inner.Peer) {
+			again := o.dial(s, "second")
+			o.keep(s, again, 1, true)
+			again.Close()
+		}, 0},
+		{"does not hear this entry", func(s *testSite, o *otherEntry, p *inner.Peer) {
+			o.keep(s, p, 1, false)
+		}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, 1, 1, func(s *testSite) {
+				o := &otherEntry{loads: make(chan inner.EntryLoad, 1)}
+				p := o.dial(s, "first")
+				defer p.Close()
+				p.Load(inner.EntryLoad{Session: 1})
+				p.Forward(newJob("job", 1, 10*time.Second))
+				time.Sleep(50 * time.Millisecond)
+				c.play(s, o, p)
+				b := s.backends["agent-1"]
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				if len(b.running) != c.runs || len(b.starts) != 1 {
+					s.t.Errorf("%d runs go on after %d starts, want %d after 1", len(b.running), len(b.starts), c.runs)
+				}
+			})
+		})
+	}
+}
+
+// keep sends loads for longer than the jobs of an entry go on that does not hear this one.
+func (o *otherEntry) keep(s *testSite, p *inner.Peer, session uint64, hears bool) {
+	for range 14 {
+		l := inner.EntryLoad{Session: session, Clock: time.Duration(time.Now().UnixNano())}
+		select {
+		case latest := <-o.loads:
+			if hears {
+				l.Echo = latest.Clock
+			}
+		default:
+		}
+		p.Load(l)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"dogwoodglade/core/batch"
@@ -18,11 +19,29 @@
 	return l
 }
 
+// loadFor returns the message for one entry.
+func (e *Entry) loadFor(x *entrySession) inner.EntryLoad { return x.address(e.load(), e.options.Now()) }
+
+// address adds to a load what is for one entry only.
+func (x *entrySession) address(l inner.EntryLoad, now time.Time) inner.EntryLoad {
+	l.Session, l.Clock, l.Echo = x.number, time.Duration(now.UnixNano()), x.clock
+	return l
+}
+
 func (e *Entry) sendLoad() {
-	l := e.load()
+	l, now := e.load(), e.options.Now()
 	for _, x := range e.entries {
-		e.sendTo(x, func(p *inner.Peer) bool { return p.Load(l) })
+		e.sendTo(x, func(p *inner.Peer) bool { return p.Load(x.address(l, now)) })
+	}
+}
+
+// peerSession returns the other entry's session on a connection, and whether the connection is one of the session.
+func (x *entrySession) peerSession(known bool, p *inner.Peer) (session uint64, own bool) {
+	if !known {
+		return 0, false
 	}
+	session, own = x.peers[p]
+	return session, own
 }
 
 // Load implements inner.BatchEntryHandler.
@@ -30,10 +49,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	x, ok := e.entries[p.Name]
-	if !ok || !x.peers[p] {
+	if _, own := x.peerSession(ok, p); !own {
 		return
 	}
 	now := e.options.Now()
+	x.peers[p], x.clock = l.Session, max(x.clock, l.Clock)
+	if echo := time.Unix(0, int64(l.Echo)); l.Echo > 0 && echo.After(x.confirmed) {
+		x.confirmed = echo
+	}
+	if l.Session > x.theirs {
+		x.theirs = l.Session
+		e.dropOrigins(p.Name, l.Session)
+	}
 	if x.Weight != l.Weight {
 		e.generation++
 	}
@@ -69,14 +96,21 @@
 	for p := range x.peers {
 		go p.Close()
 	}
+	e.dropOrigins(name, math.MaxUint64)
 	for _, c := range e.calls {
-		if c.origins[name] {
-			delete(c.origins, name)
-			e.cancelUnwanted(c, "OriginLost")
-		}
 		if c.forwarded == name {
 			e.logGivenUp(now, c, batch.PeerLost)
 			e.deliver(c, batch.Unknown{Reason: batch.PeerLost})
 		}
 	}
 }
+
+// dropOrigins gives up the jobs that another entry passed on in sessions before the given one.
+func (e *Entry) dropOrigins(name string, before uint64) {
+	for _, c := range e.calls {
+		if session, ok := c.origins[name]; ok && session < before {
+			delete(c.origins, name)
+			e.cancelUnwanted(c, "OriginLost")
+		}
+	}
+}
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -60,6 +60,10 @@
 	Load    dispatch.Load
 	Version uint64  // of the configuration
 	Weight  float64 // share of the agents that it can serve
+	// Session rises when the sender takes the receiver as lost. Jobs that it passed on before are given up.
+	Session uint64
+	Clock   time.Duration // the sender's
+	Echo    time.Duration // the latest Clock that the sender got from the receiver; 0 if none
 }
 
 // KeepAlive is what an entry tells its agents regularly.
--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -14,4 +14,9 @@
 		options: options{seed: 19, length: 15 * time.Second, entries: 3, agents: 5},
 		cause:   "a second SIGTERM ended an entry at once that was finishing its open work",
 	},
+	{
+		options: options{seed: 109, length: 15 * time.Second, entries: 3, agents: 5},
+		cause: "an entry that froze went on with jobs that another one had passed to it and given up meanwhile, because " +
+			"that one was connected again before the end of the old connection was seen",
+	},
 }
