Repeat unanswered starts at the agent, and read the first configuration soon after an outage

Unanswered orders: a start that a backend server left unanswered cost 250 ms, a refusal to the entry, and a new choice. A start now counts as unanswered after 60 ms, and the agent repeats it as soon as the order is fenced and not listed. Ends are learned at least every 200 ms (350) while the answers of renewals are lost.

The world of supervise found a hole on the way, which the earlier repeats had too: an agent that was frozen could repeat a start before it had ended the session of the order.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -26,11 +26,13 @@
 	// reportInterval leaves three reports within the time after which an entry takes an agent as lost.
 	reportInterval = 150 * time.Millisecond
 	// startTimeout and stopTimeout bound the calls to the backend server. It is on the same host and answers
-	// in less than a millisecond; a host whose processor quota is used up stands still for up to 100 ms.
-	startTimeout = 250 * time.Millisecond
-	stopTimeout  = 150 * time.Millisecond
-	// holdMargin is allowed to the answer of a renewal beyond the time that it may be held back.
-	holdMargin = 200 * time.Millisecond
+	// in less than a millisecond. A host whose processor quota is used up stands still for up to 100 ms, but a start
+	// that is taken as lost too early costs only a look whether it is there, and a short task that waits is late.
+	startTimeout = 60 * time.Millisecond
+	stopTimeout  = 100 * time.Millisecond
+	// holdMargin is allowed to the answer of a renewal beyond the time that it may be held back. Ends of runs are not
+	// learned before the next one.
+	holdMargin = 80 * time.Millisecond
 	// holdPause keeps repeated calls apart when the answer is not held back.
 	holdPause = 20 * time.Millisecond
 	// maxHoldShift bounds how often the pause doubles while the backend server is silent. Each call may open a
--- a/batchentry/configuration.go
+++ b/batchentry/configuration.go
@@ -21,8 +21,12 @@
 	// answerTime is allowed to the store beyond what it may hold back. It takes some ms; an answer that comes
 	// later is taken as lost, because connections can go silent.
 	answerTime = time.Second
-	firstRetry = 100 * time.Millisecond
-	maxRetry   = 2 * time.Second
+	// firstAnswerTime is allowed to the store's answer, and firstMaxRetry bounds the pause between tries, while an entry
+	// has no configuration and so refuses every caller. A slow store takes a quarter of a second.
+	firstAnswerTime = 500 * time.Millisecond
+	firstMaxRetry   = 200 * time.Millisecond
+	firstRetry      = 100 * time.Millisecond
+	maxRetry        = 2 * time.Second
 	// isolatedCheck is how often an entry without peers looks for others in the store.
 	isolatedCheck = 2 * time.Second
 )
@@ -30,8 +34,8 @@
 // backoff waits longer after each failure, with jitter so that entries do not return together.
 type backoff struct{ wait time.Duration }
 
-func (b *backoff) pause(ctx context.Context) {
-	b.wait = min(max(2*b.wait, firstRetry), maxRetry)
+func (b *backoff) pause(ctx context.Context, limit time.Duration) {
+	b.wait = min(max(2*b.wait, firstRetry), limit)
 	select {
 	case <-time.After(b.wait/2 + rand.N(b.wait/2+1)):
 	case <-ctx.Done():
@@ -54,7 +58,11 @@
 				e.log(event.PlatformFailed).Err(err).Send()
 			}
 			failed = true
-			b.pause(ctx)
+			if e.Configuration().Version == 0 {
+				b.pause(ctx, firstMaxRetry)
+			} else {
+				b.pause(ctx, maxRetry)
+			}
 			continue
 		default:
 			known, position = true, next
@@ -72,7 +80,11 @@
 
 func (e *Entry) readConfiguration(ctx context.Context, known bool, position uint64) (site.Configuration, uint64, error) {
 	if !known {
-		ctx, cancel := context.WithTimeout(ctx, answerTime)
+		limit := answerTime
+		if e.Configuration().Version == 0 {
+			limit = firstAnswerTime
+		}
+		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		return e.options.Directory.Configuration(ctx)
 	}
@@ -113,7 +125,7 @@
 			if b.wait == 0 && ctx.Err() == nil {
 				e.log(event.PlatformFailed).Str("State", "Register").Err(err).Send()
 			}
-			b.pause(ctx)
+			b.pause(ctx, maxRetry)
 			continue
 		}
 		if !registered {
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -12,7 +12,7 @@
 	for _, x := range starts {
 		refusal := ""
 		switch _, exists := s.runs[x.Task]; {
-		case !c.kept || now.After(c.until):
+		case !c.alive(now):
 			refusal = "SessionLost"
 		case !s.known || s.gone || !s.checked || s.server.Leaving || s.draining:
 			refusal = "NoServer"
@@ -72,10 +72,12 @@
 	return s.take()
 }
 
-// restart repeats a start that was refused for a reason that the agent can mend.
+// restart repeats a start that was refused for a reason that the agent can mend. An agent that was frozen may get here
+// before it has ended the session of the order.
 func (s *Supervisor) restart(now time.Time, r *run, result StartResult, number int) {
 	r.restarts++
-	if r.stopping || r.restarts > maxRestart || s.orphaned() {
+	c, ok := s.sessions[r.entry]
+	if r.stopping || r.restarts > maxRestart || s.orphaned() || !ok || !c.alive(now) {
 		s.end(now, r, Refused, result.String())
 		return
 	}
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -224,7 +224,7 @@
 		case r.reborn:
 			s.end(now, r, Lost, "")
 		default:
-			s.end(now, r, Refused, Unanswered.String())
+			s.restart(now, r, Unanswered, r.number)
 		}
 	}
 	if wasOrphaned && !s.orphaned() {
--- a/core/supervise/session.go
+++ b/core/supervise/session.go
@@ -6,6 +6,9 @@
 	"dogwoodglade/core/batch"
 )
 
+// alive reports whether orders of the session may be carried out.
+func (c *session) alive(now time.Time) bool { return c.kept && !now.After(c.until) }
+
 // Connect opens the session of an entry. Runs of an earlier session of it are stopped.
 func (s *Supervisor) Connect(now time.Time, entry string) []Action {
 	s.endSession(now, entry)
--- /dev/null
+++ b/core/supervise/start_test.go
@@ -0,0 +1,52 @@
+package supervise_test
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/resource"
+	"dogwoodglade/core/supervise"
+)
+
+// Guards against tasks that wait for their entry to place them anew when a backend server leaves an order unanswered: the
+// agent knows as soon as the order is fenced that it was not carried out, and repeats it at once.
+func TestUnansweredStartIsRepeated(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := supervise.New()
+	s.Announce(now, supervise.Server{ID: "i-1", Pool: "p", Born: 1, Sequence: 1, Capacity: resource.Amount{Processor: 4000}, Clock: time.Minute})
+	h, _ := s.NextHold(now)
+	s.Held(now, h, supervise.Holding{Born: 1, Clock: time.Minute})
+	s.Connect(now, "entry-1")
+	s.Keep("entry-1", now.Add(time.Second))
+	s.SetHome("entry-1")
+	id := supervise.RunID{Task: batch.TaskID{Job: "1"}, Attempt: 1}
+	start := func(actions []supervise.Action) (c supervise.CallStart, ok bool) {
+		for _, a := range actions {
+			if x, is := a.(supervise.CallStart); is {
+				return x, true
+			}
+		}
+		return c, false
+	}
+	first, ok := start(s.Order(now, "entry-1", []supervise.Start{{RunID: id, Demand: resource.Amount{Processor: 1000}}}))
+	if !ok {
+		t.Fatal("no start")
+	}
+	var held bool
+	for _, a := range s.StartAnswered(now.Add(60*time.Millisecond), first, supervise.Unanswered, 0) {
+		if x, is := a.(supervise.CallHold); is {
+			h, held = x.Hold, true
+		}
+	}
+	if !held || h.Token <= first.Token {
+		t.Fatalf("the lost order is not fenced: token %d after %d", h.Token, first.Token)
+	}
+	again, ok := start(s.Held(now.Add(61*time.Millisecond), h, supervise.Holding{Born: 1, Clock: time.Minute + 61*time.Millisecond}))
+	if !ok || again.Token < h.Token || again.Task != id.Task {
+		t.Fatalf("got %+v, %v, want the start again with the new token", again, ok)
+	}
+	if r := s.Report(now.Add(62*time.Millisecond), "entry-1"); len(r.Ended) > 0 {
+		t.Errorf("the entry is told %+v", r.Ended)
+	}
+}
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -30,7 +30,7 @@
 	// SessionLease is how long an agent keeps the runs of an entry that it does not hear.
 	SessionLease = 500 * time.Millisecond
 	// HoldWait is how long the backend server may hold back its answer to a renewal for news.
-	HoldWait = 150 * time.Millisecond
+	HoldWait = 120 * time.Millisecond
 	// StopTime is the longest time that the backend server needs to stop a run.
 	StopTime = 50 * time.Millisecond
 	// stopRetry is the interval at which an unanswered or ineffective stop is repeated.
