--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -232,7 +232,7 @@
 			expired = now
 			e.expire(now)
 		}
-		e.measures.update(e.dispatcher, len(e.agents), len(e.entries))
+		e.updateMeasures(now)
 		e.mu.Unlock()
 	}
 }
--- a/batchentry/measure.go
+++ b/batchentry/measure.go
@@ -6,7 +6,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"dogwoodglade/core/batch"
-	"dogwoodglade/core/dispatch"
 )
 
 // sampleSize bounds the memory of a histogram. The samples are from about the last five minutes.
@@ -31,6 +30,10 @@
 	free      metrics.GaugeFloat64
 	agents    metrics.Gauge
 	entries   metrics.Gauge
+	// The ages in milliseconds of the oldest report that the entry decides by.
+	agentAge metrics.Gauge
+	entryAge metrics.Gauge
+	version  metrics.Gauge
 }
 
 func newMeasures(r metrics.Registry) measures {
@@ -52,6 +55,9 @@
 		free:      metrics.GetOrRegisterGaugeFloat64("Batch.FreeCores", r),
 		agents:    metrics.GetOrRegisterGauge("Batch.Agents", r),
 		entries:   metrics.GetOrRegisterGauge("Batch.Entries", r),
+		agentAge:  metrics.GetOrRegisterGauge("Batch.OldestAgentMilliseconds", r),
+		entryAge:  metrics.GetOrRegisterGauge("Batch.OldestEntryMilliseconds", r),
+		version:   metrics.GetOrRegisterGauge("Batch.ConfigurationVersion", r),
 	}
 }
 
@@ -60,14 +66,25 @@
 	m.taken.Update(taken.Microseconds())
 }
 
-func (m measures) update(d *dispatch.Dispatcher, agents, entries int) {
-	l := d.Load().Total()
-	open, waiting := d.Jobs()
+func (e *Entry) updateMeasures(now time.Time) {
+	m := e.measures
+	l := e.dispatcher.Load().Total()
+	open, waiting := e.dispatcher.Jobs()
 	m.queue.Update(l.Queued)
 	m.open.Update(int64(open))
 	m.waiting.Update(int64(waiting))
 	m.cores.Update(l.Cores)
 	m.free.Update(float64(l.Free.Processor) / 1000)
-	m.agents.Update(int64(agents))
-	m.entries.Update(int64(entries))
+	m.agents.Update(int64(len(e.agents)))
+	m.entries.Update(int64(len(e.entries)))
+	m.version.Update(int64(e.config.Version))
+	var agentAge, entryAge time.Duration
+	for _, a := range e.agents {
+		agentAge = max(agentAge, now.Sub(a.heard))
+	}
+	for _, x := range e.entries {
+		entryAge = max(entryAge, now.Sub(x.heard))
+	}
+	m.agentAge.Update(agentAge.Milliseconds())
+	m.entryAge.Update(entryAge.Milliseconds())
 }
