Let agents choose entries by processor share over the region, and attach batch messages to their frames

- Agents choose among all entries of their region, weighted by the share of a core that an entry has, instead of equally among those of their data centre.
- The JSON-RPC library scans a message six times; messages of batch jobs go into an attachment of the frame that the message names.
The version of the inner protocol is 3.

The test of home.Rank keeps its bounds, with regions in place of data centres.

--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -272,7 +272,7 @@
 	s.t.Helper()
 	host := s.network.Host(name)
 	e, stop, err := batchentry.New(batchentry.Options{
-		Name: name, DataCentre: "dc-" + name, Address: name + ":1", Weight: 1, Directory: s.store,
+		Name: name, Region: "of-" + name, Address: name + ":1", Weight: 1, Directory: s.store,
 		Logger: zerolog.Nop(), Dial: host.Dial, Listen: host.Listen, Now: time.Now,
 	})
 	if err != nil {
@@ -283,10 +283,10 @@
 
 func (s *testSite) startAgent(name string) {
 	b := s.backends[name]
-	// Each agent is in the data centre of an entry, in turn.
-	dc := fmt.Sprintf("dc-entry-%d", (len(s.stops)-len(s.entries))%max(len(s.entries), 1)+1)
+	// Each agent is in the region of an entry, in turn.
+	region := fmt.Sprintf("of-entry-%d", (len(s.stops)-len(s.entries))%max(len(s.entries), 1)+1)
 	a, stop := batchagent.New(batchagent.Options{
-		Name: name, DataCentre: dc, Directory: s.store, Server: b, Logger: zerolog.Nop(),
+		Name: name, Region: region, Directory: s.store, Server: b, Logger: zerolog.Nop(),
 		Dial: s.network.Host(name).Dial, Now: time.Now,
 	})
 	s.stops[name] = stop
--- a/cmd/dogwoodglade/fleet.go
+++ b/cmd/dogwoodglade/fleet.go
@@ -37,9 +37,8 @@
 	memoryShare = 0.7
 	// collectorPercent trades memory, of which there is plenty, for processor time.
 	collectorPercent = 400
-	// entryWeight is the same for all entries: the load balancer spreads callers evenly over them, whatever their
-	// size, and passing a job on costs an entry as much as dispatching it.
-	entryWeight = 1
+	// minWeight is the weight of an entry whose settings do not say what share of a core it has.
+	minWeight = 0.1
 	// stopMargin of the time to stop is left to end the process.
 	stopMargin = 800 * time.Millisecond
 	// headerTimeout and idleTimeout bound connections of callers. A caller may send on a connection that it
@@ -161,7 +160,7 @@
 	defer f.cleanUp()
 	e, closeEntry, err := batchentry.New(batchentry.Options{
 		Name: f.settings.Name, Region: f.settings.Region, DataCentre: f.settings.DataCentre,
-		Address: f.settings.InnerAddress, Weight: entryWeight, Seeds: f.settings.Seeds,
+		Address: f.settings.InnerAddress, Weight: max(f.settings.ProcessorShare, minWeight), Seeds: f.settings.Seeds,
 		Directory: platform.NewStore(f.settings.StoreAddress), Logger: f.logger, Metrics: f.metrics,
 		Dial: platform.Dialer().DialContext, Now: boottime.Now,
 		Listen: func(address string) (net.Listener, error) {
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -2,8 +2,9 @@
 //
 // Each agent has one home, so that an entry knows exactly what is free on its backend servers. Agents choose
 // on their own: the order of the entries is the same for everyone and follows their names, so that agents
-// spread over the entries of their data centre by weight, and few move when an entry comes or goes. The
-// package is called by batchagent.
+// spread over the entries of their region by weight, and few move when an entry comes or goes. Data centres do not
+// count: the callers of each come to its own entries, which may be small, and a message between two data centres of a
+// region takes less time than a small entry that also dispatches. The package is called by batchagent.
 package home
 
 import (
@@ -15,19 +16,19 @@
 
 // Entry is an entry that an agent may choose.
 type Entry struct {
-	Name       string
-	Address    string // of its inner protocol
-	DataCentre string
-	Weight     float64 // share of the agents relative to other entries
+	Name    string
+	Address string // of its inner protocol
+	Region  string
+	Weight  float64 // share of the agents relative to other entries; the share of a core that it has
 }
 
-// Rank orders entries by how well they suit an agent: those of its data centre first, within a data centre by
-// weighted rendezvous hashing.
-func Rank(agent, dataCentre string, entries []Entry) []Entry {
+// Rank orders entries by how well they suit an agent: those of its region first, within a region by weighted
+// rendezvous hashing.
+func Rank(agent, region string, entries []Entry) []Entry {
 	ranked := slices.Clone(entries)
 	slices.SortFunc(ranked, func(a, b Entry) int {
 		return cmp.Or(
-			cmp.Compare(distance(a, dataCentre), distance(b, dataCentre)),
+			cmp.Compare(distance(a, region), distance(b, region)),
 			cmp.Compare(score(agent, b), score(agent, a)),
 			cmp.Compare(a.Name, b.Name),
 		)
@@ -35,8 +36,8 @@
 	return ranked
 }
 
-func distance(e Entry, dataCentre string) int {
-	if e.DataCentre == dataCentre {
+func distance(e Entry, region string) int {
+	if e.Region == region {
 		return 0
 	}
 	return 1
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -11,9 +11,9 @@
 // although their home is still there.
 func TestRankSpreadsByWeight(t *testing.T) {
 	entries := []home.Entry{
-		{Name: "a-1", DataCentre: "a", Weight: 1},
-		{Name: "a-2", DataCentre: "a", Weight: 3},
-		{Name: "b-1", DataCentre: "b", Weight: 1},
+		{Name: "a-1", Region: "a", Weight: 1},
+		{Name: "a-2", Region: "a", Weight: 3},
+		{Name: "b-1", Region: "b", Weight: 1},
 	}
 	const agents = 4000
 	count := map[string]int{}
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -129,10 +129,9 @@
 	return batch.Unknown{Reason: f.Reason}
 }
 
-// packed carries the message of a batch job in CBOR. The JSON-RPC library decodes the parameters of each message
-// several times to tell requests from responses, which took three quarters of the processor time of a job while
-// these messages were JSON; a string costs it little.
-type packed struct{ Data []byte }
+// packed is the message of a batch job in CBOR. It travels as the attachment of a notification. These messages have no
+// stamp: batch jobs are not in the time line.
+type packed []byte
 
 // combined is several packed messages in one, in their order. A process that is short of processor time has more
 // of them to send at once, and each message has a price of its own.
@@ -158,26 +157,26 @@
 		switch len(run) {
 		case 0:
 		case 1:
-			result = append(result, notification{method: run[0].Method, params: packed{Data: run[0].Data}})
+			result = append(result, notification{method: run[0].Method, params: packed(run[0].Data)})
 		default:
 			// Bytes and strings can always be encoded.
 			if data, err := cbor.Marshal(combined{Messages: run}); err == nil {
-				result = append(result, notification{method: methodCombined, params: packed{Data: data}})
+				result = append(result, notification{method: methodCombined, params: packed(data)})
 			}
 		}
 		run, size = nil, 0
 	}
 	for _, n := range items {
 		p, ok := n.params.(packed)
-		if !ok || size+len(p.Data) > maxCombined {
+		if !ok || size+len(p) > maxCombined {
 			flush()
 		}
 		if !ok {
 			result = append(result, n)
 			continue
 		}
-		run = append(run, combinedMessage{Method: n.method, Data: p.Data})
-		size += len(p.Data)
+		run = append(run, combinedMessage{Method: n.method, Data: p})
+		size += len(p)
 	}
 	flush()
 	return result
@@ -201,7 +200,7 @@
 // post queues a notification in packed form. A message of these types can always be encoded.
 func (p *Peer) post(name string, message any) bool {
 	data, err := cbor.Marshal(message)
-	return err == nil && p.notify(name, packed{Data: data})
+	return err == nil && p.notify(name, packed(data))
 }
 
 // Runs sends an agent starts and stops.
@@ -289,15 +288,7 @@
 		handle(p, params)
 		return nil
 	}
-	m := notificationOf(func(p *Peer, message json.RawMessage) error {
-		var data packed
-		if err := decode(message, &data); err != nil {
-			return err
-		}
-		return unpack(p, data.Data)
-	})
-	m.unpack = unpack
-	return m
+	return method{unpack: unpack}
 }
 
 func batchEntryMethods(h BatchEntryHandler) methods {
--- /dev/null
+++ b/io/inner/codec_test.go
@@ -0,0 +1,47 @@
+package inner
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"slices"
+	"testing"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Guards against attachments that reach another message: messages with and without one are written by several
+// goroutines of a connection.
+func TestFramesCarryTheirAttachments(t *testing.T) {
+	var stream bytes.Buffer
+	writer, reader := newFrameCodec(), newFrameCodec()
+	large := bytes.Repeat([]byte{0, '"', 0xff}, 1000)
+	first, forgetFirst := writer.attach(large)
+	second, forgetSecond := writer.attach([]byte("second"))
+	plain := json.RawMessage(`{"Text":"\"params\":\"@1"}`)
+	for _, params := range []json.RawMessage{second, plain, first} {
+		if err := writer.WriteObject(&stream, &jsonrpc2.Request{Method: "M", Params: &params, Notif: true}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	forgetFirst()
+	forgetSecond()
+	if len(writer.outgoing) > 0 {
+		t.Errorf("%d attachments are kept", len(writer.outgoing))
+	}
+	in := bufio.NewReader(&stream)
+	for i, want := range [][]byte{[]byte("second"), nil, large} {
+		var request jsonrpc2.Request
+		if err := reader.ReadObject(in, &request); err != nil {
+			t.Fatal(err)
+		}
+		if !slices.Equal(reader.received, want) || request.Method != "M" {
+			t.Errorf("message %d: got %d bytes, want %d", i, len(reader.received), len(want))
+		}
+	}
+	if err := reader.ReadObject(in, new(any)); !errors.Is(err, io.EOF) {
+		t.Errorf("at the end: got %v", err)
+	}
+}
--- a/io/inner/hello.go
+++ b/io/inner/hello.go
@@ -56,7 +56,17 @@
 func gated(ready <-chan struct{}, handlers methods) methods {
 	result := methods{}
 	for name, m := range handlers {
-		handle := m.handle
+		handle, unpack := m.handle, m.unpack
+		if unpack != nil {
+			m.unpack = func(p *Peer, data []byte) error {
+				select {
+				case <-ready:
+					return unpack(p, data)
+				case <-p.conn.DisconnectNotify():
+					return errors.WithStack(&UnreachableError{Peer: p.Name})
+				}
+			}
+		}
 		m.handle = func(ctx context.Context, p *Peer, message json.RawMessage) (any, error) {
 			select {
 			case <-ready:
--- a/io/inner/inner_test.go
+++ b/io/inner/inner_test.go
@@ -145,8 +145,8 @@
 		peer.Outcome(task.Record{Result: task.Result{Body: make([]byte, MaxFrame*3/4)}})
 		<-peer.Done()
 	})
-	var codec boundedCodec
-	frame := binary.AppendUvarint(nil, MaxFrame+1)
+	codec := newFrameCodec()
+	frame := binary.AppendUvarint(binary.AppendUvarint(nil, MaxFrame+1), 0)
 	err := codec.ReadObject(bufio.NewReader(bytes.NewReader(frame)), new(any))
 	var tooLarge *FrameError
 	if !errors.As(err, &tooLarge) || tooLarge.Size != MaxFrame+1 {
--- a/io/inner/peer.go
+++ b/io/inner/peer.go
@@ -33,6 +33,7 @@
 
 	local   Local
 	conn    *jsonrpc2.Conn
+	codec   *frameCodec
 	opened  chan struct{} // closed when conn is set; the library reads before it returns conn
 	outbox  *queue
 	methods methods
@@ -59,7 +60,7 @@
 	handle  func(ctx context.Context, p *Peer, message json.RawMessage) (any, error)
 	replied func(p *Peer) // called after the reply was written; may be nil
 
-	unpack func(p *Peer, data []byte) error // handles a packed notification; nil for other methods
+	unpack func(p *Peer, data []byte) error // handles a notification in an attachment, instead of handle
 }
 
 type methods map[string]method
@@ -69,10 +70,11 @@
 		local:   local,
 		outbox:  newQueue(),
 		methods: handlers,
+		codec:   newFrameCodec(),
 		opened:  make(chan struct{}),
 		done:    make(chan struct{}),
 	}
-	stream := jsonrpc2.NewBufferedStream(conn, boundedCodec{})
+	stream := jsonrpc2.NewBufferedStream(conn, p.codec)
 	p.conn = jsonrpc2.NewConn(context.Background(), stream, p, jsonrpc2.SetLogger(discard{}))
 	close(p.opened)
 	go p.send()
@@ -109,7 +111,7 @@
 		case <-p.outbox.wake:
 			items := p.outbox.take()
 			for _, n := range combine(items) {
-				if p.conn.Notify(context.Background(), n.method, p.seal(n.params)) != nil {
+				if p.write(n) != nil {
 					p.Close()
 					return
 				}
@@ -121,6 +123,16 @@
 	}
 }
 
+func (p *Peer) write(n notification) error {
+	message, ok := n.params.(packed)
+	if !ok {
+		return p.conn.Notify(context.Background(), n.method, p.seal(n.params))
+	}
+	params, forget := p.codec.attach(message)
+	defer forget()
+	return p.conn.Notify(context.Background(), n.method, params)
+}
+
 // Flushed reports whether everything was written to the connection, or the connection is closed.
 func (p *Peer) Flushed() bool {
 	select {
@@ -183,12 +195,21 @@
 		p.refuse(ctx, conn, request, jsonrpc2.CodeMethodNotFound, "unknown method "+request.Method)
 		return
 	}
+	p.count("received", request.Method)
+	if m.unpack != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !p.closed {
+			// One malformed message does not affect the others.
+			_ = m.unpack(p, p.codec.received)
+		}
+		return
+	}
 	var e envelope
 	if request.Params == nil || json.Unmarshal(*request.Params, &e) != nil {
 		p.refuse(ctx, conn, request, jsonrpc2.CodeInvalidParams, "malformed envelope")
 		return
 	}
-	p.count("received", request.Method)
 	p.local.Clock.Observe(e.Stamp)
 	if m.isCall {
 		go p.answer(ctx, conn, request, m, e.Message)
--- a/io/inner/protocol.go
+++ b/io/inner/protocol.go
@@ -14,7 +14,7 @@
 )
 
 // Version is the version of the protocol. Processes of different versions refuse each other.
-const Version = 2
+const Version = 3
 
 // Bounds of the protocol.
 const (
