Keep agents in their data centre as far as its entries have the weight for it

Agents that choose over the whole region spread unevenly where each data centre has one entry: 11 agents over 3 equal entries by hash alone. An agent now stays in its data centre unless the entries there have less than an equal share of the region's weight; that part goes to the data centres with more.

--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -100,7 +100,7 @@
 			list = append(list, e)
 		}
 	}
-	return home.Rank(a.options.Name, a.options.Region, list)
+	return home.Rank(a.options.Name, a.options.Region, a.options.DataCentre, list)
 }
 
 // moveTo offers the backend server to the entry of a new connection.
@@ -111,7 +111,7 @@
 		// A seed is known by its address only.
 		delete(a.known, e.Name)
 		if _, ok := a.known[p.Name]; !ok {
-			a.known[p.Name] = home.Entry{Name: p.Name, Address: e.Address, Region: p.Region}
+			a.known[p.Name] = home.Entry{Name: p.Name, Address: e.Address, Region: p.Region, DataCentre: p.DataCentre}
 		}
 	}
 	if a.peers[p.Name] != p {
--- a/batchentry/configuration.go
+++ b/batchentry/configuration.go
@@ -116,7 +116,8 @@
 func (e *Entry) register(ctx context.Context) {
 	var b backoff
 	self := home.Entry{
-		Name: e.options.Name, Address: e.options.Address, Region: e.options.Region, Weight: e.options.Weight,
+		Name: e.options.Name, Address: e.options.Address, Region: e.options.Region, DataCentre: e.options.DataCentre,
+		Weight: e.options.Weight,
 	}
 	registered := false
 	for ctx.Err() == nil {
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -284,7 +284,9 @@
 		e.entries[p.Name] = x
 		e.log(event.EntryConnected).Str("Peer", p.Name).Str("Incarnation", p.Incarnation).Uint64("Session", x.number).Send()
 	}
-	x.Entry = home.Entry{Name: p.Name, Address: p.Address, Region: p.Region, Weight: x.Weight}
+	x.Entry = home.Entry{
+		Name: p.Name, Address: p.Address, Region: p.Region, DataCentre: p.DataCentre, Weight: x.Weight,
+	}
 	x.peers[p] = 0
 	x.heard = now
 	e.generation++
@@ -341,7 +343,8 @@
 	var list []home.Entry
 	if !e.handover {
 		list = append(list, home.Entry{
-			Name: e.options.Name, Address: e.options.Address, Region: e.options.Region, Weight: e.options.Weight,
+			Name: e.options.Name, Address: e.options.Address, Region: e.options.Region,
+			DataCentre: e.options.DataCentre, Weight: e.options.Weight,
 		})
 	}
 	for _, x := range e.entries {
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -2,9 +2,12 @@
 //
 // Each agent has one home, so that an entry knows exactly what is free on its backend servers. Agents choose
 // on their own: the order of the entries is the same for everyone and follows their names, so that agents
-// spread over the entries of their region by weight, and few move when an entry comes or goes. Data centres do not
-// count: the callers of each come to its own entries, which may be small, and a message between two data centres of a
-// region takes less time than a small entry that also dispatches. The package is called by batchagent.
+// spread over the entries by weight, and few move when an entry comes or goes. The package is called by batchagent.
+//
+// Agents stay in their data centre as far as its entries can serve them. Callers of a data centre come to its own
+// entries whatever their size; entries with little processor time that also dispatched to all agents of their data
+// centre would be late with both. So from a data centre whose entries have less than their share of the region's
+// weight a part of the agents goes to those that have more.
 package home
 
 import (
@@ -16,36 +19,65 @@
 
 // Entry is an entry that an agent may choose.
 type Entry struct {
-	Name    string
-	Address string // of its inner protocol
-	Region  string
-	Weight  float64 // share of the agents relative to other entries; the share of a core that it has
+	Name       string
+	Address    string // of its inner protocol
+	Region     string // empty if it is not known
+	DataCentre string
+	Weight     float64 // share of the agents relative to other entries; the share of a core that it has
 }
 
-// Rank orders entries by how well they suit an agent: those of its region first, within a region by weighted
-// rendezvous hashing.
-func Rank(agent, region string, entries []Entry) []Entry {
+// minWeight keeps entries without weight in the order.
+const minWeight = 1e-3
+
+// Rank orders entries by how well they suit an agent: those of its region first, then those of its data centre if
+// these have the weight for it, then by weighted rendezvous hashing.
+func Rank(agent, region, dataCentre string, entries []Entry) []Entry {
+	totals := map[string]float64{} // by data centre of the region
+	sum := 0.0
+	for _, e := range entries {
+		if e.Region == region {
+			totals[e.DataCentre] += e.Weight
+			sum += e.Weight
+		}
+	}
+	// The agents of a region are taken as spread evenly over its data centres.
+	fair := sum / float64(max(len(totals), 1))
+	stays := uniform(agent) < totals[dataCentre]/fair
+	group := func(e Entry) int {
+		switch {
+		case e.Region != region:
+			return 2
+		case stays && e.DataCentre == dataCentre:
+			return 0
+		}
+		return 1
+	}
+	weight := func(e Entry) float64 {
+		if group(e) == 1 {
+			// What its data centre has beyond its share.
+			return e.Weight * max(1-fair/totals[e.DataCentre], minWeight)
+		}
+		return e.Weight
+	}
 	ranked := slices.Clone(entries)
 	slices.SortFunc(ranked, func(a, b Entry) int {
 		return cmp.Or(
-			cmp.Compare(distance(a, region), distance(b, region)),
-			cmp.Compare(score(agent, b), score(agent, a)),
+			cmp.Compare(group(a), group(b)),
+			cmp.Compare(score(agent, b.Name, weight(b)), score(agent, a.Name, weight(a))),
 			cmp.Compare(a.Name, b.Name),
 		)
 	})
 	return ranked
 }
 
-func distance(e Entry, region string) int {
-	if e.Region == region {
-		return 0
-	}
-	return 1
+func score(agent, entry string, weight float64) float64 {
+	return -max(weight, minWeight*minWeight) / math.Log(uniform(agent+"\x00"+entry))
 }
 
-func score(agent string, e Entry) float64 {
+// uniform returns a number between 0 and 1 that is the same for equal texts.
+func uniform(text string) float64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(agent + "\x00" + e.Name)) // a hash accepts every write
+	_, _ = h.Write([]byte(text)) // a hash accepts every write
 	x := h.Sum64()
 	// FNV leaves the high bits of similar texts similar.
 	x ^= x >> 33
@@ -53,6 +85,5 @@
 	x ^= x >> 33
 	x *= 0xc4ceb9fe1a85ec53
 	x ^= x >> 33
-	uniform := (float64(x>>11) + 0.5) / (1 << 53)
-	return -max(e.Weight, 1e-3) / math.Log(uniform)
+	return (float64(x>>11) + 0.5) / (1 << 53)
 }
