--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -22,8 +23,8 @@
 				return
 			}
 			go func() {
-				defer c.Close()
 				_, _ = io.Copy(c, c)
+				_ = c.Close()
 			}()
 		}
 	}()
@@ -85,7 +86,9 @@
 	l.Reset(1)
 	if ok, err := passes(c); ok || err == nil {
 		t.Error("a reset connection brought a byte")
-	} else if n, ok := err.(net.Error); ok && n.Timeout() {
+	}
+	var late net.Error
+	if _, err := passes(c); errors.As(err, &late) && late.Timeout() {
 		t.Error("a reset connection is silent")
 	}
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -86,7 +86,7 @@
 	if cmd.Bool("regressions") {
 		runs = nil
 		for _, r := range regressions {
-			r.options.binary, r.options.keep = o.binary, o.keep
+			r.binary, r.keep = o.binary, o.keep
 			runs = append(runs, r.options)
 		}
 	}
@@ -143,7 +143,7 @@
 	if err != nil {
 		return fmt.Sprintf("seed %d: %v\n", o.seed, err), false
 	}
-	defer os.RemoveAll(directory)
+	defer func() { _ = os.RemoveAll(directory) }()
 	count, broken, err := play(ctx, o, directory, &text)
 	switch {
 	case err != nil:
--- a/soak/process.go
+++ b/soak/process.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "start %s", p.name)
 	}
-	defer out.Close()
+	defer func() { _ = out.Close() }() // the process has a copy
 	cmd := exec.Command(p.binary, p.arguments...)
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
 	cmd.Stdout, cmd.Stderr = out, out
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,7 +21,7 @@
 		})
 	}
 	for _, r := range regressions {
-		r.options.binary, r.options.keep = binary, t.TempDir()
+		r.binary, r.keep = binary, t.TempDir()
 		runs = append(runs, r.options)
 	}
 	if err := runAll(t.Context(), runs, 2, t.Output()); err != nil {
