Write to another entry on one connection until it ends

Two entries have two connections, and each message took either of them. Messages could overtake each other, so that the withdrawal of a job came before the job, and half of them vanished without being noticed when one connection went silent, because the other one kept the session alive. TestOneConnectionCarriesAll failed before.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -98,10 +98,15 @@
 	return true
 }
 
-// sendTo sends on one of the connections of an entry.
+// sendTo sends on the current connection of an entry, so that messages keep their order. If that connection has just
+// ended, another one takes over.
 func (e *Entry) sendTo(x *entrySession, send func(p *inner.Peer) bool) bool {
+	if x.current != nil && send(x.current) {
+		return true
+	}
 	for p := range x.peers {
-		if send(p) {
+		if p != x.current && send(p) {
+			x.current = p
 			return true
 		}
 	}
@@ -170,11 +175,11 @@
 func (e *Entry) Forward(p *inner.Peer, j batch.Job) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	x, ok := e.entries[p.Name]
-	session, own := x.peerSession(ok, p)
-	if !own || session < x.theirs {
+	x, ok := e.entryOf(p)
+	if !ok || x.peers[p] < x.theirs {
 		return // its origin has given it up
 	}
+	session := x.peers[p]
 	c := e.callOf(j)
 	if c.forwarded == p.Name {
 		// Its caller submitted the job at both entries, and both passed it on. One of them dispatches it.
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -123,6 +123,7 @@
 	home.Entry
 	incarnation string
 	peers       map[*inner.Peer]uint64 // by connection, dialled here or there: the other one's session when it last wrote
+	current     *inner.Peer            // the connection that this entry writes on until it ends
 	heard       time.Time
 	pulling     bool
 
@@ -288,6 +289,7 @@
 		Name: p.Name, Address: p.Address, Region: p.Region, DataCentre: p.DataCentre, Weight: x.Weight,
 	}
 	x.peers[p] = 0
+	x.chooseCurrent()
 	x.heard = now
 	e.generation++
 	e.connector.Learn(p.Address)
@@ -304,11 +306,12 @@
 		e.loseAgent(now, p.Name, a)
 		return
 	}
-	x, ok := e.entries[p.Name]
-	if _, own := x.peerSession(ok, p); !own {
+	x, ok := e.entryOf(p)
+	if !ok {
 		return
 	}
 	delete(x.peers, p)
+	x.chooseCurrent()
 	if len(x.peers) == 0 {
 		e.log(event.EntryLost).Str("Peer", p.Name).Dur("Silent", now.Sub(x.heard)).Str("State", "Closed").Send()
 		e.loseEntry(now, p.Name, x)
--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -1,6 +1,7 @@
 package batchentry_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -16,11 +17,21 @@
 // otherEntry is another entry that does only what a test tells it.
 type otherEntry struct {
 	loads chan inner.EntryLoad
+
+	mu    sync.Mutex
+	count map[*inner.Peer]int // loads by connection
+}
+
+func newOtherEntry() *otherEntry {
+	return &otherEntry{loads: make(chan inner.EntryLoad, 1), count: map[*inner.Peer]int{}}
 }
 
 func (o *otherEntry) Connected(*inner.Peer)    {}
 func (o *otherEntry) Disconnected(*inner.Peer) {}
-func (o *otherEntry) Load(_ *inner.Peer, l inner.EntryLoad) {
+func (o *otherEntry) Load(p *inner.Peer, l inner.EntryLoad) {
+	o.mu.Lock()
+	o.count[p]++
+	o.mu.Unlock()
 	select {
 	case o.loads <- l:
 	default:
@@ -72,7 +83,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			run(t, 1, 1, func(s *testSite) {
-				o := &otherEntry{loads: make(chan inner.EntryLoad, 1)}
+				o := newOtherEntry()
 				p := o.dial(s, "first")
 				defer p.Close()
 				p.Load(inner.EntryLoad{Session: 1})
@@ -105,3 +116,36 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// Guards against messages that overtake each other, or vanish, because they are spread over two connections of which one
+// may be slow or have gone silent: only the silence of the connection in use is noticed.
+func TestOneConnectionCarriesAll(t *testing.T) {
+	run(t, 1, 0, func(s *testSite) {
+		o := newOtherEntry()
+		peers := []*inner.Peer{o.dial(s, "first"), o.dial(s, "first"), o.dial(s, "first")}
+		time.Sleep(10 * time.Millisecond) // each brings a first load
+		loads := func() (counts []int) {
+			o.mu.Lock()
+			clear(o.count)
+			o.mu.Unlock()
+			o.keep(s, peers[2], 1, true)
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			for _, p := range peers {
+				counts = append(counts, o.count[p])
+			}
+			return counts
+		}
+		if got := loads(); got[0] < 10 || got[1]+got[2] > 0 {
+			s.t.Errorf("loads by connection: %v, want all on the first", got)
+		}
+		peers[0].Close()
+		time.Sleep(10 * time.Millisecond)
+		if got := loads(); got[1]+got[2] < 10 || got[1] > 0 && got[2] > 0 {
+			s.t.Errorf("loads by connection after the first was closed: %v, want all on one", got)
+		}
+		for _, p := range peers {
+			p.Close()
+		}
+	})
+}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -35,21 +35,33 @@
 	}
 }
 
-// peerSession returns the other entry's session on a connection, and whether the connection is one of the session.
-func (x *entrySession) peerSession(known bool, p *inner.Peer) (session uint64, own bool) {
-	if !known {
-		return 0, false
+// chooseCurrent keeps the current connection as long as it is open.
+func (x *entrySession) chooseCurrent() {
+	if _, ok := x.peers[x.current]; ok {
+		return
+	}
+	x.current = nil
+	for p := range x.peers {
+		x.current = p
+	}
+}
+
+// entryOf returns the session with another entry that a connection belongs to.
+func (e *Entry) entryOf(p *inner.Peer) (*entrySession, bool) {
+	x, ok := e.entries[p.Name]
+	if !ok {
+		return nil, false
 	}
-	session, own = x.peers[p]
-	return session, own
+	_, ok = x.peers[p]
+	return x, ok
 }
 
 // Load implements inner.BatchEntryHandler.
 func (e *Entry) Load(p *inner.Peer, l inner.EntryLoad) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	x, ok := e.entries[p.Name]
-	if _, own := x.peerSession(ok, p); !own {
+	x, ok := e.entryOf(p)
+	if !ok {
 		return
 	}
 	now := e.options.Now()
