--- a/soak/callers.go
+++ b/soak/callers.go
@@ -69,10 +69,10 @@
 // client is one caller. It stays with its entry until that one fails it.
 type client struct {
 	*callers
-	random *rand.Rand
 	caller *standin.Caller
 
 	mu            sync.Mutex // guards what follows
+	random        *rand.Rand // for the choice of entries; jobs are drawn from another one, by one goroutine
 	name, address string     // of its entry
 }
 
@@ -80,8 +80,8 @@
 func (c *callers) client(ctx context.Context, r *rand.Rand, number int, rate float64) {
 	caller, cleanUp := standin.NewCaller()
 	defer cleanUp()
-	x := &client{callers: c, random: r, caller: caller}
-	x.name, x.address = c.pick(r)
+	x := &client{callers: c, caller: caller, random: rand.New(rand.NewPCG(r.Uint64(), 7))}
+	x.name, x.address = c.pick(x.random)
 	var open sync.WaitGroup
 	defer open.Wait()
 	for count := 0; ctx.Err() == nil; count++ {
