Use and probe backend servers again after all of a pool have failed, and log each judgement

An entry counted no cores while all of its backend servers of a pool were quarantined, so it refused every job as overloaded, never probed them, and kept that for good. Small entries have one or two agents. Now quarantined backend servers count if there is no other, one that is due for a probe has room for one task, an entry where all fail sends jobs to others first, and a probe that succeeds is followed by another after a second.

A backend server that gets only probes from now on, or has recovered, is a line (3005, 3007) with its slowness, the share of failures and those in a row.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -78,7 +78,7 @@
 func (e *Entry) choose(c *call) {
 	now := e.options.Now()
 	// A job that another entry passed on is dispatched here, or jobs could go in circles.
-	if len(c.origins) == 0 && !e.dispatcher.HasRoom(c.job) && e.forward(c, e.peers.Choose(now, e.dispatcher.Load(), c.job)) {
+	if len(c.origins) == 0 && !e.dispatcher.HasRoom(now, c.job) && e.forward(c, e.peers.Choose(now, e.dispatcher.Load(), c.job)) {
 		return
 	}
 	c.forwarded = ""
@@ -162,6 +162,8 @@
 			if a, ok := e.agents[action.Agent]; ok {
 				a.peer.Runs(nil, action.Runs)
 			}
+		case dispatch.Judged:
+			e.logJudged(action)
 		case dispatch.Answer:
 			e.logAnswer(action)
 			if c, ok := e.calls[action.Job]; ok && c.forwarded == "" {
@@ -237,7 +239,7 @@
 		return true
 	}
 	e.peers.Full(peer, c.job.Pool)
-	if e.dispatcher.HasRoom(c.job) {
+	if e.dispatcher.HasRoom(e.options.Now(), c.job) {
 		e.logRefusedByPeer(c, why)
 		c.forwarded = ""
 		e.perform(e.dispatcher.Submit(e.options.Now(), c.job))
--- a/batchentry/log.go
+++ b/batchentry/log.go
@@ -43,6 +43,16 @@
 	e.measures.answered(o, now.Sub(c.arrived))
 }
 
+// logJudged writes the line of a backend server that gets only probes, or has recovered, with what that rests on.
+func (e *Entry) logJudged(j dispatch.Judged) {
+	number := event.BackendRestored
+	if j.Bad {
+		number = event.BackendEjected
+	}
+	e.log(number).Str("Peer", j.Agent).Float64("Slowness", j.Slowness).Float64("Failures", j.Failures).
+		Int("InARow", j.InARow).Send()
+}
+
 // logStarts writes a line for each job whose tasks are sent to an agent.
 func (e *Entry) logStarts(action *dispatch.StartRuns) {
 	for i, begin := 1, 0; i <= len(action.Starts); i++ {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -17,7 +17,7 @@
 	"dogwoodglade/core/supervise"
 )
 
-// Action is what the entry has to do: StartRuns, StopRuns, Answer.
+// Action is what the entry has to do: StartRuns, StopRuns, Answer, Judged.
 type Action interface{ action() }
 
 // StartRuns sends an agent starts, of one job or several.
@@ -43,9 +43,19 @@
 	Agent   string        // where the run that decided the outcome was, if one did
 }
 
+// Judged reports that a backend server gets only probes from now on, or that it has recovered.
+type Judged struct {
+	Agent    string
+	Bad      bool
+	Slowness float64 // run times against those of other backend servers
+	Failures float64 // share of the latest runs that failed
+	InARow   int     // failures in a row, of different jobs
+}
+
 func (StartRuns) action() {}
 func (StopRuns) action()  {}
 func (Answer) action()    {}
+func (Judged) action()    {}
 
 type taskState int
 
@@ -141,6 +151,14 @@
 
 // take returns the actions decided since the last call. Orders for one agent are in one action.
 func (d *Dispatcher) take() []Action {
+	for _, s := range d.order {
+		if bad := s.bad(); bad != s.judgedBad {
+			s.judgedBad = bad
+			d.actions = append(d.actions, Judged{
+				Agent: s.agent, Bad: bad, Slowness: s.factor(), Failures: s.failures, InARow: s.failing,
+			})
+		}
+	}
 	actions := d.actions
 	d.actions = nil
 	clear(d.starts)
@@ -180,6 +198,7 @@
 	Free    resource.Amount // not in use, as far as tasks of the usual size fit
 	Largest resource.Amount // of one backend server
 	Queued  float64         // core-seconds that wait
+	Sound   bool            // a backend server gets more than probes
 }
 
 // Wait predicts how long work that arrives now waits for a backend server.
@@ -220,6 +239,7 @@
 		}
 		p := l.Pools[s.info.Pool]
 		if !s.bad() {
+			p.Sound = true
 			p.Free = p.Free.Plus(d.pool(s.info.Pool).useful(s.free()))
 		}
 		p.Largest.Processor = max(p.Largest.Processor, s.capacity.Processor)
@@ -267,12 +287,12 @@
 }
 
 // HasRoom reports whether all tasks of the job that may start at first could start now.
-func (d *Dispatcher) HasRoom(j batch.Job) bool {
+func (d *Dispatcher) HasRoom(now time.Time, j batch.Job) bool {
 	if d.draining || d.pool(j.Pool).queued > 0 {
 		return false
 	}
 	for _, st := range j.Steps {
-		if len(st.After) == 0 && !d.roomFor(j.Pool, st) {
+		if len(st.After) == 0 && !d.roomFor(now, j.Pool, st) {
 			return false
 		}
 	}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -26,7 +26,7 @@
 	}
 	d.jobs[j.ID] = j
 	d.pool(j.Pool).queued += j.work
-	if d.hasRoom(j) {
+	if d.hasRoom(now, j) {
 		d.placeJob(now, j)
 	}
 	d.enqueue(j)
@@ -129,7 +129,7 @@
 		}
 		return reason, false
 	}
-	if d.hasRoom(j) {
+	if d.hasRoom(now, j) {
 		return "", true
 	}
 	wait := d.Wait(j.Pool)
@@ -149,22 +149,32 @@
 
 // hasRoom reports whether all tasks that may start now fit on the backend servers, beside those that wait. The
 // tasks that wait are then too large for the room that is left.
-func (d *Dispatcher) hasRoom(j *job) bool {
+func (d *Dispatcher) hasRoom(now time.Time, j *job) bool {
 	for _, st := range j.steps {
-		if st.need == 0 && !d.roomFor(j.Pool, st.Step) {
+		if st.need == 0 && !d.roomFor(now, j.Pool, st.Step) {
 			return false
 		}
 	}
 	return true
 }
 
-// roomFor reports whether all tasks of a step fit on the backend servers of a pool.
-func (d *Dispatcher) roomFor(pool string, st batch.Step) bool {
+// roomFor reports whether all tasks of a step fit on the backend servers of a pool. One that is due for a probe has
+// room for one task; without that, an entry whose backend servers are all bad would pass on every job, and never learn
+// that they have recovered.
+func (d *Dispatcher) roomFor(now time.Time, pool string, st batch.Step) bool {
 	left := st.Count
 	for _, s := range d.order {
-		if s.usable() && s.info.Pool == pool && !s.bad() && (st.Label == "" || slices.Contains(s.info.Labels, st.Label)) {
-			left -= s.free().Holds(st.Demand)
+		if !s.usable() || s.info.Pool != pool || (st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) {
+			continue
 		}
+		holds := s.free().Holds(st.Demand)
+		if s.bad() {
+			if now.Before(s.probeAt) || len(s.runs) > 0 {
+				continue
+			}
+			holds = min(holds, 1)
+		}
+		left -= holds
 		if left <= 0 {
 			return true
 		}
@@ -259,7 +269,7 @@
 	}
 	switch e.End {
 	case supervise.Done:
-		d.succeeded(s)
+		d.succeeded(now, s)
 		d.learn(s, j, st, e.RunTime)
 		d.taskDone(now, j, st, t)
 		return
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -52,12 +52,20 @@
 
 // measure renews the sums over the usable backend servers.
 func (d *Dispatcher) measure() {
+	sound := map[string]bool{}
 	for _, p := range d.pools {
 		p.cores = 0
 	}
 	for _, s := range d.order {
 		if s.usable() && !s.quarantined {
-			d.pool(s.info.Pool).cores += float64(s.capacity.Processor) / 1000 / max(s.factor(), 1) * (1 - s.failures)
+			sound[s.info.Pool] = true
+		}
+	}
+	for _, s := range d.order {
+		// If all are quarantined, all are used: see choose.
+		if s.usable() && (!s.quarantined || !sound[s.info.Pool]) {
+			share := max(1-s.failures, minSuccess) / max(s.factor(), 1)
+			d.pool(s.info.Pool).cores += float64(s.capacity.Processor) / 1000 * share
 		}
 	}
 }
--- a/core/dispatch/queue_test.go
+++ b/core/dispatch/queue_test.go
@@ -84,7 +84,7 @@
 		{1, false, 0},
 	} {
 		j := job(fmt.Sprint(i), c.tasks)
-		if got := d.HasRoom(j); got != c.room {
+		if got := d.HasRoom(now, j); got != c.room {
 			t.Errorf("job %d: got room %v", i, got)
 		}
 		d.Submit(now, j)
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -36,6 +36,9 @@
 	// for a task that has failed once: most routes allow two runs.
 	failureCost = 3
 	retryCost   = 30
+	// minSuccess is the least share of its cores that a failing backend server counts with, so that a pool of which all
+	// fail is not taken as one without backend servers.
+	minSuccess = 0.1
 	// slowProgress marks a backend server by the progress of what it runs.
 	slowProgress = 2.5
 	// minExpected is the run time from which a run is seen in progress whether it is slow or not.
@@ -76,6 +79,7 @@
 	failing     int     // failures in a row, of different jobs
 	lastFailure batch.JobID
 	quarantined bool
+	judgedBad   bool // as the entry was told
 	quarantine  time.Duration
 	probeAt     time.Time
 }
@@ -333,11 +337,13 @@
 }
 
 // succeeded clears the suspicion against a backend server.
-func (d *Dispatcher) succeeded(s *server) {
+func (d *Dispatcher) succeeded(now time.Time, s *server) {
 	s.observeFailure(0)
 	s.failing, s.lastFailure = 0, ""
 	if s.quarantined {
 		s.quarantined, s.quarantine = false, 0
+		// The next probe follows at the shortest interval.
+		s.probeAt = earlier(s.probeAt, now.Add(probeInterval))
 		d.measure()
 	}
 }
--- a/core/dispatch/start_test.go
+++ b/core/dispatch/start_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,3 +92,58 @@
 		t.Errorf("%d orders in a second", orders)
 	}
 }
+
+// Guards against an entry that refuses or passes on every job for good after all of its backend servers have failed for a
+// while: without jobs, it does not learn that they have recovered. Also guards against operators who cannot see why a
+// backend server gets no work: each change of the judgement is reported once, with its grounds.
+func TestAllServersFailAndRecover(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := dispatch.New()
+	server := supervise.Server{ID: "i-1", Pool: "pool", Capacity: resource.Amount{Processor: 4000}}
+	d.Connect(now, "agent-1")
+	d.Report(now, "agent-1", supervise.Report{Offered: true, Server: server})
+	var judged []dispatch.Judged
+	completed := 0
+	for i := range 60 {
+		end := supervise.Failed
+		if i >= 10 {
+			end = supervise.Done
+		}
+		job := smallJob
+		job.ID, job.Attempts, job.Steps = batch.JobID(fmt.Sprint(i)), 1, []batch.Step{job.Steps[0]}
+		job.Steps[0].Count = 1
+		now = now.Add(500 * time.Millisecond)
+		if !d.HasRoom(now, job) {
+			continue // it would be passed on
+		}
+		actions := d.Submit(now, job)
+		for len(actions) > 0 {
+			var ended []supervise.Ended
+			for _, a := range actions {
+				switch a := a.(type) {
+				case *dispatch.StartRuns:
+					for _, s := range a.Starts {
+						ended = append(ended, supervise.Ended{RunID: s.RunID, End: end, RunTime: 500 * time.Millisecond})
+					}
+				case dispatch.Judged:
+					judged = append(judged, a)
+				case dispatch.Answer:
+					if _, ok := a.Outcome.(batch.Completed); ok {
+						completed++
+					}
+				}
+			}
+			actions = nil
+			if len(ended) > 0 {
+				actions = d.Report(now, "agent-1", supervise.Report{Offered: true, Server: server, Ended: ended})
+			}
+		}
+	}
+	if len(judged) != 2 || !judged[0].Bad || judged[0].Failures <= 0 || judged[1].Bad || judged[1].Agent != "agent-1" {
+		t.Errorf("got %+v, want that it is bad, and that it has recovered", judged)
+	}
+	if completed < 40 {
+		// The longest quarantine is 4 s, and another probe follows after one: 10 jobs.
+		t.Errorf("%d of 50 jobs completed after the recovery, want 40", completed)
+	}
+}
--- a/core/overflow/overflow.go
+++ b/core/overflow/overflow.go
@@ -24,6 +24,9 @@
 	// passCost is what passing a job on has to gain in waiting time. It covers the way there and back, and the
 	// age of the peer's report.
 	passCost = 25 * time.Millisecond
+	// unsoundWait is the wait at an entry whose backend servers all get only probes: a job is better off behind the
+	// queue of another one, and most can wait that long.
+	unsoundWait = 300 * time.Millisecond
 	// maxAge is the age beyond which a report says nothing.
 	maxAge = 500 * time.Millisecond
 )
@@ -84,6 +87,9 @@
 	if all.Draining || l.Cores <= 0 || !n.task.Fits(l.Largest) {
 		return dispatch.NoServerWait
 	}
+	if !l.Sound {
+		return l.Wait() + unsoundWait
+	}
 	return l.Wait()
 }
 
--- a/core/overflow/overflow_test.go
+++ b/core/overflow/overflow_test.go
@@ -15,8 +15,8 @@
 
 func load(total, free int, queued float64) dispatch.Load {
 	return dispatch.Load{Pools: map[string]dispatch.PoolLoad{
-		"pool":  {Cores: float64(total), Free: cores(free), Largest: cores(32), Queued: queued},
-		"other": {Cores: 1000, Free: cores(1000), Largest: cores(1000)}, // says nothing of jobs for the pool
+		"pool":  {Cores: float64(total), Free: cores(free), Largest: cores(32), Queued: queued, Sound: true},
+		"other": {Cores: 1000, Free: cores(1000), Largest: cores(1000), Sound: true}, // says nothing of jobs for the pool
 	}}
 }
 
@@ -32,7 +32,9 @@
 	draining := load(100, 100, 0)
 	draining.Draining = true
 	small := load(100, 100, 0)
-	small.Pools["pool"] = dispatch.PoolLoad{Cores: 100, Free: cores(100), Largest: cores(2)}
+	small.Pools["pool"] = dispatch.PoolLoad{Cores: 100, Free: cores(100), Largest: cores(2), Sound: true}
+	failing := load(100, 0, 0)
+	failing.Pools["pool"] = dispatch.PoolLoad{Cores: 10, Largest: cores(32)}
 	for _, c := range []struct {
 		name  string
 		local dispatch.Load
@@ -51,6 +53,9 @@
 		{"no server here", load(0, 0, 0), map[string]dispatch.Load{"b": load(100, 0, 30)}, 0, "b"},
 		{"servers too small there", load(100, 20, 30), map[string]dispatch.Load{"b": small}, 0, ""},
 		{"servers too small here", small, map[string]dispatch.Load{"b": load(100, 0, 30)}, 0, "b"},
+		{"all servers fail here", failing, map[string]dispatch.Load{"b": load(100, 0, 20)}, 0, "b"},
+		{"all servers fail there", load(100, 0, 20), map[string]dispatch.Load{"b": failing}, 0, ""},
+		{"all servers fail everywhere", failing, map[string]dispatch.Load{"b": failing}, 0, ""},
 		{"alone", load(0, 0, 0), nil, 0, ""},
 	} {
 		p := overflow.New()
