--- a/soak/plan.go
+++ b/soak/plan.go
@@ -85,7 +85,7 @@
 func (k kind) planned() bool { return slices.Contains(plannedKinds, k) }
 
 // targets are what a plan may disturb.
-type targets struct{ processes, entries, links, backends []string }
+type targets struct{ processes, links, backends []string }
 
 const (
 	// meanGap is the mean time between disturbances that begin on their own. Most last longer, so they overlap.
--- a/soak/site.go
+++ b/soak/site.go
@@ -254,7 +254,7 @@
 
 // targets returns what a plan may disturb.
 func (s *testSite) targets() targets {
-	t := targets{entries: s.entries, backends: s.agents}
+	t := targets{backends: s.agents}
 	t.processes = append(append(t.processes, s.entries...), s.agents...)
 	for _, name := range s.entries {
 		t.links = append(t.links, name+"/callers", name+"/inner", storeLinkOf(name))
