--- a/capacity/frames_test.go
+++ b/capacity/frames_test.go
@@ -89,13 +89,18 @@
 func (f *frames) add(data []byte) {
 	f.pending = append(f.pending, data...)
 	for {
-		size, prefix := binary.Uvarint(f.pending)
-		end := prefix + int(size)
-		if prefix <= 0 || len(f.pending) < end {
+		size, first := binary.Uvarint(f.pending)
+		if first <= 0 {
+			return
+		}
+		attached, second := binary.Uvarint(f.pending[first:])
+		prefix := first + second
+		end := prefix + int(size) + int(attached)
+		if second <= 0 || len(f.pending) < end {
 			return
 		}
 		var frame struct{ Method string }
-		if json.Unmarshal(f.pending[prefix:end], &frame) != nil || frame.Method == "" {
+		if json.Unmarshal(f.pending[prefix:prefix+int(size)], &frame) != nil || frame.Method == "" {
 			frame.Method = "reply"
 		}
 		f.meter.mu.Lock()
