Ask once for the room of a job, keep pools in order, and share one hash

Found on reading the change again; no decision changes. - HasRoom and hasRoom were twins over the same steps, and Submit asked twice. One function, asked once for a job. - The names of the pools were collected and sorted at every event, and a map was made at every end of a run.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -239,13 +239,14 @@
 		return true
 	}
 	e.peers.Full(peer, c.job.Pool)
-	if e.dispatcher.HasRoom(e.options.Now(), c.job) {
+	now := e.options.Now()
+	if e.dispatcher.HasRoom(now, c.job) {
 		e.logRefusedByPeer(c, why)
 		c.forwarded = ""
-		e.perform(e.dispatcher.Submit(e.options.Now(), c.job))
+		e.perform(e.dispatcher.Submit(now, c.job))
 		return true
 	}
-	if to, ok := e.peers.Roomy(e.options.Now(), c.job); ok && to != peer {
+	if to, ok := e.peers.Roomy(now, c.job); ok && to != peer {
 		e.logRefusedByPeer(c, why)
 		return e.forward(c, to)
 	}
--- a/batchentry/configuration.go
+++ b/batchentry/configuration.go
@@ -58,11 +58,8 @@
 				e.log(event.PlatformFailed).Err(err).Send()
 			}
 			failed = true
-			if e.Configuration().Version == 0 {
-				b.pause(ctx, firstMaxRetry)
-			} else {
-				b.pause(ctx, maxRetry)
-			}
+			_, pause := e.storeLimits()
+			b.pause(ctx, pause)
 			continue
 		default:
 			known, position = true, next
@@ -80,10 +77,7 @@
 
 func (e *Entry) readConfiguration(ctx context.Context, known bool, position uint64) (site.Configuration, uint64, error) {
 	if !known {
-		limit := answerTime
-		if e.Configuration().Version == 0 {
-			limit = firstAnswerTime
-		}
+		limit, _ := e.storeLimits()
 		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		return e.options.Directory.Configuration(ctx)
@@ -96,6 +90,14 @@
 	return e.options.Directory.Changes(ctx, position, wait)
 }
 
+// storeLimits returns how long a read may take, and the longest pause before the next try.
+func (e *Entry) storeLimits() (answer, pause time.Duration) {
+	if e.Configuration().Version == 0 {
+		return firstAnswerTime, firstMaxRetry
+	}
+	return answerTime, maxRetry
+}
+
 // adopt uses a configuration if it is newer than the current one, and tells the other entries.
 func (e *Entry) adopt(c site.Configuration, source string) {
 	e.mu.Lock()
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -116,6 +116,7 @@
 	order    []*server          // by name of the agent
 	jobs     map[batch.JobID]*job
 	pools    map[string]*poolState
+	byName   []*poolState // the pools, sorted
 	routes   map[string]*routeState
 	sequence uint64
 	draining bool
@@ -228,9 +229,9 @@
 // Load returns the current load. It has the pools for which there are backend servers or jobs.
 func (d *Dispatcher) Load() Load {
 	l := Load{Pools: make(map[string]PoolLoad, len(d.pools)), Draining: d.draining}
-	for name, p := range d.pools {
+	for _, p := range d.byName {
 		if p.cores > 0 || p.queued > 0 {
-			l.Pools[name] = PoolLoad{Cores: p.cores, Queued: p.queued.seconds()}
+			l.Pools[p.name] = PoolLoad{Cores: p.cores, Queued: p.queued.seconds()}
 		}
 	}
 	for _, s := range d.order {
@@ -288,15 +289,7 @@
 
 // HasRoom reports whether all tasks of the job that may start at first could start now.
 func (d *Dispatcher) HasRoom(now time.Time, j batch.Job) bool {
-	if d.draining || d.pool(j.Pool).queued > 0 {
-		return false
-	}
-	for _, st := range j.Steps {
-		if len(st.After) == 0 && !d.roomFor(now, j.Pool, st) {
-			return false
-		}
-	}
-	return true
+	return !d.draining && d.pool(j.Pool).queued == 0 && d.hasRoom(now, j)
 }
 
 // Drain refuses jobs from now on.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -20,13 +20,14 @@
 		return nil
 	}
 	j := d.newJob(now, b)
-	if reason, ok := d.admit(now, j); !ok {
+	room := d.hasRoom(now, b)
+	if reason, ok := d.admit(now, j, room); !ok {
 		d.answer(now, j, d.notRun(now, j, reason))
 		return d.take()
 	}
 	d.jobs[j.ID] = j
 	d.pool(j.Pool).queued += j.work
-	if d.hasRoom(now, j) {
+	if room {
 		d.placeJob(now, j)
 	}
 	d.enqueue(j)
@@ -119,7 +120,7 @@
 
 // admit decides whether a job is taken. A job is refused on arrival if it would have to wait too long, so that
 // its caller learns it at once; work that was taken is then mostly in time.
-func (d *Dispatcher) admit(now time.Time, j *job) (reason batch.Reason, ok bool) {
+func (d *Dispatcher) admit(now time.Time, j *job, room bool) (reason batch.Reason, ok bool) {
 	if d.draining {
 		return batch.Draining, false
 	}
@@ -129,7 +130,7 @@
 		}
 		return reason, false
 	}
-	if d.hasRoom(now, j) {
+	if room {
 		return "", true
 	}
 	wait := d.Wait(j.Pool)
@@ -149,9 +150,9 @@
 
 // hasRoom reports whether all tasks that may start now fit on the backend servers, beside those that wait. The
 // tasks that wait are then too large for the room that is left.
-func (d *Dispatcher) hasRoom(now time.Time, j *job) bool {
-	for _, st := range j.steps {
-		if st.need == 0 && !d.roomFor(now, j.Pool, st.Step) {
+func (d *Dispatcher) hasRoom(now time.Time, j batch.Job) bool {
+	for _, st := range j.Steps {
+		if len(st.After) == 0 && !d.roomFor(now, j.Pool, st) {
 			return false
 		}
 	}
@@ -368,7 +369,7 @@
 		return
 	}
 	next := d.newJob(now, *j.next)
-	if reason, ok := d.admit(now, next); !ok {
+	if reason, ok := d.admit(now, next, d.hasRoom(now, next.Job)); !ok {
 		d.answer(now, next, d.notRun(now, next, reason))
 		return
 	}
@@ -393,7 +394,7 @@
 // expire gives up the jobs that can no longer be of use to their callers.
 func (d *Dispatcher) expire(now time.Time) {
 	var expired []*job
-	for _, p := range d.pools {
+	for _, p := range d.byName {
 		for _, j := range p.queue.jobs {
 			if !j.answered && !j.started() && now.After(j.limit) {
 				expired = append(expired, j)
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 
@@ -12,8 +12,10 @@
 // poolState is the queue of a pool, and what is known of its backend servers together. Pools share nothing, so that
 // one which is overloaded does not hold up or refuse the work of another.
 type poolState struct {
+	name   string
 	queue  queue
 	cores  float64  // of usable backend servers, weighted by their speed
+	sound  bool     // one of them is not quarantined
 	queued coreTime // of waiting tasks
 	usual  int      // thousandths of a core that a task usually asks for; 0 before the first
 	retry  retryClock
@@ -22,15 +24,15 @@
 func (d *Dispatcher) pool(name string) *poolState {
 	p, ok := d.pools[name]
 	if !ok {
-		p = &poolState{}
+		p = &poolState{name: name}
 		d.pools[name] = p
+		// A fixed order, so that the same events lead to the same actions.
+		d.byName = append(d.byName, p)
+		slices.SortFunc(d.byName, func(a, b *poolState) int { return cmp.Compare(a.name, b.name) })
 	}
 	return p
 }
 
-// poolNames returns the names in a fixed order, so that the same events lead to the same actions.
-func (d *Dispatcher) poolNames() []string { return slices.Sorted(maps.Keys(d.pools)) }
-
 func (p *poolState) wait() time.Duration { return waitOf(p.queued.seconds(), p.cores) }
 
 // useful returns what tasks of the usual size can use of a backend server's room. What is left over on several
@@ -52,20 +54,19 @@
 
 // measure renews the sums over the usable backend servers.
 func (d *Dispatcher) measure() {
-	sound := map[string]bool{}
-	for _, p := range d.pools {
-		p.cores = 0
+	for _, p := range d.byName {
+		p.cores, p.sound = 0, false
 	}
 	for _, s := range d.order {
 		if s.usable() && !s.quarantined {
-			sound[s.info.Pool] = true
+			d.pool(s.info.Pool).sound = true
 		}
 	}
 	for _, s := range d.order {
 		// If all are quarantined, all are used: see choose.
-		if s.usable() && (!s.quarantined || !sound[s.info.Pool]) {
+		if p := d.pool(s.info.Pool); s.usable() && (!s.quarantined || !p.sound) {
 			share := max(1-s.failures, minSuccess) / max(s.factor(), 1)
-			d.pool(s.info.Pool).cores += float64(s.capacity.Processor) / 1000 * share
+			p.cores += float64(s.capacity.Processor) / 1000 * share
 		}
 	}
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -62,13 +62,13 @@
 
 // place starts waiting tasks of all pools while there is room.
 func (d *Dispatcher) place(now time.Time) {
-	for _, name := range d.poolNames() {
-		d.placePool(now, name, d.pool(name))
+	for _, p := range d.byName {
+		d.placePool(now, p)
 	}
 }
 
 // placePool starts waiting tasks in the order of the pool's queue while there is room.
-func (d *Dispatcher) placePool(now time.Time, name string, p *poolState) {
+func (d *Dispatcher) placePool(now time.Time, p *poolState) {
 	var passed []*job
 	for p.queue.Len() > 0 {
 		j := p.queue.jobs[0]
@@ -103,12 +103,12 @@
 		}
 		// What is free is not enough for its next task, but may be for another job's.
 		passed = append(passed, j)
-		if len(passed) >= lookAhead || d.full(name) {
+		if len(passed) >= lookAhead || d.full(p.name) {
 			break
 		}
 	}
 	for _, j := range passed {
-		heap.Push(&d.pool(j.Pool).queue, j)
+		heap.Push(&p.queue, j)
 	}
 }
 
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -12,9 +12,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"slices"
+
+	"dogwoodglade/internal/uniform"
 )
 
 // Entry is an entry that an agent may choose.
@@ -42,7 +43,7 @@
 	}
 	// The agents of a region are taken as spread evenly over its data centres.
 	fair := sum / float64(max(len(totals), 1))
-	stays := uniform(agent) < totals[dataCentre]/fair
+	stays := uniform.Of(agent) < totals[dataCentre]/fair
 	group := func(e Entry) int {
 		switch {
 		case e.Region != region:
@@ -71,19 +72,5 @@
 }
 
 func score(agent, entry string, weight float64) float64 {
-	return -max(weight, minWeight*minWeight) / math.Log(uniform(agent+"\x00"+entry))
-}
-
-// uniform returns a number between 0 and 1 that is the same for equal texts.
-func uniform(text string) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(text)) // a hash accepts every write
-	x := h.Sum64()
-	// FNV leaves the high bits of similar texts similar.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return (float64(x>>11) + 0.5) / (1 << 53)
+	return -max(weight, minWeight*minWeight) / math.Log(uniform.Of(agent+"\x00"+entry))
 }
--- a/core/overflow/overflow.go
+++ b/core/overflow/overflow.go
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"maps"
 	"math"
 	"slices"
@@ -18,6 +17,7 @@
 	"dogwoodglade/core/batch"
 	"dogwoodglade/core/dispatch"
 	"dogwoodglade/core/resource"
+	"dogwoodglade/internal/uniform"
 )
 
 const (
@@ -141,14 +141,7 @@
 // draw returns an exponentially distributed number that depends on a job and a peer. Divided by weights, the lowest
 // such number chooses a peer with a probability that is proportional to its weight.
 func draw(id batch.JobID, name string) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(string(id) + "\x00" + name)) // a hash accepts every write
-	x := h.Sum64()
-	// FNV leaves the high bits of similar texts similar.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return -math.Log((float64(x>>11) + 0.5) / (1 << 53))
+	return -math.Log(uniform.Of(string(id) + "\x00" + name))
 }
 
 func (p *Peers) names() []string { return slices.SortedFunc(maps.Keys(p.byName), cmp.Compare[string]) }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -226,7 +226,9 @@
 	return b
 }
 
-func backendOf(r standin.Run) string { return fmt.Sprintf("%s/%d", r.Backend, r.Born) }
+func backendOf(r standin.Run) string { return backendKey(r.Backend, r.Born) }
+
+func backendKey(backend string, born int64) string { return fmt.Sprintf("%s/%d", backend, born) }
 
 // Began takes note of the start of a run. Guarded says whether the backend server checks its capacity itself.
 func (j *judge) Began(r standin.Run, guarded bool, capacity resource.Amount) {
@@ -285,7 +287,7 @@
 func (j *judge) Leaving(backend string, born int64, at time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.leaving[fmt.Sprintf("%s/%d", backend, born)] = at
+	j.leaving[backendKey(backend, born)] = at
 }
 
 // Showed takes note of the newest version that an entry shows, and of the version that was acknowledged at a time.
