--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -98,7 +98,7 @@
 		return nil, refused
 	}
 	dialEnd, acceptEnd := net.Pipe()
-	dialConn, acceptConn := n.newConn(dialEnd, h.name, l.host), n.newConn(acceptEnd, h.name, l.host)
+	dialConn, acceptConn := n.newConn(dialEnd, acceptEnd, h.name, l.host), n.newConn(acceptEnd, dialEnd, h.name, l.host)
 	n.mu.Unlock()
 	select {
 	case l.conns <- acceptConn:
@@ -158,6 +158,7 @@
 // block while the link is stalled.
 type conn struct {
 	net.Conn
+	other   net.Conn // the other end of the pipe
 	network *Network
 	hosts   hostPair
 	done    chan struct{} // closed by Close
@@ -168,9 +169,9 @@
 	closed bool
 }
 
-func (n *Network) newConn(c net.Conn, a, b string) *conn {
+func (n *Network) newConn(c, other net.Conn, a, b string) *conn {
 	wrapped := &conn{
-		Conn: c, network: n, hosts: newHostPair(a, b), done: make(chan struct{}), pending: make(chan struct{}, 1),
+		Conn: c, other: other, network: n, hosts: newHostPair(a, b), done: make(chan struct{}), pending: make(chan struct{}, 1),
 	}
 	n.conns[wrapped] = struct{}{}
 	go wrapped.send()
@@ -230,7 +231,8 @@
 	}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Data that the other end has not sent yet is discarded, so that its sender does not wait
+// for a reader that is gone.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -241,6 +243,7 @@
 	close(c.done)
 	c.wakeSender()
 	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = c.other.SetWriteDeadline(time.Unix(1, 0))
 	c.network.mu.Lock()
 	defer c.network.mu.Unlock()
 	delete(c.network.conns, c)
