--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -43,6 +43,8 @@
 	maxHoldBackoffShift  = 4
 	noServerPollInterval = 50 * time.Millisecond // between checks for an announced backend server
 	drainPollInterval    = 20 * time.Millisecond
+	// previousHomeLinger is how long the connection to a previous home stays open after its last run here.
+	previousHomeLinger = 300 * time.Millisecond
 	// stopReserve is the time reserved at the end of a planned stop for stopping the remaining runs.
 	stopReserve = 400 * time.Millisecond
 )
@@ -107,9 +109,12 @@
 	mu         sync.Mutex // guards the fields below
 	supervisor *supervise.Supervisor
 	peers      map[string]*inner.Peer // by name of the entry
-	known      map[string]home.Entry  // by name
+	known      map[string]knownEntry  // by name
 	avoidUntil map[string]time.Time   // entries that are not tried before the time
-	saved      supervise.Server       // the state that was last written to or read from the store
+	draining   map[string]string      // incarnations of the entries that have told this agent to choose another home, by name
+	preferred  preference
+	usedAt     map[string]time.Time // when each connected entry last had runs here, or connected
+	saved      supervise.Server     // the state that was last written to or read from the store
 	stopping   bool
 }
 
@@ -133,11 +138,13 @@
 		homeCheckNeeded: make(chan struct{}, 1),
 		supervisor:      supervise.New(),
 		peers:           map[string]*inner.Peer{},
-		known:           map[string]home.Entry{},
+		known:           map[string]knownEntry{},
 		avoidUntil:      map[string]time.Time{},
+		draining:        map[string]string{},
+		usedAt:          map[string]time.Time{},
 	}
 	for _, seed := range options.Seeds {
-		a.known[seed] = home.Entry{Name: seed, Address: seed}
+		a.known[seed] = knownEntry{Entry: home.Entry{Name: seed, Address: seed}}
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -292,9 +299,13 @@
 		a.closePeer(entry)
 	}
 	a.performActions(actions)
-	// Connections to previous homes are closed once these have no runs left here.
+	// Connections to previous homes are closed once these have no runs left here, and some time to start the remaining
+	// tasks of their jobs.
 	for entry := range a.peers {
-		if entry != a.supervisor.Home() && a.supervisor.RunCount(entry) == 0 && a.supervisor.Home() != "" {
+		if a.supervisor.RunCount(entry) > 0 {
+			a.usedAt[entry] = now
+		}
+		if home := a.supervisor.Home(); home != "" && entry != home && now.Sub(a.usedAt[entry]) > previousHomeLinger {
 			a.performActions(a.supervisor.Disconnect(now, entry))
 			a.closePeer(entry)
 		}
@@ -305,6 +316,7 @@
 func (a *Agent) closePeer(entry string) {
 	if p, ok := a.peers[entry]; ok {
 		delete(a.peers, entry)
+		delete(a.usedAt, entry)
 		go p.Close()
 		a.triggerHomeCheck()
 	}
--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	"dogwoodglade/core/event"
@@ -19,15 +18,31 @@
 	dialTimeout = 400 * time.Millisecond
 	// retryDelay is the minimum delay before an entry that did not respond is tried again.
 	retryDelay = time.Second
-	// drainingRetryDelay is how long a draining entry is avoided. It is longer than the grace period in which a
-	// restarting entry has to stop. A restarted entry is used again after the delay.
-	drainingRetryDelay = 6 * time.Second
+	// homeChangeDelay is how long an agent that has a home prefers another entry before it moves there. The entries that
+	// it knows change several times while entries start or are lost.
+	homeChangeDelay = 2 * time.Second
+	// forgetUnlistedAfter is how long an entry is remembered that its home no longer lists.
+	forgetUnlistedAfter = 10 * time.Minute
 	// directoryTimeout limits a read of the store.
 	directoryTimeout = time.Second
 	// directoryReadInterval is the minimum time between reads of the store while no entry can be reached.
 	directoryReadInterval = time.Second
 )
 
+// knownEntry is an entry that the agent may connect to.
+type knownEntry struct {
+	home.Entry
+	// unlistedSince is when the home first sent a list of all entries without this one; zero if it is listed. An entry
+	// that is not listed is tried after all others: the home may have lost its connection to it.
+	unlistedSince time.Time
+}
+
+// preference is the entry that an agent prefers to its home.
+type preference struct {
+	name  string
+	since time.Time
+}
+
 // triggerHomeCheck makes maintainHome reconsider the home without waiting for the next interval.
 func (a *Agent) triggerHomeCheck() {
 	select {
@@ -60,9 +75,14 @@
 }
 
 // connectToBestHome connects to the first entry in the order of preference that responds. It keeps the current home if
-// no entry that ranks higher responds. It reports whether the agent has a home.
+// no entry that ranks higher responds, or if that entry has been preferred only for a short time. It reports whether the
+// agent has a home.
 func (a *Agent) connectToBestHome(ctx context.Context) bool {
-	for _, e := range a.candidates() {
+	candidates := a.candidates()
+	if a.keepsHome(candidates) {
+		return true
+	}
+	for _, e := range candidates {
 		a.mu.Lock()
 		current := a.supervisor.Home()
 		a.mu.Unlock()
@@ -70,15 +90,18 @@
 			return true
 		}
 		dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-		p, err := inner.Dial(dialCtx, a.dial, e.Address, a.local, a)
+		p, err := inner.Dial(dialCtx, inner.Redialling(a.options.Dial), e.Address, a.local, a)
 		cancel()
 		if err != nil {
-			a.mu.Lock()
-			a.avoidUntil[e.Name] = a.options.Now().Add(retryDelay/2 + rand.N(retryDelay))
-			a.mu.Unlock()
+			a.avoid(e.Name)
 			a.log(event.EntryLost).Str("Peer", e.Name).Str("State", "Unreachable").Err(err).Send()
 			continue
 		}
+		if a.isDraining(p) {
+			a.avoid(e.Name)
+			p.Close()
+			continue
+		}
 		return a.setHome(p, e)
 	}
 	a.mu.Lock()
@@ -86,8 +109,33 @@
 	return a.supervisor.Home() != ""
 }
 
-func (a *Agent) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	return a.options.Dial(ctx, network, address)
+// avoid makes the agent try other entries first for some time.
+func (a *Agent) avoid(entry string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.avoidUntil[entry] = a.options.Now().Add(retryDelay/2 + rand.N(retryDelay))
+}
+
+// isDraining reports whether the entry has told this agent to choose another home, and has not been restarted since.
+func (a *Agent) isDraining(p *inner.Peer) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.draining[p.Name] == p.Incarnation
+}
+
+// keepsHome reports whether the agent stays with its home, given the entries in order of preference.
+func (a *Agent) keepsHome(candidates []home.Entry) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	current, now := a.supervisor.Home(), a.options.Now()
+	if current == "" || len(candidates) == 0 || candidates[0].Name == current {
+		a.preferred = preference{}
+		return current != ""
+	}
+	if a.preferred.name != candidates[0].Name {
+		a.preferred = preference{name: candidates[0].Name, since: now}
+	}
+	return now.Sub(a.preferred.since) < homeChangeDelay
 }
 
 // candidates returns the entries that may be tried now, in order of preference.
@@ -95,13 +143,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.options.Now()
-	var list []home.Entry
+	var listed, unlisted []home.Entry
 	for name, e := range a.known {
-		if !now.Before(a.avoidUntil[name]) {
-			list = append(list, e)
+		switch {
+		case now.Before(a.avoidUntil[name]):
+		case e.unlistedSince.IsZero():
+			listed = append(listed, e.Entry)
+		default:
+			unlisted = append(unlisted, e.Entry)
 		}
 	}
-	return home.Rank(a.options.Name, a.options.Region, a.options.DataCentre, list)
+	rank := func(entries []home.Entry) []home.Entry {
+		return home.Rank(a.options.Name, a.options.Region, a.options.DataCentre, entries)
+	}
+	return append(rank(listed), rank(unlisted)...)
 }
 
 // setHome makes the entry of a new connection the home, so that it may use the backend server. It reports whether the
@@ -113,7 +168,9 @@
 		// A seed is listed under its address until its name is known from a connection.
 		delete(a.known, e.Name)
 		if _, ok := a.known[p.Name]; !ok {
-			a.known[p.Name] = home.Entry{Name: p.Name, Address: e.Address, Region: p.Region, DataCentre: p.DataCentre}
+			a.known[p.Name] = knownEntry{
+				Entry: home.Entry{Name: p.Name, Address: e.Address, Region: p.Region, DataCentre: p.DataCentre},
+			}
 		}
 	}
 	if a.peers[p.Name] != p {
@@ -134,19 +191,37 @@
 		a.log(event.PlatformFailed).Err(err).Send()
 		return
 	}
-	a.addEntries(entries)
+	a.updateEntries(entries, false)
 }
 
-// addEntries adds or updates known entries. Seeds that are not in the list are kept, because the list may be out of
-// date.
-func (a *Agent) addEntries(entries []home.Entry) {
+// updateEntries adds or updates known entries. Those that are missing from a complete list are tried after all others;
+// an incomplete list says nothing about them.
+func (a *Agent) updateEntries(entries []home.Entry, complete bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	defer a.triggerHomeCheck()
+	listed := map[string]bool{}
 	for _, e := range entries {
-		a.known[e.Name] = e
-		delete(a.known, e.Address)
+		listed[e.Name] = true
+		a.known[e.Name] = knownEntry{Entry: e}
+		delete(a.known, e.Address) // a seed, listed under its address until now
+	}
+	if !complete {
+		return
+	}
+	now := a.options.Now()
+	for name, e := range a.known {
+		switch {
+		case listed[name]:
+		case e.unlistedSince.IsZero():
+			e.unlistedSince = now
+			a.known[name] = e
+		case now.Sub(e.unlistedSince) > forgetUnlistedAfter:
+			delete(a.known, name)
+			delete(a.avoidUntil, name)
+			delete(a.draining, name)
+		}
 	}
-	a.triggerHomeCheck()
 }
 
 // Connected implements inner.Handler.
@@ -158,7 +233,7 @@
 		return
 	}
 	a.closePeer(p.Name)
-	a.peers[p.Name] = p
+	a.peers[p.Name], a.usedAt[p.Name] = p, a.options.Now()
 	a.log(event.EntryConnected).Str("Peer", p.Name).Str("Incarnation", p.Incarnation).Send()
 	a.performActions(a.supervisor.Connect(a.options.Now(), p.Name))
 }
@@ -171,6 +246,7 @@
 		return
 	}
 	delete(a.peers, p.Name)
+	delete(a.usedAt, p.Name)
 	a.log(event.EntryLost).Str("Peer", p.Name).Str("State", "Closed").Int("Running", a.supervisor.RunCount(p.Name)).Send()
 	a.performActions(a.supervisor.Disconnect(a.options.Now(), p.Name))
 	a.triggerHomeCheck()
@@ -193,8 +269,9 @@
 	a.mu.Lock()
 	if a.peers[p.Name] == p {
 		a.supervisor.ExtendSession(p.Name, supervise.ClockTime(k.Until))
-		if k.Draining && !a.options.Now().Before(a.avoidUntil[p.Name]) {
-			a.avoidUntil[p.Name] = a.options.Now().Add(drainingRetryDelay)
+		if k.Draining && a.draining[p.Name] != p.Incarnation {
+			a.draining[p.Name] = p.Incarnation
+			a.avoidUntil[p.Name] = a.options.Now().Add(retryDelay)
 			a.log(event.EntryLost).Str("Peer", p.Name).Str("State", "Draining").Send()
 			a.performActions(a.supervisor.SetHome(""))
 			a.triggerHomeCheck()
@@ -202,6 +279,6 @@
 	}
 	a.mu.Unlock()
 	if len(k.Entries) > 0 {
-		a.addEntries(k.Entries)
+		a.updateEntries(k.Entries, k.Complete)
 	}
 }
--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -15,14 +15,18 @@
 // that dispatches the job can report its own time-out first.
 const forwardMargin = 500 * time.Millisecond
 
+// maxRetries limits how often a job is reassigned after refusals. Entries that stop one after the other may each hand it
+// back.
+const maxRetries = 3
+
 // call is an open job, with the callers and entries that wait for its outcome.
 type call struct {
-	job            batch.Job
-	arrived        time.Time
-	waiters        []chan batch.Outcome // callers of this entry
-	origins        map[string]uint64    // entries that forwarded the job to this one, with the number of their session
-	forwardedTo    string               // the entry that dispatches the job; "" for this one
-	alreadyRetried bool                 // it was reassigned after another entry had refused it
+	job         batch.Job
+	arrived     time.Time
+	waiters     []chan batch.Outcome // callers of this entry
+	origins     map[string]uint64    // entries that forwarded the job to this one, with the number of their session
+	forwardedTo string               // the entry that dispatches the job; "" for this one
+	retries     int                  // how often it was reassigned after another entry had refused it
 }
 
 // Submit runs a job and returns its outcome. If the context ends first and no other caller or entry waits for the job,
@@ -186,6 +190,10 @@
 	if !ok || x.connections[p] < x.peerSession {
 		return // sent in a session that the other entry has since ended, so it no longer waits for the job
 	}
+	if _, open := e.calls[j.ID]; e.releasingAgents && !open {
+		e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(j.ID, batch.NotRun{Reason: batch.Draining}) })
+		return
+	}
 	session := x.connections[p]
 	c := e.findOrNewCall(j)
 	if c.forwardedTo == p.Name {
@@ -202,6 +210,46 @@
 	e.startCall(c)
 }
 
+// reassignStranded passes on the jobs that another entry can start sooner because this one has no backend server for
+// them, or is stopping. Entries that forwarded such a job choose again; it has not been started.
+func (e *Entry) reassignStranded(now time.Time) {
+	for _, id := range e.dispatcher.Stranded() {
+		c, ok := e.calls[id]
+		if !ok || c.forwardedTo != "" {
+			continue
+		}
+		to := ""
+		if len(c.waiters) > 0 {
+			if to = e.peers.Choose(now, e.dispatcher.Load(), c.job); to == "" {
+				continue
+			}
+		}
+		if !e.dispatcher.Withdraw(id) {
+			continue
+		}
+		e.handBack(c)
+		switch {
+		case len(c.waiters) == 0:
+			delete(e.calls, id)
+		case !e.forward(c, to):
+			e.performActions(e.dispatcher.Submit(now, c.job))
+		}
+	}
+}
+
+// handBack tells the entries that forwarded a job that it has not been started here and will not be.
+func (e *Entry) handBack(c *call) {
+	for origin := range c.origins {
+		e.log(event.JobRefused).Str("Job", string(c.job.ID)).Str("Peer", origin).Str("State", "HandedBack").Send()
+		if x, ok := e.entries[origin]; ok {
+			e.sendToEntry(x, func(p *inner.Peer) bool {
+				return p.ForwardOutcome(c.job.ID, batch.NotRun{Reason: batch.NoServer})
+			})
+		}
+	}
+	clear(c.origins)
+}
+
 // expireForwarded ends forwarded jobs whose outcome did not arrive within the caller's time-out. The entry that
 // dispatches a job normally reports the time-out itself, so this covers an outcome message that was lost.
 func (e *Entry) expireForwarded(now time.Time) {
@@ -223,7 +271,7 @@
 	if !ok || c.forwardedTo != p.Name {
 		return
 	}
-	if n, ok := o.(batch.NotRun); ok && !c.alreadyRetried && e.retry(c, n.Reason) {
+	if n, ok := o.(batch.NotRun); ok && c.retries < maxRetries && e.retry(c, n.Reason) {
 		return
 	}
 	e.log(event.JobAnswered).Str("Job", string(id)).Str("Route", c.job.Route).Str("State", batch.OutcomeName(o)).
@@ -237,13 +285,14 @@
 // at once. It reports whether the job was reassigned.
 func (e *Entry) retry(c *call, reason batch.Reason) bool {
 	peer := c.forwardedTo
-	c.alreadyRetried = true
+	c.retries++
 	if reason != batch.Overloaded {
 		e.logRefusedByPeer(c, reason)
 		e.peers.Remove(peer)
 		e.assignCall(c)
 		return true
 	}
+	c.retries = maxRetries // one more try, as waiting for room takes longer than the job can
 	e.peers.MarkFull(peer, c.job.Pool)
 	now := e.options.Now()
 	if e.dispatcher.CanStartNow(now, c.job) {
--- a/batchentry/configuration.go
+++ b/batchentry/configuration.go
@@ -115,11 +115,27 @@
 		return
 	}
 	e.config = next
+	if previous == 0 {
+		close(e.configured)
+	}
 	e.log(event.TablesAdopted).Uint64("Version", next.Version).Uint64("Previous", previous).
 		Int("Routes", len(next.Routes)).Int("Skipped", next.Skipped).Str("Peer", source).Send()
 	e.sendLoad()
 }
 
+// AwaitConfiguration returns the configuration. If there is none yet, it waits for one, but not after the entry has been
+// running for configurationGrace.
+func (e *Entry) AwaitConfiguration(ctx context.Context) site.Configuration {
+	if grace := configurationGrace - e.options.Now().Sub(e.startedAt); grace > 0 {
+		select {
+		case <-e.configured:
+		case <-time.After(grace):
+		case <-ctx.Done():
+		}
+	}
+	return e.Configuration()
+}
+
 // register writes the entry's row to the store and reads the addresses of the others. The row is written before the
 // others are read, so that of two entries that start at the same time at least one finds the other. The addresses are
 // read again when a periodic check finds no connection to another entry.
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -37,6 +37,9 @@
 	keepAliveInterval = 150 * time.Millisecond
 	// loadInterval is how often this entry sends its load to the other entries.
 	loadInterval = 100 * time.Millisecond
+	// completeListDelay is how long after its start an entry tells its agents that its list of entries is complete. By
+	// then it has connected to the entries that it can reach.
+	completeListDelay = 2 * time.Second
 	// expiryInterval is how often forwarded jobs are checked for their time-out. Time-outs are in the order of seconds.
 	expiryInterval = time.Second
 	// connectionTimeout is how long a peer may send nothing before it is treated as lost. A connection can stop
@@ -47,8 +50,11 @@
 	// the last message that it received, and its callers resubmit 1.3 s later. With this lease the jobs have been
 	// cancelled here by then.
 	forwardedJobLease = time.Second
-	// dialTimeout limits a connection attempt. A host that is powered off does not respond to one.
+	// dialTimeout limits the time for a connection. A host that is powered off does not respond.
 	dialTimeout = time.Second
+	// configurationGrace is how long after its start an entry lets callers wait for its first configuration. It gets one
+	// from the store or from another entry within a few milliseconds.
+	configurationGrace = 500 * time.Millisecond
 	// maxReadyLoadAge is the maximum age of another entry's load for this entry to be ready without backend servers of
 	// its own.
 	maxReadyLoadAge = time.Second
@@ -99,6 +105,8 @@
 	metrics     entryMetrics
 	connector   *inner.Connector
 	ready       chan struct{} // closed when connector is set
+	configured  chan struct{} // closed when the first configuration has been applied
+	startedAt   time.Time
 
 	mu               sync.Mutex // guards the fields below
 	dispatcher       *dispatch.Dispatcher
@@ -107,10 +115,12 @@
 	entries          map[string]*entrySession // by name
 	calls            map[batch.JobID]*call
 	config           site.Configuration
-	stopping         bool // Ready reports false
-	stopped          bool // new jobs are refused
-	releasingAgents  bool // agents are told to choose another entry
-	entryListVersion int  // version of the list of entries that is sent to agents
+	stopping         bool    // Ready reports false
+	stopped          bool    // new jobs are refused
+	releasingAgents  bool    // agents are told to choose another entry
+	entryListVersion int     // version of the list of entries that is sent to agents
+	listComplete     bool    // the list has all entries that can be reached
+	sentCores        float64 // cores of usable backend servers in the load that was last sent
 	lastSession      uint64
 }
 
@@ -131,6 +141,7 @@
 	connections map[*inner.Peer]uint64
 	current     *inner.Peer // the connection that this entry sends on until it closes
 	lastLoad    time.Time
+	draining    bool // it releases its agents
 	pulling     bool // a newer configuration is being read from the peer
 
 	session     uint64        // this entry's session number
@@ -150,6 +161,8 @@
 		clock:            event.NewRecorder(options.Name, 1, time.Now),
 		metrics:          newEntryMetrics(options.Metrics),
 		ready:            make(chan struct{}),
+		configured:       make(chan struct{}),
+		startedAt:        options.Now(),
 		dispatcher:       dispatch.New(),
 		peers:            overflow.New(),
 		agents:           map[string]*agentSession{},
@@ -194,8 +207,9 @@
 	}, nil
 }
 
-// withTimeout limits connection attempts to dialTimeout.
+// withTimeout limits the time for a connection to dialTimeout.
 func withTimeout(dial inner.DialFunc) inner.DialFunc {
+	dial = inner.Redialling(dial)
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
@@ -227,11 +241,16 @@
 		now := e.options.Now()
 		e.closeTimedOut(now)
 		e.performActions(e.dispatcher.Tick(now))
+		if !e.listComplete && now.Sub(e.startedAt) > completeListDelay {
+			e.listComplete = true
+			e.entryListVersion++
+		}
 		if now.Sub(lastKeepAlive) >= keepAliveInterval-tickInterval/2 {
 			lastKeepAlive = now
 			e.sendKeepAlives()
 		}
-		if now.Sub(lastLoadSent) >= loadInterval-tickInterval/2 {
+		e.reassignStranded(now)
+		if now.Sub(lastLoadSent) >= loadInterval-tickInterval/2 || e.coresChanged() {
 			lastLoadSent = now
 			e.sendLoad()
 		}
@@ -334,19 +353,24 @@
 	e.performActions(e.dispatcher.Disconnect(now, name, a.lastReport.Add(supervise.MaxRunAfterAgentLoss)))
 }
 
-// sendKeepAlives extends the sessions of the agents. The expiry is relative to the agent's clock in its latest report,
-// so that a delayed message does not extend the session.
+// sendKeepAlives extends the sessions of the agents.
 func (e *Entry) sendKeepAlives() {
 	for _, a := range e.agents {
-		k := inner.KeepAlive{Draining: e.releasingAgents}
-		if a.agentClock > 0 {
-			k.Until = a.agentClock + supervise.SessionLease
-		}
-		if a.sentListVersion != e.entryListVersion {
-			a.sentListVersion, k.Entries = e.entryListVersion, e.entryList()
-		}
-		a.peer.KeepAlive(k)
+		e.sendKeepAlive(a)
+	}
+}
+
+// sendKeepAlive extends the session of an agent. The expiry is relative to the agent's clock in its latest report, so
+// that a delayed message does not extend the session.
+func (e *Entry) sendKeepAlive(a *agentSession) {
+	k := inner.KeepAlive{Draining: e.releasingAgents}
+	if a.agentClock > 0 {
+		k.Until = a.agentClock + supervise.SessionLease
 	}
+	if a.sentListVersion != e.entryListVersion {
+		a.sentListVersion, k.Entries, k.Complete = e.entryListVersion, e.entryList(), e.listComplete
+	}
+	a.peer.KeepAlive(k)
 }
 
 // entryList returns the entries that agents may choose as their home.
@@ -359,7 +383,7 @@
 		})
 	}
 	for _, x := range e.entries {
-		if x.Address != "" {
+		if x.Address != "" && !x.draining {
 			list = append(list, x.Entry)
 		}
 	}
@@ -375,7 +399,12 @@
 		return
 	}
 	now := e.options.Now()
+	first := a.agentClock == 0
 	a.lastReport, a.agentClock = now, r.Clock
+	if first {
+		// The agent accepts starts once its session has been confirmed.
+		e.sendKeepAlive(a)
+	}
 	for _, x := range r.Ended {
 		e.logRunEnd(p.Name, x)
 	}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -10,8 +10,12 @@
 	"dogwoodglade/io/inner"
 )
 
-// pullTimeout limits the transfer of a configuration between entries.
-const pullTimeout = time.Second
+const (
+	// pullTimeout limits the transfer of a configuration between entries.
+	pullTimeout = time.Second
+	// promptLoadChange is the relative change of an entry's cores after which it sends its load at the next tick.
+	promptLoadChange = 0.25
+)
 
 func (e *Entry) load() inner.EntryLoad {
 	l := inner.EntryLoad{Load: e.dispatcher.Load(), Version: e.config.Version, Weight: e.options.Weight}
@@ -31,8 +35,16 @@
 	return l
 }
 
+// coresChanged reports whether this entry has gained or lost much capacity since it last sent its load, as when agents
+// choose it as their home after another entry has stopped.
+func (e *Entry) coresChanged() bool {
+	cores := e.dispatcher.Load().Total().Cores
+	return math.Abs(cores-e.sentCores) > promptLoadChange*max(cores, e.sentCores)
+}
+
 func (e *Entry) sendLoad() {
 	l, now := e.load(), e.options.Now()
+	e.sentCores = l.Load.Total().Cores
 	for _, x := range e.entries {
 		e.sendToEntry(x, func(p *inner.Peer) bool { return p.Load(x.withSessionFields(l, now)) })
 	}
@@ -76,11 +88,17 @@
 		x.peerSession = l.Session
 		e.dropOrigins(p.Name, l.Session)
 	}
-	if x.Weight != l.Weight {
+	if x.Weight != l.Weight || x.draining != l.Load.Draining {
 		e.entryListVersion++
 	}
-	x.lastLoad, x.Weight = now, l.Weight
+	x.lastLoad, x.Weight, x.draining = now, l.Weight, l.Load.Draining
 	e.peers.RecordReport(now, p.Name, l.Load)
+	for name, pool := range l.Load.Pools {
+		if pool.Cores > 0 {
+			e.dispatcher.NoteServed(now, name)
+		}
+	}
+	e.reassignStranded(now)
 	if l.Version > e.config.Version && !x.pulling {
 		x.pulling = true
 		go e.pullConfiguration(p, x)
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -1,6 +1,7 @@
 package batchentry_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -9,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"dogwoodglade/batchagent"
@@ -249,10 +251,13 @@
 	entries  map[string]*batchentry.Entry
 	backends map[string]*backend
 	stops    map[string]func()
+	metrics  map[string]metrics.Registry // of the entries
+	region   string                      // of all processes; if empty, each entry has a region of its own, with some of the agents
 }
 
-func newSite(t *testing.T, entries, agents int) *testSite {
+func newSite(t *testing.T, region string, entries, agents int) *testSite {
 	s := &testSite{
+		region: region, metrics: map[string]metrics.Registry{},
 		t: t, network: memnet.New(), store: newFakeStore(), overlaps: &overlapRecorder{running: map[batch.TaskID]string{}},
 		entries: map[string]*batchentry.Entry{}, backends: map[string]*backend{}, stops: map[string]func(){},
 	}
@@ -260,23 +265,28 @@
 		s.startEntry(fmt.Sprintf("entry-%d", i+1))
 	}
 	for i := range agents {
-		name := fmt.Sprintf("agent-%d", i+1)
-		s.backends[name] = &backend{
-			name: name, started: time.Now().Add(-time.Hour), running: map[batch.TaskID]*taskRun{},
-			endSignal: make(chan struct{}, 1), overlaps: s.overlaps,
-		}
-		s.startAgent(name)
+		s.addAgent(fmt.Sprintf("agent-%d", i+1))
 	}
 	time.Sleep(3 * time.Second)
 	return s
 }
 
+// addAgent adds a backend server and its agent.
+func (s *testSite) addAgent(name string) {
+	s.backends[name] = &backend{
+		name: name, started: time.Now().Add(-time.Hour), running: map[batch.TaskID]*taskRun{},
+		endSignal: make(chan struct{}, 1), overlaps: s.overlaps,
+	}
+	s.startAgent(name)
+}
+
 func (s *testSite) startEntry(name string) {
 	s.t.Helper()
 	host := s.network.Host(name)
+	s.metrics[name] = metrics.NewRegistry()
 	e, stop, err := batchentry.New(batchentry.Options{
-		Name: name, Region: "of-" + name, Address: name + ":1", Weight: 1, Directory: s.store,
-		Logger: zerolog.Nop(), Dial: host.Dial, Listen: host.Listen, Now: time.Now,
+		Name: name, Region: cmp.Or(s.region, "of-"+name), Address: name + ":1", Weight: 1, Directory: s.store,
+		Logger: zerolog.Nop(), Metrics: s.metrics[name], Dial: host.Dial, Listen: host.Listen, Now: time.Now,
 	})
 	if err != nil {
 		s.t.Fatal(err)
@@ -289,7 +299,7 @@
 	// Agents are assigned to the regions of the entries in turn.
 	region := fmt.Sprintf("of-entry-%d", (len(s.stops)-len(s.entries))%max(len(s.entries), 1)+1)
 	a, stop := batchagent.New(batchagent.Options{
-		Name: name, Region: region, Directory: s.store, Server: b, Logger: zerolog.Nop(),
+		Name: name, Region: cmp.Or(s.region, region), Directory: s.store, Server: b, Logger: zerolog.Nop(),
 		Dial: s.network.Host(name).Dial, Now: time.Now,
 	})
 	s.stops[name] = stop
@@ -298,6 +308,24 @@
 	})
 }
 
+// agentCounts returns the number of agents of each running entry that has any.
+func (s *testSite) agentCounts() map[string]int64 {
+	counts := map[string]int64{}
+	for name := range s.entries {
+		if n := metrics.GetOrRegisterGauge("Batch.Agents", s.metrics[name]).Value(); n > 0 {
+			counts[name] = n
+		}
+	}
+	return counts
+}
+
+// killEntry stops an entry without a planned stop.
+func (s *testSite) killEntry(name string) {
+	s.stops[name]()
+	delete(s.stops, name)
+	delete(s.entries, name)
+}
+
 func (s *testSite) close() {
 	for _, stop := range s.stops {
 		stop()
@@ -322,9 +350,20 @@
 }
 
 func runSite(t *testing.T, entries, agents int, test func(s *testSite)) {
+	t.Helper()
+	runSiteIn(t, "", entries, agents, test)
+}
+
+// runSiteInOneRegion runs a site whose agents all choose the same entry as their home.
+func runSiteInOneRegion(t *testing.T, entries, agents int, test func(s *testSite)) {
+	t.Helper()
+	runSiteIn(t, "region", entries, agents, test)
+}
+
+func runSiteIn(t *testing.T, region string, entries, agents int, test func(s *testSite)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(t, entries, agents)
+		s := newSite(t, region, entries, agents)
 		test(s)
 		s.close()
 		time.Sleep(time.Minute) // let pending handshakes time out
--- a/cmd/dogwoodglade/main.go
+++ b/cmd/dogwoodglade/main.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 )
 
@@ -32,7 +33,13 @@
 	}
 }
 
-func main() { os.Exit(execute(os.Args)) }
+// logTimeFormat is RFC 3339 with milliseconds.
+const logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func main() {
+	zerolog.TimeFieldFormat = logTimeFormat
+	os.Exit(execute(os.Args))
+}
 
 func execute(arguments []string) int {
 	root := rootCommand()
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -143,17 +143,26 @@
 	}
 }
 
-// startGrace is how long a starting entry accepts jobs for pools without a backend server. When a whole site restarts,
-// agents choose an entry as their home about 100 ms after it is up.
-const startGrace = 500 * time.Millisecond
+// serverGrace is how long jobs are accepted for a pool without a backend server, after the start of the entry or after
+// the pool had one at any entry. When a whole site restarts, or when an entry hands its agents over, the agents choose
+// another home about 100 ms after it is up.
+const serverGrace = 500 * time.Millisecond
 
-func (d *Dispatcher) inStartGrace(now time.Time) bool {
+func (d *Dispatcher) noteStart(now time.Time) {
 	if d.startedAt.IsZero() {
 		d.startedAt = now
 	}
-	return now.Sub(d.startedAt) < startGrace
 }
 
+// expectsServer reports whether a pool without a backend server is likely to get one soon.
+func (d *Dispatcher) expectsServer(now time.Time, p *poolState) bool {
+	d.noteStart(now)
+	return now.Sub(d.startedAt) < serverGrace || (!p.servedAt.IsZero() && now.Sub(p.servedAt) < serverGrace)
+}
+
+// NoteServed records that another entry has backend servers of a pool.
+func (d *Dispatcher) NoteServed(now time.Time, pool string) { d.pool(pool).servedAt = now }
+
 // takeActions returns and clears the pending actions, after adding a HealthChanged for each backend server that has
 // become degraded or has recovered. The start requests for an agent are in one action, and so are the stop requests.
 func (d *Dispatcher) takeActions() []Action {
@@ -302,5 +311,6 @@
 	return !d.draining && d.pool(j.Pool).queued == 0 && d.hasCapacity(now, j)
 }
 
-// Drain makes the dispatcher refuse new jobs. Accepted jobs continue.
+// Drain makes the dispatcher accept only jobs that another entry is likely to take over. Accepted jobs continue, also on
+// backend servers whose agents have chosen another home meanwhile.
 func (d *Dispatcher) Drain() { d.draining = true }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -123,10 +123,11 @@
 // learns of it at once and most accepted jobs are in time.
 func (d *Dispatcher) admit(now time.Time, j *job, canStart bool) (reason batch.Reason, ok bool) {
 	if d.draining {
-		return batch.Draining, false
+		// Another entry is likely to take the job over; see Stranded.
+		return batch.Draining, d.expectsServer(now, d.pool(j.Pool))
 	}
 	if reason, ok := d.checkFits(j); !ok {
-		if reason == batch.NoServer && d.inStartGrace(now) {
+		if reason == batch.NoServer && d.expectsServer(now, d.pool(j.Pool)) {
 			return "", true
 		}
 		return reason, false
@@ -383,7 +384,13 @@
 // Tick counts the runs of lost agents as ended once they cannot exist any more, and ends jobs that have waited too
 // long.
 func (d *Dispatcher) Tick(now time.Time) []Action {
-	d.inStartGrace(now)
+	d.noteStart(now)
+	for _, p := range d.sortedPools {
+		if p.served() {
+			p.servedAt = now
+		}
+		d.refuseUnserved(now, p)
+	}
 	for _, s := range d.sortedServers {
 		if len(s.runs) > 0 && !s.lostRunsEndBy.IsZero() && now.After(s.lostRunsEndBy) {
 			d.endLostRuns(now, s)
@@ -394,6 +401,49 @@
 	return d.takeActions()
 }
 
+// refuseUnserved refuses the waiting jobs of a pool that has no backend server and will not get one soon.
+func (d *Dispatcher) refuseUnserved(now time.Time, p *poolState) {
+	if p.served() || d.expectsServer(now, p) {
+		return
+	}
+	for _, j := range slices.Clone(p.queue.jobs) {
+		if !j.answered && !j.started() {
+			d.refuse(now, j, batch.NoServer)
+		}
+	}
+}
+
+// Stranded returns the jobs without a started task that another entry can start sooner: those of pools without a usable
+// backend server at this entry, and all if the dispatcher is draining.
+func (d *Dispatcher) Stranded() []batch.JobID {
+	var stranded []batch.JobID
+	for _, p := range d.sortedPools {
+		if p.served() && !d.draining {
+			continue
+		}
+		for _, j := range p.queue.jobs {
+			if !j.answered && !j.started() {
+				stranded = append(stranded, j.ID)
+			}
+		}
+	}
+	return stranded
+}
+
+// Withdraw removes a job without an answer, so that another entry can run it. It reports false if a task of the job may
+// have been started.
+func (d *Dispatcher) Withdraw(id batch.JobID) bool {
+	j, ok := d.jobs[id]
+	if !ok || j.answered || j.started() || j.activeRuns > 0 || j.mayHaveRun {
+		return false
+	}
+	j.answered = true
+	d.pool(j.Pool).queued -= j.waitingWork
+	j.waitingWork, j.waiting = 0, nil
+	delete(d.jobs, id)
+	return true
+}
+
 // expireJobs ends the jobs whose answer would come too late for the caller.
 func (d *Dispatcher) expireJobs(now time.Time) {
 	var expired []*job
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -19,6 +19,7 @@
 	queued            coreTime // predicted processor time of the waiting tasks
 	typicalDemand     int      // thousandths of a core, moving average over jobs; 0 before the first
 	retry             retrySchedule
+	servedAt          time.Time // when this or another entry last had a usable backend server; zero if never
 }
 
 func (d *Dispatcher) pool(name string) *poolState {
@@ -52,6 +53,9 @@
 	p.typicalDemand += int(demandWeight * float64(st.Demand.Processor-p.typicalDemand))
 }
 
+// served reports whether the pool has a usable backend server at this entry.
+func (p *poolState) served() bool { return p.cores > 0 }
+
 // updatePoolCapacity computes the totals of the usable backend servers of each pool.
 func (d *Dispatcher) updatePoolCapacity() {
 	for _, p := range d.sortedPools {
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -87,8 +87,9 @@
 			continue
 		case !j.started() && now.After(j.targetStart) && j.targetStart.Before(j.startDeadline):
 			// The job can no longer meet its target. It moves behind all jobs that can, in order of arrival, unless
-			// it would probably expire there: jobs that arrive later and can meet their targets are placed first.
-			if p.wait()*lateWaitFactor > j.startDeadline.Sub(now) {
+			// it would probably expire there: jobs that arrive later and can meet their targets are placed first. How
+			// long it waits is not known while the pool has no backend server.
+			if p.served() && p.wait()*lateWaitFactor > j.startDeadline.Sub(now) {
 				heap.Pop(&p.queue)
 				j.queued = false
 				d.refuse(now, j, batch.Overloaded)
@@ -137,7 +138,7 @@
 // isFull reports whether no backend server of a pool has capacity for a small task.
 func (d *Dispatcher) isFull(pool string) bool {
 	for _, s := range d.sortedServers {
-		if s.usable() && s.info.Pool == pool && s.free().Processor >= minFreeProcessor {
+		if s.connected && (s.offered || s.released) && s.info.Pool == pool && s.free().Processor >= minFreeProcessor {
 			return false
 		}
 	}
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -69,6 +69,7 @@
 	agent         string
 	connected     bool
 	offered       bool
+	released      bool // its agent has chosen another home, but accepts starts of this entry's jobs
 	info          supervise.Server
 	capacity      resource.Amount
 	used          resource.Amount // by runs of this entry
@@ -91,6 +92,12 @@
 
 func (s *server) usable() bool { return s.connected && s.offered }
 
+// usableFor reports whether tasks of a job may be started on the backend server. If its agent has chosen another home,
+// only jobs that cannot continue elsewhere are: those that have started, and those of an entry that is draining.
+func (d *Dispatcher) usableFor(s *server, j *job) bool {
+	return s.usable() || (s.connected && s.released && (j.started() || d.draining))
+}
+
 func (s *server) free() resource.Amount { return s.capacity.Minus(s.used).Minus(s.usedByOthers) }
 
 // slowdown returns the run times relative to other backend servers.
@@ -112,14 +119,14 @@
 		slices.SortFunc(d.sortedServers, func(a, b *server) int { return cmp.Compare(a.agent, b.agent) })
 	}
 	d.markLost(s, now.Add(supervise.MaxRunAfterAgentLoss))
-	s.connected, s.offered = true, false
+	s.connected, s.offered, s.released = true, false, false
 	return d.takeActions()
 }
 
 // Disconnect handles the end of a session. Its runs may continue until runsEndBy.
 func (d *Dispatcher) Disconnect(now time.Time, agent string, runsEndBy time.Time) []Action {
 	if s, ok := d.servers[agent]; ok && s.connected {
-		s.connected, s.offered = false, false
+		s.connected, s.offered, s.released = false, false, false
 		d.markLost(s, runsEndBy)
 		d.updatePoolCapacity()
 		d.place(now)
@@ -155,7 +162,8 @@
 	}
 	d.observeProgress(now, s, r.Progress)
 	changed := s.offered != r.Offered || s.capacity != r.Server.Capacity
-	s.offered, s.info, s.capacity, s.usedByOthers = r.Offered, r.Server, r.Server.Capacity, r.UsedByOthers
+	s.offered, s.released, s.info = r.Offered, r.Released, r.Server
+	s.capacity, s.usedByOthers = r.Server.Capacity, r.UsedByOthers
 	if changed {
 		d.updatePoolCapacity()
 	}
@@ -180,7 +188,7 @@
 	// A task that has failed on every backend server may use any of them again.
 	avoid := len(t.failedOn) < usable
 	for _, s := range d.sortedServers {
-		if !s.usable() || s.info.Pool != j.Pool || !st.Demand.Fits(s.free()) || now.Before(s.backoffUntil) {
+		if !d.usableFor(s, j) || s.info.Pool != j.Pool || !st.Demand.Fits(s.free()) || now.Before(s.backoffUntil) {
 			continue
 		}
 		if (st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) ||
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -130,6 +130,7 @@
 type Report struct {
 	Clock        time.Duration // the agent's clock
 	Offered      bool          // whether the entry may start runs
+	Released     bool          `json:",omitempty"` // whether another entry is the home, but jobs of this one may be finished
 	Server       Server
 	UsedByOthers resource.Amount `json:"Others"` // capacity in use by runs of other entries
 	Ended        []RunEnd
@@ -373,14 +374,19 @@
 	return false
 }
 
-func (s *Supervisor) isOffered(entry string) bool {
-	return entry == s.home && s.known && !s.left && s.runsListed && !s.awaitingAnnouncement && !s.server.Leaving &&
-		!s.draining && s.unansweredHolds < 2 && !s.hasOrphans()
+// acceptsStarts reports whether the backend server can start runs.
+func (s *Supervisor) acceptsStarts() bool {
+	return s.known && !s.left && s.runsListed && !s.awaitingAnnouncement && !s.server.Leaving && !s.draining &&
+		s.unansweredHolds < 2 && !s.hasOrphans()
 }
 
 // Report returns the report for an entry, and drops the ends of runs that it contains.
 func (s *Supervisor) Report(now time.Time, entry string) Report {
-	r := Report{Clock: sinceEpoch(now), Offered: s.isOffered(entry), Server: s.server, UsedByOthers: s.inUse(entry)}
+	accepts := s.acceptsStarts()
+	r := Report{
+		Clock: sinceEpoch(now), Offered: accepts && entry == s.home, Released: accepts && entry != s.home,
+		Server: s.server, UsedByOthers: s.inUse(entry),
+	}
 	c, ok := s.sessions[entry]
 	if !ok {
 		return r
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -18,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	conns := make(chan net.Conn)
 	go func() {
 		c, err := l.Accept()
@@ -74,7 +75,7 @@
 		if _, err := b.Read(make([]byte, 1)); err == nil {
 			t.Error("a read after the close returned no error")
 		}
-		if _, err := a.Read(make([]byte, 1)); err != io.EOF {
+		if _, err := a.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 			t.Errorf("got %v at the other end, want EOF", err)
 		}
 		_ = a.Close()
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -74,6 +74,7 @@
 	Until    time.Duration // end of the session, on the agent's clock
 	Draining bool          // the agent should choose another entry
 	Entries  []home.Entry  // entries of the region; empty if unchanged
+	Complete bool          // whether Entries has all entries that can be reached; false while the sender is starting
 }
 
 // runGroup holds the starts of tasks that belong to the same step.
--- a/io/inner/hello.go
+++ b/io/inner/hello.go
@@ -52,6 +52,27 @@
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// connectTimeout limits one attempt of a dial function returned by Redialling. The round trip within a region takes a
+// few milliseconds.
+const connectTimeout = 100 * time.Millisecond
+
+// Redialling returns a dial function that starts a new attempt when one has no response within connectTimeout, until the
+// context ends. TCP sends the first packet of a connection again only after a second, so an attempt that began before
+// the other host was up would not notice for that long that it is.
+func Redialling(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		for {
+			attempt, cancel := context.WithTimeout(ctx, connectTimeout)
+			conn, err := dial(attempt, network, address)
+			timedOut := attempt.Err() != nil
+			cancel()
+			if err == nil || !timedOut || ctx.Err() != nil {
+				return conn, err
+			}
+		}
+	}
+}
+
 // waitForHandshake wraps methods so that they wait until ready is closed, that is, until the peer is identified and
 // Connected has been called.
 func waitForHandshake(ready <-chan struct{}, handlers methods) methods {
