Find homes sooner after a restart of everything, and end jobs that a hand-over leaves behind

Also: in one of 75 runs of TestPlannedStopHandsOver under the race detector beside load, a job at a stopping entry had no answer for 2.5 s: the entry started its tasks on an agent that was closing its connection to the previous home, and the runs counted as lost when no backend server was left.

Connection attempts give up after 100 ms, and unreachable entries are avoided for 100 ms first, and twice as long after each failure. An agent tells a previous home that it accepts no more starts 300 ms before it closes the connection. A started job whose runs have ended and that no backend server of the entry can continue ends as Unknown at once. An agent asks its backend server for its runs as soon as it is announced.

A run of the tests under the race detector ended in SIGSEGV within the runtime (timer.maybeRunChan in a synctest bubble, select on a timer that was due already); the fake backend server no longer selects on such a timer.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -47,8 +47,10 @@
 	maxHoldBackoffShift  = 4
 	noServerPollInterval = 50 * time.Millisecond // between checks for an announced backend server
 	drainPollInterval    = 20 * time.Millisecond
-	// previousHomeLinger is how long the connection to a previous home stays open after its last run here.
+	// previousHomeLinger is how long a previous home may start tasks here after its last run, or after it was left. The
+	// connection is closed previousHomeClose after it was told that this has ended, so that no start is under way.
 	previousHomeLinger = 300 * time.Millisecond
+	previousHomeClose  = 2 * reportInterval
 	// stopReserve is the time reserved at the end of a planned stop for stopping the remaining runs.
 	stopReserve = 400 * time.Millisecond
 )
@@ -108,6 +110,7 @@
 	local           inner.Local
 	metrics         agentMetrics
 	homeCheckNeeded chan struct{} // buffered signal to reconsider the choice of the home
+	serverKnown     chan struct{} // buffered signal that a backend server was announced or restored
 	calls           sync.WaitGroup
 
 	mu             sync.Mutex // guards the fields below
@@ -115,6 +118,7 @@
 	peers          map[string]*inner.Peer // by name of the entry
 	known          map[string]knownEntry  // by name
 	avoidUntil     map[string]time.Time   // entries that are not tried before the time
+	failedDials    map[string]int         // connection attempts since the last success, by entry
 	draining       map[string]string      // incarnations of the entries that have told this agent to choose another home, by name
 	preferred      preference
 	spareHoldUntil time.Time            // until then a second hold call waits for the ends of runs
@@ -141,10 +145,12 @@
 		},
 		metrics:         newAgentMetrics(options.Metrics),
 		homeCheckNeeded: make(chan struct{}, 1),
+		serverKnown:     make(chan struct{}, 1),
 		supervisor:      supervise.New(),
 		peers:           map[string]*inner.Peer{},
 		known:           map[string]knownEntry{},
 		avoidUntil:      map[string]time.Time{},
+		failedDials:     map[string]int{},
 		draining:        map[string]string{},
 		usedAt:          map[string]time.Time{},
 	}
@@ -248,6 +254,13 @@
 	return a.options.Now().Before(a.spareHoldUntil)
 }
 
+func (a *Agent) signalServerKnown() {
+	select {
+	case a.serverKnown <- struct{}{}:
+	default:
+	}
+}
+
 // holdLoop renews the lease of the backend server and collects the runs that have ended, while needed returns true.
 func (a *Agent) holdLoop(ctx context.Context, needed func() bool) {
 	for ctx.Err() == nil {
@@ -264,7 +277,11 @@
 		a.mu.Unlock()
 		switch {
 		case !ok:
-			sleep(ctx, noServerPollInterval)
+			select {
+			case <-ctx.Done():
+			case <-a.serverKnown:
+			case <-time.After(noServerPollInterval):
+			}
 		case !a.hold(ctx, h):
 			a.mu.Lock()
 			pause := minHoldPause << min(a.supervisor.UnansweredHolds(), maxHoldBackoffShift)
@@ -328,7 +345,7 @@
 		if a.supervisor.RunCount(entry) > 0 {
 			a.usedAt[entry] = now
 		}
-		if home := a.supervisor.Home(); home != "" && entry != home && now.Sub(a.usedAt[entry]) > previousHomeLinger {
+		if home := a.supervisor.Home(); home != "" && entry != home && now.Sub(a.usedAt[entry]) > previousHomeLinger+previousHomeClose {
 			a.performActions(a.supervisor.Disconnect(now, entry))
 			a.closePeer(entry)
 		}
@@ -355,7 +372,10 @@
 
 func (a *Agent) report(entry string) {
 	if p, ok := a.peers[entry]; ok {
-		p.Report(a.supervisor.Report(a.options.Now(), entry))
+		now := a.options.Now()
+		r := a.supervisor.Report(now, entry)
+		r.Released = r.Released && now.Sub(a.usedAt[entry]) <= previousHomeLinger
+		p.Report(r)
 	}
 }
 
@@ -382,6 +402,7 @@
 				Int("Running", a.supervisor.TotalRunCount()).Send()
 		}
 		changed = !after.Equivalent(a.saved)
+		a.signalServerKnown()
 		return actions
 	})
 	return changed
--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -14,10 +14,15 @@
 const (
 	// homeCheckInterval is how often the choice of the home is reconsidered without an event that triggers it.
 	homeCheckInterval = time.Second
-	// dialTimeout limits a connection attempt. A host that is powered off does not respond to one.
+	// homelessInterval is how often an agent without a home looks for one.
+	homelessInterval = 50 * time.Millisecond
+	// dialTimeout limits a connection attempt with its handshake.
 	dialTimeout = 400 * time.Millisecond
-	// retryDelay is the minimum delay before an entry that did not respond is tried again.
-	retryDelay = time.Second
+	// An entry that did not respond is avoided for minRetryDelay, and twice as long after each further failure, up to
+	// retryDelay. When a whole site restarts, agents are up some 100 ms before the entries.
+	minRetryDelay = 100 * time.Millisecond
+	retryDelay    = time.Second
+	maxRetryShift = 10
 	// homeChangeDelay is how long an agent that has a home prefers another entry before it moves there. The entries that
 	// it knows change several times while entries start or are lost.
 	homeChangeDelay = 2 * time.Second
@@ -64,7 +69,7 @@
 		}
 		wait := homeCheckInterval
 		if !connected {
-			wait = homeCheckInterval / 8
+			wait = homelessInterval
 		}
 		select {
 		case <-ctx.Done():
@@ -78,19 +83,21 @@
 // no entry that ranks higher responds, or if that entry has been preferred only for a short time. It reports whether the
 // agent has a home.
 func (a *Agent) connectToBestHome(ctx context.Context) bool {
-	candidates := a.candidates()
-	if a.keepsHome(candidates) {
+	if a.keepsHome(a.candidates()) {
 		return true
 	}
-	for _, e := range candidates {
+	for ctx.Err() == nil {
+		// The order is computed for each attempt, because entries that rank higher may no longer be avoided.
+		candidates := a.candidates()
 		a.mu.Lock()
 		current := a.supervisor.Home()
 		a.mu.Unlock()
-		if e.Name == current || ctx.Err() != nil {
-			return true
+		if len(candidates) == 0 || candidates[0].Name == current {
+			return current != ""
 		}
+		e := candidates[0]
 		dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-		p, err := inner.Dial(dialCtx, inner.Redialling(a.options.Dial), e.Address, a.local, a)
+		p, err := inner.Dial(dialCtx, inner.WithConnectTimeout(a.options.Dial), e.Address, a.local, a)
 		cancel()
 		if err != nil {
 			a.avoid(e.Name)
@@ -104,16 +111,16 @@
 		}
 		return a.setHome(p, e)
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.supervisor.Home() != ""
+	return false
 }
 
 // avoid makes the agent try other entries first for some time.
 func (a *Agent) avoid(entry string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.avoidUntil[entry] = a.options.Now().Add(retryDelay/2 + rand.N(retryDelay))
+	delay := min(minRetryDelay<<min(a.failedDials[entry], maxRetryShift), retryDelay)
+	a.failedDials[entry]++
+	a.avoidUntil[entry] = a.options.Now().Add(delay/2 + rand.N(delay))
 }
 
 // isDraining reports whether the entry has told this agent to choose another home, and has not been restarted since.
@@ -179,10 +186,18 @@
 	if a.supervisor.Home() != p.Name {
 		a.log(event.HomeChosen).Str("Peer", p.Name).Str("Previous", a.supervisor.Home()).Send()
 	}
-	a.performActions(a.supervisor.SetHome(p.Name))
+	a.changeHome(p.Name)
 	return true
 }
 
+// changeHome offers the backend server to another entry, or to none if the name is empty.
+func (a *Agent) changeHome(entry string) {
+	if previous := a.supervisor.Home(); previous != "" && previous != entry {
+		a.usedAt[previous] = a.options.Now()
+	}
+	a.performActions(a.supervisor.SetHome(entry))
+}
+
 func (a *Agent) readDirectory(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
@@ -219,6 +234,7 @@
 		case now.Sub(e.unlistedSince) > forgetUnlistedAfter:
 			delete(a.known, name)
 			delete(a.avoidUntil, name)
+			delete(a.failedDials, name)
 			delete(a.draining, name)
 		}
 	}
@@ -233,6 +249,7 @@
 		return
 	}
 	a.closePeer(p.Name)
+	delete(a.failedDials, p.Name)
 	a.peers[p.Name], a.usedAt[p.Name] = p, a.options.Now()
 	a.log(event.EntryConnected).Str("Peer", p.Name).Str("Incarnation", p.Incarnation).Send()
 	a.performActions(a.supervisor.Connect(a.options.Now(), p.Name))
@@ -273,7 +290,7 @@
 			a.draining[p.Name] = p.Incarnation
 			a.avoidUntil[p.Name] = a.options.Now().Add(retryDelay)
 			a.log(event.EntryLost).Str("Peer", p.Name).Str("State", "Draining").Send()
-			a.performActions(a.supervisor.SetHome(""))
+			a.changeHome("")
 			a.triggerHomeCheck()
 		}
 	}
--- a/batchagent/save.go
+++ b/batchagent/save.go
@@ -47,6 +47,7 @@
 		a.mu.Lock()
 		a.saved = s
 		a.performActions(a.supervisor.Restore(a.options.Now(), s))
+		a.signalServerKnown()
 		a.mu.Unlock()
 		if s.ID != "" {
 			a.log(event.BackendAnnounced).Str("Peer", s.ID).Int64("Born", s.Incarnation).Str("State", "Restored").Send()
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -50,8 +50,6 @@
 	// the last message that it received, and its callers resubmit 1.3 s later. With this lease the jobs have been
 	// cancelled here by then.
 	forwardedJobLease = time.Second
-	// dialTimeout limits the time for a connection. A host that is powered off does not respond.
-	dialTimeout = time.Second
 	// configurationGrace is how long after its start an entry lets callers wait for its first configuration. It gets one
 	// from the store or from another entry within a few milliseconds.
 	configurationGrace = 500 * time.Millisecond
@@ -187,7 +185,7 @@
 	}
 	closeServer := inner.Serve(listener, local, e)
 	var closeConnector func()
-	e.connector, closeConnector = inner.NewConnector(withTimeout(options.Dial), local, e)
+	e.connector, closeConnector = inner.NewConnector(inner.WithConnectTimeout(options.Dial), local, e)
 	close(e.ready)
 	for _, seed := range options.Seeds {
 		e.connector.AddDiscovered(seed)
@@ -207,16 +205,6 @@
 	}, nil
 }
 
-// withTimeout limits the time for a connection to dialTimeout.
-func withTimeout(dial inner.DialFunc) inner.DialFunc {
-	dial = inner.Redialling(dial)
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-		defer cancel()
-		return dial(ctx, network, address)
-	}
-}
-
 // Address returns the address of the inner protocol.
 func (e *Entry) Address() string { return e.options.Address }
 
--- a/batchentry/handover_test.go
+++ b/batchentry/handover_test.go
@@ -27,7 +27,7 @@
 					id := fmt.Sprintf("job-%d-%s", i, name)
 					o := e.Submit(s.t.Context(), newJob(id, 4, 30*time.Millisecond))
 					if _, ok := o.(batch.Completed); !ok || time.Since(start) > limit {
-						s.t.Errorf("%s, submitted %v ago: got %s", id, time.Since(start), batch.OutcomeName(o))
+						s.t.Errorf("%s, submitted %v ago: got %s\n%s", id, time.Since(start), batch.OutcomeName(o), s.logs.about(id))
 					}
 				})
 			}
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -234,10 +235,12 @@
 		<-ctx.Done()
 		return supervise.HoldResponse{}, ctx.Err()
 	}
-	select {
-	case <-b.endSignal:
-	case <-time.After(h.Wait):
-	case <-ctx.Done():
+	if h.Wait > 0 {
+		select {
+		case <-b.endSignal:
+		case <-time.After(h.Wait):
+		case <-ctx.Done():
+		}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -252,6 +255,37 @@
 	return response, nil
 }
 
+// logRecorder keeps the log lines of all processes.
+type logRecorder struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// Write implements io.Writer for one line.
+func (r *logRecorder) Write(line []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = append(r.lines, string(line))
+	return len(line), nil
+}
+
+func (r *logRecorder) logger(process string) zerolog.Logger {
+	return zerolog.New(r).With().Timestamp().Str("Process", process).Logger()
+}
+
+// about returns the lines that contain the text.
+func (r *logRecorder) about(text string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var b strings.Builder
+	for _, line := range r.lines {
+		if strings.Contains(line, text) {
+			b.WriteString(line)
+		}
+	}
+	return b.String()
+}
+
 // testSite is a set of entries and agents on an in-memory network with a fake clock (testing/synctest).
 type testSite struct {
 	t        *testing.T
@@ -262,12 +296,13 @@
 	backends map[string]*backend
 	stops    map[string]func()
 	metrics  map[string]metrics.Registry // of the entries
-	region   string                      // of all processes; if empty, each entry has a region of its own, with some of the agents
+	logs     *logRecorder
+	region   string // of all processes; if empty, each entry has a region of its own, with some of the agents
 }
 
 func newSite(t *testing.T, region string, entries, agents int) *testSite {
 	s := &testSite{
-		region: region, metrics: map[string]metrics.Registry{},
+		region: region, metrics: map[string]metrics.Registry{}, logs: &logRecorder{},
 		t: t, network: memnet.New(), store: newFakeStore(), overlaps: &overlapRecorder{running: map[batch.TaskID]string{}},
 		entries: map[string]*batchentry.Entry{}, backends: map[string]*backend{}, stops: map[string]func(){},
 	}
@@ -296,7 +331,7 @@
 	s.metrics[name] = metrics.NewRegistry()
 	e, stop, err := batchentry.New(batchentry.Options{
 		Name: name, Region: cmp.Or(s.region, "of-"+name), Address: name + ":1", Weight: 1, Directory: s.store,
-		Logger: zerolog.Nop(), Metrics: s.metrics[name], Dial: host.Dial, Listen: host.Listen, Now: time.Now,
+		Logger: s.logs.logger(name), Metrics: s.metrics[name], Dial: host.Dial, Listen: host.Listen, Now: time.Now,
 	})
 	if err != nil {
 		s.t.Fatal(err)
@@ -309,7 +344,7 @@
 	// Agents are assigned to the regions of the entries in turn.
 	region := fmt.Sprintf("of-entry-%d", (len(s.stops)-len(s.entries))%max(len(s.entries), 1)+1)
 	a, stop := batchagent.New(batchagent.Options{
-		Name: name, Region: cmp.Or(s.region, region), Directory: s.store, Server: b, Logger: zerolog.Nop(),
+		Name: name, Region: cmp.Or(s.region, region), Directory: s.store, Server: b, Logger: s.logs.logger(name),
 		Dial: s.network.Host(name).Dial, Now: time.Now,
 	})
 	s.stops[name] = stop
--- a/core/dispatch/handover_test.go
+++ b/core/dispatch/handover_test.go
@@ -141,3 +141,35 @@
 		t.Errorf("%v are stranded, want the job that has not started", got)
 	}
 }
+
+// Guards against callers that wait until their time-out for a job that can neither continue here nor be given to another
+// entry, because its tasks may have run. They are told that the outcome is unknown.
+func TestStartedJobWithoutServersEnds(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		now := time.Unix(1000, 0)
+		d, report := withOneServer(now)
+		starts := startsOf(d.Submit(now, named("started", 2)))
+		if draining {
+			d.Drain()
+		}
+		now = now.Add(50 * time.Millisecond)
+		report.Offered, report.Ended = false, nil
+		for _, s := range starts {
+			report.Ended = append(report.Ended, supervise.RunEnd{RunID: s.RunID, End: supervise.Lost})
+		}
+		d.HandleReport(now, "agent-1", report)
+		d.Disconnect(now, "agent-1", now)
+		if draining {
+			d.NoteServed(now, "pool") // at another entry, which the agent has chosen
+		}
+		if o := outcomesOf(d.Tick(now.Add(100 * time.Millisecond))); !draining && len(o) > 0 {
+			t.Errorf("draining %v: got %s while a backend server may come", draining, batch.OutcomeName(o[0]))
+		} else if draining && (len(o) != 1 || batch.OutcomeName(o[0]) != "Unknown:Draining") {
+			t.Errorf("draining %v: got %v, want that the outcome is unknown", draining, o)
+		}
+		if o := outcomesOf(d.Tick(now.Add(time.Second))); !draining &&
+			(len(o) != 1 || batch.OutcomeName(o[0]) != "Unknown:NoServer") {
+			t.Errorf("draining %v: got %v after a second, want that the outcome is unknown", draining, o)
+		}
+	}
+}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -389,7 +389,7 @@
 		if p.served() {
 			p.servedAt = now
 		}
-		d.refuseUnserved(now, p)
+		d.endUnserved(now, p)
 	}
 	for _, s := range d.sortedServers {
 		if len(s.runs) > 0 && !s.lostRunsEndBy.IsZero() && now.After(s.lostRunsEndBy) {
@@ -401,18 +401,33 @@
 	return d.takeActions()
 }
 
-// refuseUnserved refuses the waiting jobs of a pool that has no backend server and will not get one soon.
-func (d *Dispatcher) refuseUnserved(now time.Time, p *poolState) {
-	if p.served() || d.expectsServer(now, p) {
+// endUnserved ends the waiting jobs of a pool that has no backend server and will not get one soon, so that their callers
+// can submit them elsewhere. A draining entry does not get one again; Stranded returns its jobs that have not started.
+func (d *Dispatcher) endUnserved(now time.Time, p *poolState) {
+	if p.served() {
 		return
 	}
+	expected := d.expectsServer(now, p)
 	for _, j := range slices.Clone(p.queue.jobs) {
-		if !j.answered && !j.started() {
-			d.refuse(now, j, batch.NoServer)
+		switch {
+		case j.answered || j.activeRuns > 0:
+		case !j.started():
+			if !expected {
+				d.refuse(now, j, batch.NoServer)
+			}
+		case d.draining && !d.hasServerFor(j):
+			d.finish(now, j, batch.Unknown{Reason: batch.Draining})
+		case !d.draining && !expected:
+			d.finish(now, j, batch.Unknown{Reason: batch.NoServer})
 		}
 	}
 }
 
+// hasServerFor reports whether tasks of a job may be started on any backend server.
+func (d *Dispatcher) hasServerFor(j *job) bool {
+	return slices.ContainsFunc(d.sortedServers, func(s *server) bool { return d.usableFor(s, j) && s.info.Pool == j.Pool })
+}
+
 // Stranded returns the jobs without a started task that another entry can start sooner: those of pools without a usable
 // backend server at this entry, and all if the dispatcher is draining.
 func (d *Dispatcher) Stranded() []batch.JobID {
--- a/io/inner/hello.go
+++ b/io/inner/hello.go
@@ -52,24 +52,18 @@
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// connectTimeout limits one attempt of a dial function returned by Redialling. The round trip within a region takes a
-// few milliseconds.
+// connectTimeout limits an attempt to connect, without the handshake. The round trip within a region takes a few
+// milliseconds. TCP sends the first packet of a connection again only after a second, so an attempt that began before the
+// other host was up would not notice for that long that it is.
 const connectTimeout = 100 * time.Millisecond
 
-// Redialling returns a dial function that starts a new attempt when one has no response within connectTimeout, until the
-// context ends. TCP sends the first packet of a connection again only after a second, so an attempt that began before
-// the other host was up would not notice for that long that it is.
-func Redialling(dial DialFunc) DialFunc {
+// WithConnectTimeout returns a dial function that gives up early on a host that does not respond, for callers that try
+// again.
+func WithConnectTimeout(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		for {
-			attempt, cancel := context.WithTimeout(ctx, connectTimeout)
-			conn, err := dial(attempt, network, address)
-			timedOut := attempt.Err() != nil
-			cancel()
-			if err == nil || !timedOut || ctx.Err() != nil {
-				return conn, err
-			}
-		}
+		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
 	}
 }
 
