Detect backend servers that hang or become slow with few runs

Cause: progress counted only for expected run times from 120 ms and from four jobs on a backend server. Change: a run whose progress has not changed for 120 ms and a quarter of its expected run time hangs; it is restarted elsewhere, and a backend server on which all runs hang gets only probes until one succeeds. Three runs in a row, of different jobs, that take 2.5 times as long as expected make a backend server slow. Probes are taken from jobs that can wait. Agents report the age of a run at the reading of its progress.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -79,8 +79,10 @@
 	server      *server
 	failedOn    []*server
 	stopping    bool
-	restarted   bool     // its run was stopped on a slow backend server once, to start it elsewhere
-	waitingWork coreTime // predicted when the task began to wait; 0 if it is not waiting
+	restarts    int           // how often its run was stopped on a faulty backend server, to start it elsewhere
+	waitingWork coreTime      // predicted when the task began to wait; 0 if it is not waiting
+	percent     int           // progress of its run
+	progressAge time.Duration // age of the run at which its progress reached percent
 }
 
 type step struct {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -235,6 +235,7 @@
 
 func (d *Dispatcher) startTask(now time.Time, j *job, st *step, t *task, s *server) {
 	t.state, t.server, t.stopping = placed, s, false
+	t.percent, t.progressAge = 0, 0
 	t.attempt++
 	j.lastServer = s
 	if j.firstStart.IsZero() {
@@ -248,7 +249,7 @@
 	id := supervise.RunID{Task: t.id, Attempt: t.attempt}
 	s.runs[id] = t
 	if s.degraded() {
-		s.nextProbe = now.Add(max(probeInterval, s.quarantineInterval))
+		s.nextProbe = now.Add(max(probeInterval, s.probeDelay))
 	}
 	d.addStart(s, supervise.Start{RunID: id, Demand: st.Demand, Spec: j.Spec})
 }
--- a/core/dispatch/overload_test.go
+++ b/core/dispatch/overload_test.go
@@ -169,6 +169,56 @@
 	}
 }
 
+// wideTaskJobs are raceTimingJobs with tasks so large that a backend server of 32 cores runs four at a time.
+func wideTaskJobs() []jobKind {
+	kinds := slices.Clone(raceTimingJobs)
+	for i := range kinds {
+		kinds[i].cores = 7.6
+		kinds[i].rate *= 3.1 / 7.6
+	}
+	return kinds
+}
+
+// Guards against jobs that wait for backend servers which hang or have become slow, if each of them runs too few tasks
+// for their run times to be compared.
+func TestFaultyServersWithFewRuns(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		begin func(sim *simulation, agent string)
+		end   func(sim *simulation, agent string)
+	}{
+		{"hanging", (*simulation).hangServer, (*simulation).resumeServer},
+		{
+			"slow", func(sim *simulation, agent string) { sim.servers[agent].runTimeFactor *= 6 },
+			func(sim *simulation, agent string) { sim.servers[agent].runTimeFactor /= 6 },
+		},
+	} {
+		for seed := range uint64(3) {
+			sim := newSimulation(seed, 20, 32, wideTaskJobs(), constant(0.5*fullLoad*20/11))
+			for _, agent := range []string{"agent-03", "agent-11"} {
+				sim.schedule(sim.now.Add(5*time.Second), func() { c.begin(sim, agent) })
+				sim.schedule(sim.now.Add(11*time.Second), func() { c.end(sim, agent) })
+			}
+			sim.run(16)
+			late := 0
+			for _, j := range sim.jobs {
+				if !j.inTime {
+					late++
+				}
+			}
+			// Two backend servers of 20 are faulty for 6 of 16 s: 4% of the jobs would run on them.
+			if share := float64(late) / float64(len(sim.jobs)); share > 0.01 {
+				t.Errorf("%s, seed %d: %.4f of the jobs were not in time, want 0.01", c.name, seed, share)
+			}
+			for id, j := range sim.jobs {
+				if took := sim.answeredAfter(j); took > 2*time.Second && j.longestTask < 0.3 {
+					t.Errorf("%s, seed %d: job %s of %s was answered after %v", c.name, seed, id, j.kind.name, took)
+				}
+			}
+		}
+	}
+}
+
 // Guards against refusals just after the start because the first run of a route took much longer than its estimate.
 func TestNoRefusalsAtStart(t *testing.T) {
 	for seed := range uint64(10) {
--- a/core/dispatch/play_test.go
+++ b/core/dispatch/play_test.go
@@ -98,6 +98,7 @@
 	value       float64
 	answered    bool
 	inTime      bool
+	took        time.Duration // from the submission to the answer
 }
 
 // callerResults counts the outcomes that the callers of one kind of job got, and the value of their jobs. A late answer
@@ -294,8 +295,32 @@
 	}
 }
 
+// resumeServer ends the hanging of a backend server. Its runs continue where they stopped.
+func (sim *simulation) resumeServer(agent string) {
+	s := sim.servers[agent]
+	s.hanging = false
+	for id, r := range s.runs {
+		if r.hungAt.IsZero() {
+			continue
+		}
+		remaining := r.runTime - r.hungAt.Sub(r.started)
+		r.started = r.started.Add(sim.now.Sub(r.hungAt))
+		r.hungAt = time.Time{}
+		sim.schedule(sim.now.Add(max(remaining, 0)+messageDelay), func() { sim.endRun(agent, id, supervise.Done) })
+	}
+}
+
+// answeredAfter returns the time from the submission of a job to its answer, or to the end of the simulation.
+func (sim *simulation) answeredAfter(j *simJob) time.Duration {
+	if !j.answered {
+		return sim.now.Sub(j.submittedAt)
+	}
+	return j.took
+}
+
 func (sim *simulation) answer(a dispatch.Answer) {
 	j := sim.jobs[a.Job]
+	j.took = a.Elapsed
 	results := sim.results[j.kind.name]
 	target := time.Duration(jobStretch*j.longestTask*float64(time.Second)) + jobTarget
 	j.answered = true
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -12,14 +12,14 @@
 // poolState is the queue of a pool and the totals of its backend servers. Pools share no state, so that an
 // overloaded pool does not delay or refuse the jobs of another.
 type poolState struct {
-	name              string
-	queue             queue
-	cores             float64  // of usable backend servers, weighted by speed and success rate
-	anyNotQuarantined bool     // at least one usable backend server is not quarantined
-	queued            coreTime // predicted processor time of the waiting tasks
-	typicalDemand     int      // thousandths of a core, moving average over jobs; 0 before the first
-	retry             retrySchedule
-	servedAt          time.Time // when this or another entry last had a usable backend server; zero if never
+	name          string
+	queue         queue
+	cores         float64  // of usable backend servers, weighted by speed and success rate
+	anyIncluded   bool     // at least one usable backend server is not excluded
+	queued        coreTime // predicted processor time of the waiting tasks
+	typicalDemand int      // thousandths of a core, moving average over jobs; 0 before the first
+	retry         retrySchedule
+	servedAt      time.Time // when this or another entry last had a usable backend server; zero if never
 }
 
 func (d *Dispatcher) pool(name string) *poolState {
@@ -59,16 +59,16 @@
 // updatePoolCapacity computes the totals of the usable backend servers of each pool.
 func (d *Dispatcher) updatePoolCapacity() {
 	for _, p := range d.sortedPools {
-		p.cores, p.anyNotQuarantined = 0, false
+		p.cores, p.anyIncluded = 0, false
 	}
 	for _, s := range d.sortedServers {
-		if s.usable() && !s.quarantined {
-			d.pool(s.info.Pool).anyNotQuarantined = true
+		if s.usable() && !s.excluded() {
+			d.pool(s.info.Pool).anyIncluded = true
 		}
 	}
 	for _, s := range d.sortedServers {
-		// If all are quarantined, all get work (see chooseServer), so all count.
-		if p := d.pool(s.info.Pool); s.usable() && (!s.quarantined || !p.anyNotQuarantined) {
+		// If all are excluded, all get work (see chooseServer), so all count.
+		if p := d.pool(s.info.Pool); s.usable() && (!s.excluded() || !p.anyIncluded) {
 			share := max(1-s.failureShare, minCapacityShare) / max(s.slowdown(), 1)
 			p.cores += float64(s.capacity.Processor) / 1000 * share
 		}
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -49,6 +49,20 @@
 	// minProgressJobs is the number of jobs that must be running on a backend server before their progress counts:
 	// the estimate of a single job may be far off.
 	minProgressJobs = 4
+	// A run hangs if it has made no progress for stallAge and for stallShare of its expected run time. A run that takes
+	// ten times as long as expected makes some per cent of its progress in that time.
+	stallAge   = 120 * time.Millisecond
+	stallShare = 0.25
+	// maxSlowdown bounds the slowdown, so that a backend server is used again after few probes when it has recovered.
+	maxSlowdown = 8.0
+	// slowStreak is the number of consecutive runs, each of a different job, that have to take slowProgressFactor times
+	// as long as expected for a backend server to be slow. One run in thirty does on any backend server.
+	slowStreak = 3
+	// probeSlack is how long the job of a probe has to be able to wait: the probe may have to be restarted elsewhere. If
+	// no such job comes within probeInterval, any job is used.
+	probeSlack = 200 * time.Millisecond
+	// maxRestarts limits how often the run of a task is restarted elsewhere.
+	maxRestarts = 3
 	// A run on a slow backend server is restarted elsewhere if its remaining time exceeds moveGain times the run time
 	// of a new run plus moveCost.
 	moveGain = 2
@@ -83,10 +97,14 @@
 
 	failureShare        float64 // share of recent runs that failed, counting one failure per job
 	consecutiveFailures int     // consecutive failures, each of a different job
+	consecutiveSlowRuns int     // consecutive slow runs, each of a different job
+	leastSlowRun        float64 // the least slow of them, as natural logarithm of its run time relative to the expected one
 	lastFailedJob       batch.JobID
+	lastSlowJob         batch.JobID
 	quarantined         bool
+	hangs               bool // its runs made no progress, and none has succeeded since
 	reportedDegraded    bool // value of degraded in the latest HealthChanged
-	quarantineInterval  time.Duration
+	probeDelay          time.Duration
 	nextProbe           time.Time
 }
 
@@ -103,9 +121,12 @@
 // slowdown returns the run times relative to other backend servers.
 func (s *server) slowdown() float64 { return math.Exp(s.logSlowdown) }
 
+// excluded reports whether the backend server contributes nothing to the capacity of its pool.
+func (s *server) excluded() bool { return s.quarantined || s.hangs }
+
 // degraded reports whether the backend server gets only probes.
 func (s *server) degraded() bool {
-	return s.quarantined || s.slowdown() > slowFactor || s.failureShare > maxFailureShare
+	return s.excluded() || s.slowdown() > slowFactor || s.failureShare > maxFailureShare
 }
 
 // Connect handles a new session with an agent. Runs of an earlier session may continue until the agent offers its
@@ -158,7 +179,8 @@
 		d.endLostRuns(now, s)
 	}
 	if s.info.ID != r.Server.ID || s.info.Incarnation != r.Server.Incarnation {
-		s.logSlowdown, s.failureShare, s.consecutiveFailures, s.quarantined, s.quarantineInterval = 0, 0, 0, false, 0
+		s.logSlowdown, s.failureShare, s.consecutiveFailures, s.consecutiveSlowRuns = 0, 0, 0, 0
+		s.quarantined, s.hangs, s.probeDelay = false, false, 0
 	}
 	d.observeProgress(now, s, r.Progress)
 	changed := s.offered != r.Offered || s.capacity != r.Server.Capacity
@@ -199,8 +221,7 @@
 		}
 		// A degraded backend server gets one task at a time, at intervals, to find out whether it has recovered. If
 		// most are degraded, the work is the likely cause, and all are used.
-		if s.degraded() && float64(degraded) <= maxDegradedShare*float64(usable) &&
-			(now.Before(s.nextProbe) || len(s.runs) > 0) {
+		if s.degraded() && float64(degraded) <= maxDegradedShare*float64(usable) && !s.mayProbe(now, j) {
 			continue
 		}
 		score := d.score(s, st, t)
@@ -214,6 +235,12 @@
 	return best, constrained
 }
 
+// mayProbe reports whether a task of the job may be the next probe of a degraded backend server.
+func (s *server) mayProbe(now time.Time, j *job) bool {
+	return !now.Before(s.nextProbe) && len(s.runs) == 0 &&
+		(now.Add(probeSlack).Before(j.targetStart) || now.After(s.nextProbe.Add(probeInterval)))
+}
+
 // tasksOn returns the number of tasks of a step that may be running on a backend server.
 func tasksOn(st *step, s *server) int {
 	n := 0
@@ -265,6 +292,7 @@
 	r := d.route(j.Route)
 	if r.runs > 0 {
 		sample := math.Log(ratio / r.runTimeRatio)
+		s.countSlowRun(j, sample)
 		sample = min(max(sample, -maxSpeedSample), maxSpeedSample)
 		weight := speedWeight
 		if s.degraded() {
@@ -276,10 +304,70 @@
 	d.updatePoolCapacity()
 }
 
-// observeProgress detects from the progress of its runs, long before they end, that a backend server is slow or hangs.
-// All of these runs have to be slow: some runs take much longer on any backend server, and because they last longer,
-// they are overrepresented among the runs in progress.
+// countSlowRun detects a backend server that has become slow from runs in a row that took much longer than expected. The
+// run time is given as its natural logarithm relative to the expected one.
+func (s *server) countSlowRun(j *job, runTime float64) {
+	switch {
+	case runTime < math.Log(slowProgressFactor):
+		s.consecutiveSlowRuns = 0
+		return
+	case s.consecutiveSlowRuns == 0:
+		s.leastSlowRun = runTime
+	case s.lastSlowJob == j.ID:
+		return
+	}
+	s.lastSlowJob = j.ID
+	s.consecutiveSlowRuns++
+	s.leastSlowRun = min(s.leastSlowRun, runTime)
+	if s.consecutiveSlowRuns >= slowStreak {
+		s.slowBy(math.Exp(s.leastSlowRun))
+	}
+}
+
+// slowBy raises the slowdown of a backend server.
+func (s *server) slowBy(slowdown float64) {
+	s.logSlowdown = max(s.logSlowdown, math.Log(min(slowdown, maxSlowdown)))
+}
+
+// observeProgress detects from the progress of its runs, long before they end, that a backend server hangs or is slow.
 func (d *Dispatcher) observeProgress(now time.Time, s *server, progress []supervise.Progress) {
+	stalled := d.stalledRuns(s, progress)
+	if len(stalled) > 0 && len(stalled) == len(progress) {
+		s.hangs = true
+		s.nextProbe = now.Add(probeInterval)
+		d.updatePoolCapacity()
+	}
+	d.moveStalledRuns(s, stalled)
+	d.observeSlowProgress(now, s, progress)
+	if s.degraded() {
+		d.moveRuns(now, s, progress)
+	}
+}
+
+// stalledRuns returns the progress of the runs that hang.
+func (d *Dispatcher) stalledRuns(s *server, progress []supervise.Progress) []supervise.Progress {
+	var stalled []supervise.Progress
+	for _, p := range progress {
+		t, ok := s.runs[p.RunID]
+		if !ok {
+			continue
+		}
+		j := d.jobs[t.id.Job]
+		expected := d.route(j.Route).predictRunTime(j.steps[t.id.Step].Estimate)
+		if p.Percent != t.percent {
+			t.percent, t.progressAge = p.Percent, p.Age
+		}
+		if p.Age-t.progressAge >= max(stallAge, time.Duration(stallShare*float64(expected))) {
+			stalled = append(stalled, p)
+		}
+	}
+	return stalled
+}
+
+// observeSlowProgress compares the progress of the runs with their expected run times. All of these runs have to be
+// slow: some runs take much longer on any backend server, and because they last longer, they are overrepresented among
+// the runs in progress.
+func (d *Dispatcher) observeSlowProgress(now time.Time, s *server, progress []supervise.Progress) {
 	var ratios []float64
 	jobs := map[*job]bool{}
 	for _, p := range progress {
@@ -302,7 +390,7 @@
 	wasDegraded := s.degraded()
 	switch {
 	case least > slowProgressFactor:
-		s.logSlowdown = max(s.logSlowdown, math.Log(least))
+		s.slowBy(least)
 	case least < 1 && s.slowdown() > slowFactor:
 		s.logSlowdown = math.Log(least)
 	default:
@@ -312,9 +400,6 @@
 	if !wasDegraded {
 		s.nextProbe = now.Add(probeInterval)
 	}
-	if s.degraded() {
-		d.moveRuns(now, s, progress)
-	}
 }
 
 // projectRunTime extrapolates the total run time from the progress so far.
@@ -324,25 +409,49 @@
 
 // moveRuns stops the runs on a slow backend server that would end sooner if restarted on another one.
 func (d *Dispatcher) moveRuns(now time.Time, s *server, progress []supervise.Progress) {
-	if degraded, usable := d.countDegraded(); float64(degraded) > maxDegradedShare*float64(usable) {
+	if d.mostDegraded() {
 		return
 	}
 	for _, p := range progress {
 		t, ok := s.runs[p.RunID]
-		if !ok || t.stopping || t.restarted {
+		if !ok {
 			continue
 		}
 		j := d.jobs[t.id.Job]
 		expected := d.route(j.Route).predictRunTime(j.steps[t.id.Step].Estimate)
 		remaining := projectRunTime(p) - p.Age
-		if j.answered || remaining < moveGain*expected+moveCost || now.Add(expected).After(j.startDeadline.Add(expected)) {
-			continue
+		if remaining >= moveGain*expected+moveCost && !now.After(j.startDeadline) {
+			d.moveRun(s, j, t, p.RunID)
 		}
-		t.stopping, t.restarted = true, true
-		d.addStop(s, p.RunID)
 	}
 }
 
+// moveStalledRuns stops the runs that hang on a backend server, to restart them elsewhere, also if they will be late.
+func (d *Dispatcher) moveStalledRuns(s *server, stalled []supervise.Progress) {
+	if d.mostDegraded() {
+		return
+	}
+	for _, p := range stalled {
+		t := s.runs[p.RunID]
+		d.moveRun(s, d.jobs[t.id.Job], t, p.RunID)
+	}
+}
+
+func (d *Dispatcher) moveRun(s *server, j *job, t *task, id supervise.RunID) {
+	if j.answered || t.stopping || t.restarts >= maxRestarts {
+		return
+	}
+	t.stopping = true
+	t.restarts++
+	d.addStop(s, id)
+}
+
+// mostDegraded reports whether so many of the backend servers are degraded that the work is the likely cause.
+func (d *Dispatcher) mostDegraded() bool {
+	degraded, usable := d.countDegraded()
+	return float64(degraded) > maxDegradedShare*float64(usable)
+}
+
 // observeResult updates the failure share. The sample is 1 for a failure and 0 for a success.
 func (s *server) observeResult(sample float64) {
 	weight := failureWeight
@@ -352,12 +461,12 @@
 	s.failureShare += weight * (sample - s.failureShare)
 }
 
-// recordSuccess counts a successful run and ends the quarantine of the backend server.
+// recordSuccess counts a successful run and ends the exclusion of the backend server.
 func (d *Dispatcher) recordSuccess(now time.Time, s *server) {
 	s.observeResult(0)
-	s.consecutiveFailures, s.lastFailedJob = 0, ""
-	if s.quarantined {
-		s.quarantined, s.quarantineInterval = false, 0
+	s.consecutiveFailures, s.lastFailedJob, s.probeDelay = 0, "", 0
+	if s.excluded() {
+		s.quarantined, s.hangs = false, false
 		// The next probe follows at the shortest interval.
 		s.nextProbe = earlier(s.nextProbe, now.Add(probeInterval))
 		d.updatePoolCapacity()
@@ -375,8 +484,8 @@
 	s.consecutiveFailures++
 	if s.consecutiveFailures >= quarantineFailures || s.quarantined {
 		s.quarantined = true
-		s.quarantineInterval = min(max(2*s.quarantineInterval, probeInterval), maxProbeInterval)
-		s.nextProbe = now.Add(s.quarantineInterval)
+		s.probeDelay = min(max(2*s.probeDelay, probeInterval), maxProbeInterval)
+		s.nextProbe = now.Add(s.probeDelay)
 	}
 	d.updatePoolCapacity()
 }
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -201,7 +201,7 @@
 		r, ok := s.runs[l.Task]
 		if ok && r.number == l.Number {
 			present[l.Task] = true
-			r.percent = l.Percent
+			r.percent, r.listedAt = l.Percent, now
 			continue
 		}
 		if known, ok := s.runNumbers[l.Task]; ok && known.number >= l.Number && known.endedAt.After(h.createdAt) {
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -123,7 +123,7 @@
 type Progress struct {
 	RunID
 	Percent int
-	Age     time.Duration // since the backend server accepted the start
+	Age     time.Duration // from the start, as accepted by the backend server, to the reading of Percent
 }
 
 // Report is the state of an agent and its runs as sent to an entry.
@@ -246,7 +246,8 @@
 	state     runState
 	token     uint64 // of the latest start call
 	startedAt time.Time
-	percent   int
+	percent   int       // in the latest list of the backend server's runs
+	listedAt  time.Time // when that list arrived
 	restarts  int
 
 	serverRestarted bool // the backend server restarted after the start call
@@ -397,8 +398,8 @@
 	}
 	c.progressSentAt = now
 	for _, x := range s.sortedRuns() {
-		if x.entry == entry && x.state == running && !x.stopping && now.Sub(x.startedAt) > minProgressAge {
-			r.Progress = append(r.Progress, Progress{RunID: x.RunID, Percent: x.percent, Age: now.Sub(x.startedAt)})
+		if age := x.listedAt.Sub(x.startedAt); x.entry == entry && x.state == running && !x.stopping && age > minProgressAge {
+			r.Progress = append(r.Progress, Progress{RunID: x.RunID, Percent: x.percent, Age: age})
 		}
 	}
 	return r
