Spread forwarded jobs over the peers instead of filling the best one

Cause: an entry forwarded a job to the peer with free capacity or the shortest queue in its latest report, up to 100 ms old. At the crest all entries filled the same peer before its next report. Change: peers are drawn with a weight of their free capacity and of a part of their cores that falls with the predicted wait. The names of the peers are kept sorted instead of being sorted for each job.

--- a/core/overflow/overflow.go
+++ b/core/overflow/overflow.go
@@ -8,7 +8,6 @@
 package overflow
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -29,6 +28,14 @@
 	degradedWait = 300 * time.Millisecond
 	// maxReportAge is the age beyond which a report is ignored.
 	maxReportAge = 500 * time.Millisecond
+	// queueShare is the weight, as a share of its cores, with which a peer without free capacity is drawn if nothing
+	// waits there. It falls by a factor of e for each queueScale of predicted wait. Reports are old compared with the
+	// time in which queues change: at the crest of a load, all entries together would fill the peer with the shortest
+	// queue before its next report.
+	queueShare = 0.3
+	queueScale = 150 * time.Millisecond
+	// partialWeight is the factor on the weight of a peer that has too little free capacity to start the whole job.
+	partialWeight = 0.5
 )
 
 // peer is the last reported load of another entry, updated with the jobs forwarded to it since.
@@ -38,7 +45,10 @@
 }
 
 // Peers holds the load of the other entries as known to one entry. It is not safe for concurrent use.
-type Peers struct{ byName map[string]*peer }
+type Peers struct {
+	byName map[string]*peer
+	names  []string // of the peers that have backend servers, sorted
+}
 
 // New returns Peers without any reports.
 func New() *Peers { return &Peers{byName: map[string]*peer{}} }
@@ -50,10 +60,22 @@
 		l.Pools = map[string]dispatch.PoolLoad{}
 	}
 	p.byName[name] = &peer{load: l, reportedAt: now}
+	i, listed := slices.BinarySearch(p.names, name)
+	switch dispatches := l.Total().Cores > 0; {
+	case dispatches && !listed:
+		p.names = slices.Insert(p.names, i, name)
+	case !dispatches && listed:
+		p.names = slices.Delete(p.names, i, i+1)
+	}
 }
 
 // Remove removes the load of a peer.
-func (p *Peers) Remove(name string) { delete(p.byName, name) }
+func (p *Peers) Remove(name string) {
+	delete(p.byName, name)
+	if i, listed := slices.BinarySearch(p.names, name); listed {
+		p.names = slices.Delete(p.names, i, i+1)
+	}
+}
 
 // demand is what a job needs.
 type demand struct {
@@ -99,43 +121,73 @@
 // the job is forwarded, or "" if this entry keeps it.
 func (p *Peers) Choose(now time.Time, local dispatch.Load, j batch.Job) string {
 	need := demandOf(j)
-	best, ok := p.drawWithCapacity(now, j.ID, need)
+	best, ok := p.draw(now, j.ID, need, weight)
 	if !ok {
-		bestWait := predictWait(local, need)
-		for _, name := range p.sortedNames() {
-			if x := p.byName[name]; x.usable(now) && predictWait(x.load, need)+forwardCost < bestWait {
-				best, bestWait = name, predictWait(x.load, need)+forwardCost
-			}
-		}
+		return ""
 	}
-	if best != "" {
-		p.countForwarded(best, need)
+	if load := p.byName[best].load; !canStartNow(load, need) &&
+		predictWait(local, need) <= predictWait(load, need)+forwardCost {
+		// The job waits here no longer than there, but it may start at once elsewhere.
+		best, _ = p.ChooseWithCapacity(now, j)
+		return best
 	}
+	p.countForwarded(best, need)
 	return best
 }
 
 // ChooseWithCapacity returns a peer that can start the job at once, if there is one.
 func (p *Peers) ChooseWithCapacity(now time.Time, j batch.Job) (string, bool) {
 	need := demandOf(j)
-	best, ok := p.drawWithCapacity(now, j.ID, need)
+	best, ok := p.draw(now, j.ID, need, capacityWeight)
 	if ok {
 		p.countForwarded(best, need)
 	}
 	return best, ok
 }
 
-// drawWithCapacity chooses among the peers that can start a job at once, with a probability proportional to their
-// free capacity. If all entries chose the peer with the most, together they would overload it before its next report.
-// The choice depends only on the job ID and the peers.
-func (p *Peers) drawWithCapacity(now time.Time, id batch.JobID, need demand) (best string, ok bool) {
+// weight returns the weight with which a peer is drawn for a job, in cores: its free capacity, and a part of the cores
+// that fall free.
+func weight(all dispatch.Load, need demand) float64 {
+	wait := predictWait(all, need)
+	if wait >= dispatch.NoServerWait {
+		return 0
+	}
+	l := all.Pools[need.pool]
+	w := queueShare * l.Cores * math.Exp(-float64(wait)/float64(queueScale))
+	if l.Queued <= 0 {
+		w += float64(l.Free.Processor) / 1000
+	}
+	if !canStartNow(all, need) {
+		w *= partialWeight
+	}
+	return w
+}
+
+// capacityWeight returns the free capacity of a peer that can start a job at once, in cores, and otherwise 0.
+func capacityWeight(all dispatch.Load, need demand) float64 {
+	if !canStartNow(all, need) {
+		return 0
+	}
+	return float64(max(all.Pools[need.pool].Free.Processor, 1)) / 1000
+}
+
+// draw chooses among the peers with a positive weight, with a probability proportional to it. If all entries chose the
+// peer with the highest weight, together they would overload it before its next report. The choice depends only on the
+// job ID and the peers.
+func (p *Peers) draw(
+	now time.Time, id batch.JobID, need demand, weight func(dispatch.Load, demand) float64,
+) (best string, ok bool) {
 	var bestScore float64
-	for _, name := range p.sortedNames() {
+	for _, name := range p.names {
 		x := p.byName[name]
-		if !x.usable(now) || !canStartNow(x.load, need) {
+		if !x.usable(now) {
 			continue
 		}
-		weight := float64(max(x.load.Pools[need.pool].Free.Processor, 1))
-		if score := exponentialHash(id, name) / weight; !ok || score < bestScore {
+		w := weight(x.load, need)
+		if w <= 0 {
+			continue
+		}
+		if score := exponentialHash(id, name) / w; !ok || score < bestScore {
 			best, bestScore, ok = name, score, true
 		}
 	}
@@ -148,10 +200,6 @@
 	return -math.Log(uniform.FromString(string(id) + "\x00" + name))
 }
 
-func (p *Peers) sortedNames() []string {
-	return slices.SortedFunc(maps.Keys(p.byName), cmp.Compare[string])
-}
-
 // usable reports whether the peer accepts jobs and its report is recent enough.
 func (x *peer) usable(now time.Time) bool {
 	return now.Sub(x.reportedAt) <= maxReportAge && !x.load.Draining
