Release agents at the beginning of a planned stop

Cause: a stopping entry kept its agents for 2.5 s, until the load balancer had removed it, and then had 2.7 s left for the jobs that it had started. Change: an entry that has a successor releases its agents at once; jobs of its callers are forwarded from then on.

--- a/batchentry/stop.go
+++ b/batchentry/stop.go
@@ -37,13 +37,17 @@
 	return false
 }
 
-// Stop drains the entry: it becomes unready, accepts jobs until the load balancer has removed it, then releases its
-// agents to other entries and waits for its open jobs. It returns when no job is open or the context ends. Jobs that
-// are still open then are answered as Unknown.
+// Stop drains the entry: it becomes unready, accepts jobs until the load balancer has removed it, and waits for its open
+// jobs. It releases its agents at once if another entry can dispatch to them, so that the jobs that it has started have
+// as much time as possible, and otherwise when it accepts no more jobs. It returns when no job is open or the context
+// ends. Jobs that are still open then are answered as Unknown.
 func (e *Entry) Stop(ctx context.Context) {
 	e.mu.Lock()
 	e.stopping = true
 	e.log(event.ProcessDraining).Int("Open", len(e.calls)).Send()
+	if e.hasSuccessor(e.options.Now()) {
+		e.releaseAgents()
+	}
 	e.mu.Unlock()
 	delay := readinessDelay
 	if end, ok := ctx.Deadline(); ok {
@@ -54,11 +58,8 @@
 	case <-ctx.Done():
 	}
 	e.mu.Lock()
-	e.releasingAgents = true
-	e.entryListVersion++
-	e.dispatcher.Drain()
-	e.sendKeepAlives()
-	e.sendLoad()
+	e.closing = true
+	e.releaseAgents()
 	e.mu.Unlock()
 	for ctx.Err() == nil && e.openCallCount() > 0 {
 		time.Sleep(drainPollInterval)
@@ -66,6 +67,28 @@
 	e.abandonOpenCalls()
 }
 
+// hasSuccessor reports whether another entry can take over the agents.
+func (e *Entry) hasSuccessor(now time.Time) bool {
+	for _, x := range e.entries {
+		if !x.draining && now.Sub(x.lastLoad) < maxReadyLoadAge {
+			return true
+		}
+	}
+	return false
+}
+
+// releaseAgents tells the agents to choose another home, and hands the jobs that have not started to other entries.
+func (e *Entry) releaseAgents() {
+	if e.releasingAgents {
+		return
+	}
+	e.releasingAgents = true
+	e.entryListVersion++
+	e.dispatcher.Drain()
+	e.sendKeepAlives()
+	e.sendLoad()
+}
+
 // abandonOpenCalls answers the jobs that are still open as Unknown, so that their callers can resubmit them at once.
 func (e *Entry) abandonOpenCalls() {
 	e.mu.Lock()
@@ -83,5 +106,5 @@
 func (e *Entry) Draining() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.releasingAgents
+	return e.closing
 }
