Give up the runs of a silent backend server when its lease has ended

Cause: an agent kept sending renewals to a backend server that did not respond. Each of them could still have been carried out, so the time at which the lease had certainly ended moved on, and the runs on a server that had lost power counted as running until their callers left.

--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -145,7 +145,9 @@
 
 func (s *Supervisor) newHold(now time.Time, wait time.Duration) Hold {
 	h := Hold{Server: s.server.ID, Token: s.token, Seen: s.lastEndSequence, Wait: wait, createdAt: now}
-	if s.runsListed && len(s.runs) > 0 && !s.hasOrphans() {
+	// A backend server that does not respond gets no further renewals. One of them may still be carried out, so its runs
+	// could not be counted as ended as long as renewals are sent.
+	if s.runsListed && len(s.runs) > 0 && !s.hasOrphans() && !s.silent() {
 		h.Renew, h.Until = true, s.grantLease(now)
 	}
 	if !s.runsListed || s.hasOrphans() {
@@ -168,14 +170,14 @@
 		s.serverRestarted(now, response.Incarnation, response.Clock)
 		return s.takeActions()
 	}
-	unansweredBefore := s.unansweredHolds
+	wasSilent := s.silent()
 	s.unansweredHolds, s.fencedHolds = 0, 0
 	s.observeClock(now, response.Clock)
 	for _, e := range response.Ended {
 		s.taskEnded(now, e)
 	}
 	s.reconcile(now, h, response.Running)
-	if !s.runsListed || unansweredBefore >= 2 {
+	if !s.runsListed || wasSilent {
 		s.runsListed = true
 		s.reportAll()
 	}
@@ -245,7 +247,7 @@
 	if h.Token == s.token {
 		s.raiseToken(now)
 	}
-	if s.unansweredHolds == 2 {
+	if s.unansweredHolds == maxUnansweredHolds {
 		s.reportAll()
 	}
 	return s.takeActions()
@@ -264,6 +266,9 @@
 	return s.HoldFailed(now, h)
 }
 
+// silent reports whether the backend server has not responded for some time.
+func (s *Supervisor) silent() bool { return s.unansweredHolds >= maxUnansweredHolds }
+
 // UnansweredHolds returns the number of consecutive Hold calls that got no response.
 func (s *Supervisor) UnansweredHolds() int { return s.unansweredHolds }
 
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -48,7 +48,10 @@
 	// runNumberStep is added to a run number that the backend server reports as outdated although the agent
 	// remembers no higher one. An earlier agent used the higher number.
 	runNumberStep = 8
-	maxRestarts   = 6 // restarts of a run after which its start is reported as refused
+	// maxUnansweredHolds is the number of consecutive Hold calls without a response after which the backend server gets
+	// no starts and no renewals until it responds.
+	maxUnansweredHolds = 2
+	maxRestarts        = 6 // restarts of a run after which its start is reported as refused
 )
 
 // maxClockDrift is by how much the clock of a backend server may run slower or faster than the agent's.
@@ -378,7 +381,7 @@
 // acceptsStarts reports whether the backend server can start runs.
 func (s *Supervisor) acceptsStarts() bool {
 	return s.known && !s.left && s.runsListed && !s.awaitingAnnouncement && !s.server.Leaving && !s.draining &&
-		s.unansweredHolds < 2 && !s.hasOrphans()
+		!s.silent() && !s.hasOrphans()
 }
 
 // Report returns the report for an entry, and drops the ends of runs that it contains.
