--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -78,8 +78,8 @@
 	failures    int
 	server      *server
 	failedOn    []*server
+	movedFrom   []*server // its run was stopped there, to start it elsewhere
 	stopping    bool
-	restarts    int           // how often its run was stopped on a faulty backend server, to start it elsewhere
 	waitingWork coreTime      // predicted when the task began to wait; 0 if it is not waiting
 	percent     int           // progress of its run
 	progressAge time.Duration // age of the run at which its progress reached percent
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -207,14 +207,14 @@
 func (d *Dispatcher) chooseServer(now time.Time, j *job, st *step, t *task) (best *server, constrained bool) {
 	var bestScore float64
 	degraded, usable := d.countDegraded()
-	// A task that has failed on every backend server may use any of them again.
-	avoid := len(t.failedOn) < usable
+	// A task that has failed on or was moved from every backend server may use any of them again.
+	avoid := len(t.failedOn)+len(t.movedFrom) < usable
 	for _, s := range d.sortedServers {
 		if !d.usableFor(s, j) || s.info.Pool != j.Pool || !st.Demand.Fits(s.free()) || now.Before(s.backoffUntil) {
 			continue
 		}
 		if (st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) ||
-			(avoid && slices.Contains(t.failedOn, s)) ||
+			(avoid && (slices.Contains(t.failedOn, s) || slices.Contains(t.movedFrom, s))) ||
 			(st.MaxPerServer > 0 && tasksOn(st, s) >= st.MaxPerServer) {
 			constrained = true
 			continue
@@ -438,11 +438,11 @@
 }
 
 func (d *Dispatcher) moveRun(s *server, j *job, t *task, id supervise.RunID) {
-	if j.answered || t.stopping || t.restarts >= maxRestarts {
+	if j.answered || t.stopping || len(t.movedFrom) >= maxRestarts {
 		return
 	}
 	t.stopping = true
-	t.restarts++
+	t.movedFrom = append(t.movedFrom, s)
 	d.addStop(s, id)
 }
 
