--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -113,8 +113,8 @@
 	entries          map[string]*entrySession // by name
 	calls            map[batch.JobID]*call
 	config           site.Configuration
-	stopping         bool // Ready reports false
-	closing          bool // callers should use another entry for their next request
+	stopping         bool    // Ready reports false
+	closing          bool    // callers should use another entry for their next request
 	stopped          bool    // new jobs are refused
 	releasingAgents  bool    // agents are told to choose another entry
 	entryListVersion int     // version of the list of entries that is sent to agents
