Log when runs begin and end, and when an entry loses a connection

Cause: the logs could not tell how two runs of a task came about. Agents logged only starts that were refused, so that the times of a run were known only to the backend server. An entry that lost one of two connections to another one logged nothing. Change: agents log each start that was accepted and each end that they learn of; entries log the loss of a connection (4015); writes are of whole lines and at most 4,096 bytes. Result: TestWritesFitIntoPipe (before: one write of 30,000 bytes).

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"dogwoodglade/core/batch"
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/home"
 	"dogwoodglade/core/supervise"
@@ -229,10 +230,11 @@
 	defer cancel()
 	result, clock := a.options.Server.Start(ctx, c)
 	a.metrics.recordStart(result)
+	number := event.TaskStarted
 	if result != supervise.Accepted {
-		a.log(event.TaskRefused).Str("Job", string(c.Task.Job)).Int("Step", c.Task.Step).Int("Task", c.Task.Index).
-			Int("Run", c.Number).Uint64("Token", c.Token).Str("State", result.String()).Send()
+		number = event.TaskRefused
 	}
+	a.logRun(number, c.Task, c.Number).Str("Peer", c.Entry).Uint64("Token", c.Token).Str("State", result.String()).Send()
 	a.withSupervisor(func(now time.Time) []supervise.Action { return a.supervisor.StartAnswered(now, c, result, clock) })
 }
 
@@ -241,11 +243,24 @@
 	defer cancel()
 	answered, clock := a.options.Server.Stop(ctx, c)
 	a.metrics.stopped.Inc(1)
-	a.log(event.TaskStopped).Str("Job", string(c.Task.Job)).Int("Step", c.Task.Step).Int("Task", c.Task.Index).
-		Int("Run", c.Number).Uint64("Token", c.Token).Bool("Answered", answered).Send()
+	a.logRun(event.TaskStopped, c.Task, c.Number).Uint64("Token", c.Token).Bool("Answered", answered).Send()
 	a.withSupervisor(func(now time.Time) []supervise.Action { return a.supervisor.StopAnswered(now, c, answered, clock) })
 }
 
+// logRun starts a log line about a run.
+func (a *Agent) logRun(n event.Number, task batch.TaskID, run int) *zerolog.Event {
+	return a.log(n).Str("Job", string(task.Job)).Int("Step", task.Step).Int("Task", task.Index).Int("Run", run)
+}
+
+// logEnds logs the ends of runs that a response contains for the first time.
+func (a *Agent) logEnds(h supervise.Hold, response supervise.HoldResponse) {
+	for _, x := range response.Ended {
+		if x.Sequence > h.Seen {
+			a.logRun(event.TaskEnded, x.Task, x.Number).Str("State", string(x.End)).Send()
+		}
+	}
+}
+
 // losesHolds reports whether a hold call got no response lately. A second call then waits beside the first one, so that
 // the end of a run is not noticed late because one response is lost.
 func (a *Agent) losesHolds() bool {
@@ -305,6 +320,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.Wait+holdMargin)
 	defer cancel()
 	response, err := a.options.Server.Hold(ctx, h)
+	a.logEnds(h, response)
 	var fenced *FencedError
 	var misdirected *MisdirectedError
 	a.withSupervisor(func(now time.Time) []supervise.Action {
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -326,6 +326,8 @@
 	if !ok {
 		return
 	}
+	e.log(event.ConnectionLost).Str("Peer", p.Name).Bool("InUse", x.current == p).Int("Left", len(x.connections)-1).
+		Uint64("Session", x.session).Send()
 	delete(x.connections, p)
 	x.selectConnection()
 	if len(x.connections) == 0 {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -69,6 +69,7 @@
 	EntryRegistered  Number = 4012
 	HomeChosen       Number = 4013
 	BackendSilent    Number = 4014
+	ConnectionLost   Number = 4015
 )
 
 // Events of ownership.
--- a/core/event/name.go
+++ b/core/event/name.go
@@ -19,7 +19,7 @@
 	BackendAnnounced: "BackendAnnounced", BackendLeaving: "BackendLeaving", BackendLost: "BackendLost",
 	AgentConnected: "AgentConnected", AgentLost: "AgentLost", AgentRegistered: "AgentRegistered",
 	EntryConnected: "EntryConnected", EntryLost: "EntryLost", EntryRegistered: "EntryRegistered",
-	HomeChosen: "HomeChosen", BackendSilent: "BackendSilent",
+	HomeChosen: "HomeChosen", BackendSilent: "BackendSilent", ConnectionLost: "ConnectionLost",
 
 	TakeoverStarted: "TakeoverStarted", ShardFenced: "ShardFenced", TakeoverCompleted: "TakeoverCompleted",
 	TakeoverIncomplete: "TakeoverIncomplete", OwnerSuperseded: "OwnerSuperseded", HandoverSent: "HandoverSent",
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -40,7 +40,7 @@
 	r.state, r.token = starting, s.token
 	s.actions = append(s.actions, CallStart{
 		Server: s.server.ID, Task: r.Task, Number: r.number, Spec: r.Spec,
-		Until: s.grantLease(now), Token: s.token, entry: r.entry, run: r,
+		Until: s.grantLease(now), Token: s.token, Entry: r.entry, run: r,
 	})
 }
 
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -151,9 +151,9 @@
 	Spec   string
 	Until  time.Duration // end of the lease, on the backend server's clock
 	Token  uint64
+	Entry  string // that requested the run
 
-	entry string
-	run   *run
+	run *run
 }
 
 // CallStop stops a run on the backend server.
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -1,10 +1,11 @@
 // Package logs provides a buffered writer for log lines that does not block its callers.
 //
-// Lines are buffered for a short time and written together, so that many lines cost one system call. If the output is
+// Lines are buffered for a short time and written together, so that many lines cost few system calls. If the output is
 // slow and the buffer is full, lines are dropped and counted; the count is appended to the next write.
 package logs
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -14,6 +15,9 @@
 const (
 	// maxBuffered limits the size of the buffered lines, in bytes.
 	maxBuffered = 1 << 20
+	// maxWrite is the maximum size of a write, in bytes, unless a line is longer. A pipe keeps writes of up to this size
+	// together (PIPE_BUF); longer ones can be cut or mixed with the output of other processes.
+	maxWrite = 4096
 	// flushDelay is the time from the first buffered line to the write.
 	flushDelay = 100 * time.Millisecond
 )
@@ -79,11 +83,27 @@
 	if dropped > 0 {
 		lines = fmt.Appendf(lines, `{"Event":"LinesDropped","Count":%d}`+"\n", dropped)
 	}
-	if len(lines) > 0 {
+	for rest := lines; len(rest) > 0; {
+		n := wholeLines(rest)
 		// An error is ignored, because a failure to write the log cannot be logged.
-		_, _ = w.out.Write(lines)
+		_, _ = w.out.Write(rest[:n])
+		rest = rest[n:]
 	}
 	w.mu.Lock()
 	w.spare = lines
 	w.mu.Unlock()
 }
+
+// wholeLines returns the length of the lines at the start of the text that fit into one write, at least of one line.
+func wholeLines(text []byte) int {
+	if len(text) <= maxWrite {
+		return len(text)
+	}
+	if n := bytes.LastIndexByte(text[:maxWrite], '\n'); n >= 0 {
+		return n + 1
+	}
+	if n := bytes.IndexByte(text, '\n'); n >= 0 {
+		return n + 1
+	}
+	return len(text)
+}
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -70,3 +70,35 @@
 		t.Errorf("got %q", out.String())
 	}
 }
+
+// sizeRecorder records the sizes of the writes, and whether each ended with a whole line.
+type sizeRecorder struct {
+	largest int
+	cut     bool
+	lines   int
+}
+
+func (r *sizeRecorder) Write(p []byte) (int, error) {
+	r.largest = max(r.largest, len(p))
+	r.cut = r.cut || p[len(p)-1] != '\n'
+	r.lines += bytes.Count(p, []byte("\n"))
+	return len(p), nil
+}
+
+// Guards against lines that are cut because a write is longer than a pipe keeps together.
+func TestWritesFitIntoPipe(t *testing.T) {
+	const pipeBuf = 4096
+	synctest.Test(t, func(t *testing.T) {
+		var out sizeRecorder
+		w, cleanUp := logs.New(&out)
+		for range 100 {
+			if _, err := io.WriteString(w, strings.Repeat("x", 299)+"\n"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		cleanUp()
+		if out.largest > pipeBuf || out.cut || out.lines != 100 {
+			t.Errorf("%d lines in writes of up to %d bytes, cut: %v; want 100 in up to %d", out.lines, out.largest, out.cut, pipeBuf)
+		}
+	})
+}
