Drop forwarded jobs whose withdrawal was lost with a connection

Cause: two entries keep two connections, and send on one of them. If that one is reset, messages on their way are lost, but the session goes on over the other one, so that neither side notices. A withdrawal is lost in particular when a caller's connection is reset together with those of its entry: the job runs to its end for nobody, and beside the same job submitted again 1.3 s later. A lost forward or outcome left the caller waiting for its deadline, and so did a session that only the other entry had ended. Change: an entry whose connection in use closes begins a new session on another one, with lists of the jobs that go on; both sides end the others.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -109,16 +109,7 @@
 // sendToEntry sends on the current connection to an entry, so that messages keep their order. If that connection has
 // just closed, it switches to another one.
 func (e *Entry) sendToEntry(x *entrySession, send func(p *inner.Peer) bool) bool {
-	if x.current != nil && send(x.current) {
-		return true
-	}
-	for p := range x.connections {
-		if p != x.current && send(p) {
-			x.current = p
-			return true
-		}
-	}
-	return false
+	return send(x.current) || (e.switchConnection(x) && send(x.current))
 }
 
 // cancelIfUnneeded cancels a call that no caller and no other entry waits for.
@@ -312,11 +303,14 @@
 func (e *Entry) WithdrawJob(p *inner.Peer, id batch.JobID, forAll bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	x, connected := e.entrySessionOf(p)
 	c, ok := e.calls[id]
 	switch {
 	case !ok:
 	case forAll:
 		e.cancel(c)
+	case connected && x.connections[p] < c.origins[p.Name]:
+		// The other entry has forwarded the job again, or continued it, since it sent the message.
 	default:
 		delete(c.origins, p.Name)
 		e.cancelIfUnneeded(c, "Withdrawn")
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -305,11 +305,13 @@
 		Name: p.Name, Address: p.Address, Region: p.Region, DataCentre: p.DataCentre, Weight: x.Weight,
 	}
 	x.connections[p] = 0
-	x.selectConnection()
+	if x.current == nil {
+		x.current = p
+	}
 	x.lastLoad = now
 	e.entryListVersion++
 	e.connector.AddDiscovered(p.Address)
-	p.Load(e.loadFor(x))
+	p.Load(e.firstLoad(x))
 }
 
 // Disconnected implements inner.Handler.
@@ -326,11 +328,12 @@
 	if !ok {
 		return
 	}
-	e.log(event.ConnectionLost).Str("Peer", p.Name).Bool("InUse", x.current == p).Int("Left", len(x.connections)-1).
-		Uint64("Session", x.session).Send()
 	delete(x.connections, p)
-	x.selectConnection()
-	if len(x.connections) == 0 {
+	inUse := x.current == p
+	lost := inUse && !e.switchConnection(x)
+	e.log(event.ConnectionLost).Str("Peer", p.Name).Bool("InUse", inUse).Int("Left", len(x.connections)).
+		Uint64("Session", x.session).Send()
+	if lost {
 		e.log(event.EntryLost).Str("Peer", p.Name).Dur("Silent", now.Sub(x.lastLoad)).Str("State", "Closed").Send()
 		e.removeEntry(now, p.Name, x)
 	}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"dogwoodglade/core/batch"
@@ -23,9 +24,19 @@
 	return l
 }
 
-// loadFor returns the load message for another entry.
-func (e *Entry) loadFor(x *entrySession) inner.EntryLoad {
-	return x.withSessionFields(e.load(), e.options.Now())
+// firstLoad returns the first load message of a session with another entry, which lists the open jobs that one of the
+// two has forwarded to the other.
+func (e *Entry) firstLoad(x *entrySession) inner.EntryLoad {
+	l := x.withSessionFields(e.load(), e.options.Now())
+	for id, c := range e.calls {
+		if c.forwardedTo == x.Name {
+			l.Forwarded = append(l.Forwarded, id)
+		}
+		if _, ok := c.origins[x.Name]; ok {
+			l.Accepted = append(l.Accepted, id)
+		}
+	}
+	return l
 }
 
 // withSessionFields adds the fields that are specific to the receiving entry to a load message: the session number and
@@ -50,15 +61,21 @@
 	}
 }
 
-// selectConnection keeps the current connection while it is open, and otherwise selects any open one.
-func (x *entrySession) selectConnection() {
-	if _, ok := x.connections[x.current]; ok {
-		return
-	}
-	x.current = nil
+// switchConnection replaces the current connection to an entry after it has closed. Messages sent on it may be lost, so a
+// new session begins. It reports false if no other connection is open.
+func (e *Entry) switchConnection(x *entrySession) bool {
+	closed := x.current
 	for p := range x.connections {
-		x.current = p
+		if p == closed {
+			continue
+		}
+		e.lastSession++
+		x.current, x.session = p, e.lastSession
+		if p.Load(e.firstLoad(x)) {
+			return true
+		}
 	}
+	return false
 }
 
 // entrySessionOf returns the entry session that a connection belongs to.
@@ -86,7 +103,7 @@
 	}
 	if l.Session > x.peerSession {
 		x.peerSession = l.Session
-		e.dropOrigins(p.Name, l.Session)
+		e.beginPeerSession(now, x, l)
 	}
 	if x.Weight != l.Weight || x.draining != l.Load.Draining {
 		e.entryListVersion++
@@ -105,6 +122,30 @@
 	}
 }
 
+// beginPeerSession ends the jobs that this entry and another one have forwarded to each other, except those that continue
+// in the other entry's new session.
+func (e *Entry) beginPeerSession(now time.Time, x *entrySession, l inner.EntryLoad) {
+	for _, id := range l.Forwarded {
+		if c, ok := e.calls[id]; ok {
+			if _, ok := c.origins[x.Name]; ok {
+				c.origins[x.Name] = l.Session
+				continue
+			}
+		}
+		// The job or its outcome was lost.
+		e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(id, batch.Unknown{Reason: batch.PeerLost}) })
+	}
+	e.dropOrigins(x.Name, l.Session)
+	for id, c := range e.calls {
+		if c.forwardedTo != x.Name || slices.Contains(l.Accepted, id) {
+			continue
+		}
+		e.logUnknownOutcome(now, c, batch.PeerLost)
+		e.completeCall(c, batch.Unknown{Reason: batch.PeerLost})
+		e.cancelDispatch(c) // the other entry may receive the job after it has sent the list
+	}
+}
+
 // pullConfiguration fetches the configuration of an entry that reported a newer version, and applies it.
 func (e *Entry) pullConfiguration(p *inner.Peer, x *entrySession) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -128,14 +128,27 @@
 func (n *Network) SetCut(a, b string, cut bool) {
 	n.mu.Lock()
 	n.link(a, b).cut = cut
-	var cutConns []*conn
+	n.mu.Unlock()
+	if cut {
+		n.abort(func(c *conn) bool { return c.hosts == newHostPair(a, b) })
+	}
+}
+
+// Reset closes the connections that one host opened to another one. Data that was not delivered is lost.
+func (n *Network) Reset(dialler, listener string) {
+	n.abort(func(c *conn) bool { return c.dialler == dialler && c.hosts == newHostPair(dialler, listener) })
+}
+
+func (n *Network) abort(matches func(c *conn) bool) {
+	n.mu.Lock()
+	var matching []*conn
 	for c := range n.conns {
-		if cut && c.hosts == newHostPair(a, b) {
-			cutConns = append(cutConns, c)
+		if matches(c) {
+			matching = append(matching, c)
 		}
 	}
 	n.mu.Unlock()
-	for _, c := range cutConns {
+	for _, c := range matching {
 		c.abort()
 	}
 }
@@ -161,6 +174,7 @@
 	other   net.Conn // the other end of the pipe
 	network *Network
 	hosts   hostPair
+	dialler string        // host that opened the connection
 	done    chan struct{} // closed by Close
 	pending chan struct{} // has an element if there is data to send or the connection is to be closed
 
@@ -169,9 +183,10 @@
 	closed bool
 }
 
-func (n *Network) newConn(c, other net.Conn, a, b string) *conn {
+func (n *Network) newConn(c, other net.Conn, dialler, listener string) *conn {
 	wrapped := &conn{
-		Conn: c, other: other, network: n, hosts: newHostPair(a, b), done: make(chan struct{}), pending: make(chan struct{}, 1),
+		Conn: c, other: other, network: n, hosts: newHostPair(dialler, listener), dialler: dialler,
+		done: make(chan struct{}), pending: make(chan struct{}, 1),
 	}
 	n.conns[wrapped] = struct{}{}
 	go wrapped.send()
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -62,11 +62,13 @@
 	Load    dispatch.Load
 	Version uint64  // of the configuration
 	Weight  float64 // share of the agents that the sender can serve
-	// Session is incremented when the sender considers the receiver lost. Jobs that the sender forwarded in an earlier
-	// session are abandoned.
-	Session uint64
-	Clock   time.Duration // time on the sender's clock
-	Echo    time.Duration // latest Clock value that the sender received from the receiver; 0 if none
+	// Session rises when the sender considers the receiver lost, and when messages may have been lost with a connection.
+	// The first load of a session lists the jobs of earlier sessions that continue in it. The others are abandoned.
+	Session   uint64
+	Forwarded []batch.JobID `cbor:",omitempty"` // jobs that the sender forwarded to the receiver and waits for
+	Accepted  []batch.JobID `cbor:",omitempty"` // jobs that the receiver forwarded to the sender and that are open there
+	Clock     time.Duration // time on the sender's clock
+	Echo      time.Duration // latest Clock value that the sender received from the receiver; 0 if none
 }
 
 // KeepAlive is sent periodically from an entry to its agents.
