Start and forward nothing after the caller's time-out

What callers saw: nothing yet; found while looking for the cause of two runs of one task elsewhere. Cause: the time-out of a job was checked only by the periodic work. An entry that resumes after it was suspended may first receive a report of an agent, and then restarted the tasks of a caller that had left and submitted the job again. A job that came back from another entry after the time-out was passed on with a time limit of 0, which means none, or queued here with the whole time-out again. Change: the dispatcher ends a timed-out job before it places a task of it; an entry refuses a job whose caller's time-out has passed instead of dispatching or forwarding it, and passes on only what is left of the time-out.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -89,16 +89,38 @@
 		e.forward(c, e.peers.Choose(now, e.dispatcher.Load(), c.job)) {
 		return
 	}
+	e.dispatch(now, c)
+}
+
+// remaining returns the job of a call with what is left of its caller's time-out. It reports false if nothing is left.
+func (c *call) remaining(now time.Time) (batch.Job, bool) {
+	if c.job.Timeout <= 0 {
+		return c.job, true
+	}
+	left := c.job.Timeout - now.Sub(c.arrived)
+	return c.job.WithTimeout(left), left > 0
+}
+
+// dispatch submits a job that has not run to the dispatcher of this entry. A job whose caller's time-out has passed is
+// refused instead, as the caller may have submitted it elsewhere.
+func (e *Entry) dispatch(now time.Time, c *call) {
 	c.forwardedTo = ""
-	e.performActions(e.dispatcher.Submit(now, c.job))
+	j, ok := c.remaining(now)
+	if !ok {
+		e.log(event.JobRefused).Str("Job", string(c.job.ID)).Str("State", string(batch.DeadlinePassed)).
+			Dur("Taken", now.Sub(c.arrived)).Send()
+		e.completeCall(c, batch.NotRun{Reason: batch.DeadlinePassed})
+		return
+	}
+	e.performActions(e.dispatcher.Submit(now, j))
 }
 
-// forward sends a job to another entry. It reports whether the message could be sent.
+// forward sends a job to another entry. It reports false if the message could not be sent or the caller's time-out has
+// passed.
 func (e *Entry) forward(c *call, to string) bool {
 	x, ok := e.entries[to]
-	if !ok || !e.sendToEntry(x, func(p *inner.Peer) bool {
-		return p.Forward(c.job.WithTimeout(max(c.job.Timeout-e.options.Now().Sub(c.arrived), 0)))
-	}) {
+	j, inTime := c.remaining(e.options.Now())
+	if !ok || !inTime || !e.sendToEntry(x, func(p *inner.Peer) bool { return p.Forward(j) }) {
 		return false
 	}
 	c.forwardedTo = to
@@ -192,8 +214,7 @@
 		// name sorts first dispatches it.
 		if e.options.Name < p.Name {
 			c.origins[p.Name] = session
-			c.forwardedTo = ""
-			e.performActions(e.dispatcher.Submit(e.options.Now(), c.job))
+			e.dispatch(e.options.Now(), c)
 		}
 		return
 	}
@@ -223,7 +244,7 @@
 		case len(c.waiters) == 0:
 			delete(e.calls, id)
 		case !e.forward(c, to):
-			e.performActions(e.dispatcher.Submit(now, c.job))
+			e.dispatch(now, c)
 		}
 	}
 }
@@ -288,8 +309,7 @@
 	now := e.options.Now()
 	if e.dispatcher.CanStartNow(now, c.job) {
 		e.logRefusedByPeer(c, reason)
-		c.forwardedTo = ""
-		e.performActions(e.dispatcher.Submit(now, c.job))
+		e.dispatch(now, c)
 		return true
 	}
 	if to, ok := e.peers.ChooseWithCapacity(now, c.job); ok && to != peer {
--- a/batchentry/lost_message_test.go
+++ b/batchentry/lost_message_test.go
@@ -112,6 +112,14 @@
 	}
 }
 
+// fakePeerLoad is the load of another entry that has room for any job.
+func fakePeerLoad() inner.EntryLoad {
+	room := resource.Amount{Processor: 8000, Memory: 8000}
+	return inner.EntryLoad{Session: 1, Load: dispatch.Load{Pools: map[string]dispatch.PoolLoad{
+		"pool": {Cores: 8, Free: room, Largest: room, Healthy: true},
+	}}}
+}
+
 // Guards against callers that wait for a job that the other entry has dropped, because only that entry took this one as
 // lost.
 func TestForwardedJobEndsWhenPeerDropsIt(t *testing.T) {
@@ -128,10 +136,7 @@
 				o := newFakePeerEntry()
 				p := o.dial(s, "first")
 				defer p.Close()
-				room := resource.Amount{Processor: 8000, Memory: 8000}
-				load := inner.EntryLoad{Session: 1, Load: dispatch.Load{Pools: map[string]dispatch.PoolLoad{
-					"pool": {Cores: 8, Free: room, Largest: room, Healthy: true},
-				}}}
+				load := fakePeerLoad()
 				p.Load(load)
 				time.Sleep(10 * time.Millisecond)
 				ctx, leave := context.WithCancel(s.t.Context())
@@ -159,3 +164,37 @@
 		})
 	}
 }
+
+// Guards against a job that is passed on without a time limit after its caller's time-out.
+func TestJobNotForwardedAfterCallerTimeout(t *testing.T) {
+	runSite(t, 1, 0, func(s *testSite) {
+		o := newFakePeerEntry()
+		p := o.dial(s, "first")
+		defer p.Close()
+		load := fakePeerLoad()
+		p.Load(load)
+		time.Sleep(10 * time.Millisecond)
+		outcome := make(chan batch.Outcome, 1)
+		j := newJob("job", 1, 10*time.Millisecond)
+		j.Timeout = 300 * time.Millisecond
+		go func() { outcome <- s.entries["entry-1"].Submit(s.t.Context(), j) }()
+		for range 4 {
+			time.Sleep(100 * time.Millisecond)
+			p.Load(load)
+		}
+		p.ForwardOutcome("job", batch.NotRun{Reason: batch.NoServer})
+		p.Load(load)
+		time.Sleep(10 * time.Millisecond)
+		if n := len(o.forwarded); n != 1 {
+			s.t.Errorf("the job was forwarded %d times, want once", n)
+		}
+		select {
+		case got := <-outcome:
+			if n, ok := got.(batch.NotRun); !ok || n.Reason != batch.DeadlinePassed {
+				s.t.Errorf("got %s, want a refusal because the deadline has passed", batch.OutcomeName(got))
+			}
+		default:
+			s.t.Error("the caller has no outcome")
+		}
+	})
+}
--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -16,14 +16,17 @@
 
 // fakePeerEntry is another entry that sends only what the test tells it to.
 type fakePeerEntry struct {
-	loads chan inner.EntryLoad
+	loads     chan inner.EntryLoad
+	forwarded chan batch.Job
 
 	mu    sync.Mutex
 	count map[*inner.Peer]int // received loads by connection
 }
 
 func newFakePeerEntry() *fakePeerEntry {
-	return &fakePeerEntry{loads: make(chan inner.EntryLoad, 1), count: map[*inner.Peer]int{}}
+	return &fakePeerEntry{
+		loads: make(chan inner.EntryLoad, 1), forwarded: make(chan batch.Job, 10), count: map[*inner.Peer]int{},
+	}
 }
 
 func (o *fakePeerEntry) Connected(*inner.Peer)    {}
@@ -38,7 +41,7 @@
 	}
 }
 func (o *fakePeerEntry) Report(*inner.Peer, supervise.Report)                   {}
-func (o *fakePeerEntry) Forward(*inner.Peer, batch.Job)                         {}
+func (o *fakePeerEntry) Forward(_ *inner.Peer, j batch.Job)                     { o.forwarded <- j }
 func (o *fakePeerEntry) ForwardOutcome(*inner.Peer, batch.JobID, batch.Outcome) {}
 func (o *fakePeerEntry) WithdrawJob(*inner.Peer, batch.JobID, bool)             {}
 func (o *fakePeerEntry) Configuration() site.Configuration                      { return site.Configuration{} }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -116,6 +116,11 @@
 // started reports whether a start request was sent that may have taken effect.
 func (j *job) started() bool { return !j.firstStart.IsZero() }
 
+// timedOut reports whether the caller's time-out has passed. The caller may have submitted the job again.
+func (j *job) timedOut(now time.Time) bool {
+	return j.Timeout > 0 && now.After(j.submittedAt.Add(j.Timeout))
+}
+
 // Dispatcher is the state machine that dispatches the jobs of one entry. It is not safe for concurrent use.
 type Dispatcher struct {
 	servers       map[string]*server // by agent
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -471,7 +471,7 @@
 		}
 	}
 	for _, j := range d.jobs {
-		if !j.answered && j.started() && j.Timeout > 0 && now.After(j.submittedAt.Add(j.Timeout)) {
+		if !j.answered && j.started() && j.timedOut(now) {
 			expired = append(expired, j)
 		}
 	}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -80,6 +80,11 @@
 			heap.Pop(&p.queue)
 			j.queued = false
 			continue
+		case j.started() && j.timedOut(now):
+			heap.Pop(&p.queue)
+			j.queued = false
+			d.finish(now, j, batch.Unknown{Reason: batch.DeadlinePassed})
+			continue
 		case !j.started() && now.After(j.startDeadline):
 			heap.Pop(&p.queue)
 			j.queued = false
