Renew no lease after the session of a run has expired

What callers saw: nothing yet; found while looking for the cause of two runs of one task elsewhere. Cause: sessions are ended by the periodic work of the agent. An agent that resumes after it was suspended may first make a call that lists the runs, and renewed their lease for another 600 ms although their session had expired meanwhile. Change: the sessions of all runs are checked when the lease is renewed. An entry that loses an agent waits long enough for one such renewal; a caller that submits its job again after 1.3 s may not.

--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -147,7 +147,7 @@
 	h := Hold{Server: s.server.ID, Token: s.token, Seen: s.lastEndSequence, Wait: wait, createdAt: now}
 	// A backend server that does not respond gets no further renewals. One of them may still be carried out, so its runs
 	// could not be counted as ended as long as renewals are sent.
-	if s.runsListed && len(s.runs) > 0 && !s.hasOrphans() && !s.silent() {
+	if s.mayRenew(now) && !s.silent() {
 		h.Renew, h.Until = true, s.grantLease(now)
 	}
 	if !s.runsListed || s.hasOrphans() {
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -378,6 +378,20 @@
 	return false
 }
 
+// mayRenew reports whether the lease of the runs may be renewed. If the agent's process was suspended, it may get here
+// before Tick has ended the expired sessions, so they are checked again.
+func (s *Supervisor) mayRenew(now time.Time) bool {
+	if !s.runsListed || len(s.runs) == 0 || s.hasOrphans() {
+		return false
+	}
+	for _, r := range s.runs {
+		if c, ok := s.sessions[r.entry]; !ok || now.After(c.expiresAt) {
+			return false
+		}
+	}
+	return true
+}
+
 // acceptsStarts reports whether the backend server can start runs.
 func (s *Supervisor) acceptsStarts() bool {
 	return s.known && !s.left && s.runsListed && !s.awaitingAnnouncement && !s.server.Leaving && !s.draining &&
