Fence the starts of an earlier agent process

What callers saw: nothing yet; found while looking for the cause of two runs of one task elsewhere. Cause: tokens follow the backend server's clock. A restarted agent took its first token from the clock reading that was saved when the server had announced itself, which is the token that its predecessor had begun with and, if no call had failed, still used. A start that the predecessor had sent could then be carried out after the new process had listed the runs and offered the server. Today only the end of the lease in that start prevents this. Change: a restored agent takes a new token from the first reading of the clock, and lists made under earlier tokens do not count, also after a restart of the server.

--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -29,6 +29,7 @@
 		!slices.Equal(s.server.Labels, server.Labels)
 	s.server, s.restored, s.awaitingAnnouncement = server, false, false
 	s.observeClock(now, server.Clock)
+	s.replaceSavedToken(now)
 	if changed {
 		s.reportAll()
 	}
@@ -44,7 +45,7 @@
 	}
 	server.Sequence = 0
 	s.replaceServer(now, server)
-	s.restored = true
+	s.restored, s.tokenFromSavedClock = true, true
 	return s.takeActions()
 }
 
@@ -66,6 +67,7 @@
 	s.unansweredHolds, s.lastEndSequence = 0, 0
 	s.clock, s.clockAt = clock, now
 	s.raiseToken(now)
+	s.listToken = s.token
 	s.reportAll()
 }
 
@@ -83,7 +85,8 @@
 	s.leasesEndBy = now
 	// The clock of the backend server keeps rising when agents are replaced, so the token need not be stored: an
 	// agent that starts later reads a clock above any token that an earlier agent used.
-	s.token = uint64(server.Clock.Milliseconds()) + 1
+	s.token, s.tokenFromSavedClock = uint64(server.Clock.Milliseconds())+1, false
+	s.listToken = s.token
 	s.reportAll()
 }
 
@@ -134,6 +137,16 @@
 	s.token = max(s.token+1, uint64(s.serverClock(now).Milliseconds()))
 }
 
+// replaceSavedToken replaces a token from a saved reading of the clock once the clock has been read. Starts of the earlier
+// agent that are carried out late are then refused, and a list made under the new token shows the others.
+func (s *Supervisor) replaceSavedToken(now time.Time) {
+	if s.tokenFromSavedClock {
+		s.tokenFromSavedClock = false
+		s.raiseToken(now)
+		s.listToken = s.token
+	}
+}
+
 // NextHold returns the next call that renews the lease, or false if there is no backend server. The wait is how long the
 // response may be delayed, at most HoldWait.
 func (s *Supervisor) NextHold(now time.Time, wait time.Duration) (Hold, bool) {
@@ -173,12 +186,13 @@
 	wasSilent := s.silent()
 	s.unansweredHolds, s.fencedHolds = 0, 0
 	s.observeClock(now, response.Clock)
+	s.replaceSavedToken(now)
 	for _, e := range response.Ended {
 		s.taskEnded(now, e)
 	}
 	s.reconcile(now, h, response.Running)
-	if !s.runsListed || wasSilent {
-		s.runsListed = true
+	if listed := s.runsListed || h.Token >= s.listToken; wasSilent || listed != s.runsListed {
+		s.runsListed = listed
 		s.reportAll()
 	}
 	return s.takeActions()
