Leave out overcommitted backend servers from the free capacity

A backend server that shrinks below what is in use has negative free capacity. Load summed it with that of the others, so that peers saw too little free capacity and did not forward jobs. If only the memory was short, they saw processors on which nothing fits. Such a backend server now counts as zero.

TestOvercommittedServerDoesNotReduceFreeCapacity, before: shrunk to 1000m/1024MiB/0: got a free capacity of 3000m/1536MiB/0, want 4000m/1024MiB/0 TestStartsFollowCapacity covers starts on a shrunk backend server and passed before.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -261,7 +261,10 @@
 		p := l.Pools[s.info.Pool]
 		if !s.degraded() {
 			p.Healthy = true
-			p.Free = p.Free.Plus(d.pool(s.info.Pool).usableCapacity(s.free()))
+			// Nothing fits on a backend server that has shrunk below what is in use in any resource.
+			if free := s.free(); free.Valid() {
+				p.Free = p.Free.Plus(d.pool(s.info.Pool).usableCapacity(free))
+			}
 		}
 		p.Largest.Processor = max(p.Largest.Processor, s.capacity.Processor)
 		p.Largest.Memory = max(p.Largest.Memory, s.capacity.Memory)
