Refuse waiting jobs that no longer fit on any backend server

Whether the tasks of a job fit was checked on arrival only. After the backend servers had shrunk, a waiting job was held until its deadline, also if another entry had a large enough backend server. Such jobs are now offered to other entries at the next tick, and refused as TooLarge after serverGrace if nothing was started. The delay covers an agent that reconnects.

--- a/core/dispatch/capacity_test.go
+++ b/core/dispatch/capacity_test.go
@@ -69,3 +69,48 @@
 		t.Errorf("%d tasks were started after the capacity had grown, want 2", len(got))
 	}
 }
+
+// Guards against jobs that wait until their deadline although the backend servers have become too small for their tasks.
+func TestWaitingJobIsRefusedWhenNoServerCanFitIt(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after time.Duration // when the capacity grows again; 0 for never
+	}{{"shrunk", 0}, {"grown again", 200 * time.Millisecond}} {
+		r := newCapacityRig()
+		r.Connect(r.now, "agent-1")
+		r.announce("agent-1", resource.Amount{Processor: 2000})
+		r.Submit(r.now, smallJob)
+		waiting := smallJob
+		waiting.ID, waiting.Target, waiting.Timeout = "2", time.Minute, time.Minute
+		waiting.Steps = []batch.Step{{Count: 1, Demand: resource.Amount{Processor: 2000}, Estimate: time.Second}}
+		r.Submit(r.now, waiting)
+		r.Tick(r.now)
+		if s := r.Stranded(); len(s) > 0 {
+			t.Errorf("%s: %v were offered to other entries before the capacity shrank", c.name, s)
+		}
+		shrunkAt := r.now
+		r.announce("agent-1", resource.Amount{Processor: 1500})
+		r.Tick(r.now)
+		if s := r.Stranded(); len(s) != 1 || s[0] != waiting.ID {
+			t.Errorf("%s: %v were offered to other entries, want the waiting job", c.name, s)
+		}
+		var outcomes []batch.Outcome
+		for len(outcomes) == 0 && r.now.Sub(shrunkAt) < time.Second {
+			r.now = r.now.Add(20 * time.Millisecond)
+			if c.after > 0 && r.now.Sub(shrunkAt) == c.after {
+				r.announce("agent-1", resource.Amount{Processor: 2000})
+			}
+			outcomes = outcomesOf(r.Tick(r.now))
+		}
+		switch {
+		case c.after > 0 && len(outcomes) > 0:
+			t.Errorf("%s: the job was answered with %+v", c.name, outcomes)
+		case c.after == 0 && len(outcomes) != 1:
+			t.Errorf("%s: got outcomes %+v within a second, want one refusal", c.name, outcomes)
+		case c.after == 0:
+			if o, ok := outcomes[0].(batch.NotRun); !ok || o.Reason != batch.TooLarge {
+				t.Errorf("%s: got %+v, want a refusal as too large", c.name, outcomes[0])
+			}
+		}
+	}
+}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -391,6 +391,7 @@
 			p.servedAt = now
 		}
 		d.endUnserved(now, p)
+		d.endTooLarge(now, p)
 	}
 	for _, s := range d.sortedServers {
 		if len(s.runs) > 0 && !s.lostRunsEndBy.IsZero() && now.After(s.lostRunsEndBy) {
@@ -430,15 +431,13 @@
 }
 
 // Stranded returns the jobs without a started task that another entry can start sooner: those of pools without a usable
-// backend server at this entry, and all if the dispatcher is draining.
+// backend server at this entry, those too large for the backend servers, and all if the dispatcher is draining.
 func (d *Dispatcher) Stranded() []batch.JobID {
 	var stranded []batch.JobID
 	for _, p := range d.sortedPools {
-		if p.served() && !d.draining {
-			continue
-		}
 		for _, j := range p.queue.jobs {
-			if !j.answered && !j.started() {
+			elsewhere := !p.served() || d.draining || !j.tooLargeSince.IsZero()
+			if elsewhere && !j.answered && !j.started() {
 				stranded = append(stranded, j.ID)
 			}
 		}
