Check the capacity before repeating a start

The agent repeats a start that was fenced, late, outdated or not carried out. It did not check the capacity again, which may have shrunk since, so that the repeated start exceeded it on a backend server that does not enforce it. The start is now refused with NoRoom.

--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -81,6 +81,10 @@
 		s.endRun(now, r, Refused, result.String())
 		return
 	}
+	if !s.inUse("").Fits(s.server.Capacity) {
+		s.endRun(now, r, Refused, NoRoom.String())
+		return
+	}
 	if result == Fenced && r.token == s.token {
 		s.raiseToken(now)
 	}
