Refuse starts until a restarted backend server has announced its capacity

After a restart under the same ID that a hold response revealed, the backend server is not offered until its announcement, but start requests that were under way were accepted within the capacity of the earlier process. The next process may be of another kind. They are now refused.

TestRestartedServerGetsNoStartsBeforeItsAnnouncement, before: a run got ends [] before the capacity was announced, want a refusal

--- a/core/supervise/capacity_test.go
+++ b/core/supervise/capacity_test.go
@@ -93,3 +93,18 @@
 	}
 }
 
+// Guards against starts within the capacity of an earlier process of the backend server, which the next one need not have.
+func TestRestartedServerGetsNoStartsBeforeItsAnnouncement(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, call := startedRun(t, now)
+	s.StartAnswered(now, call, supervise.Accepted, time.Minute)
+	for range 3 {
+		h, _ := s.NextHold(now, 0)
+		s.HoldAnswered(now, h, supervise.HoldResponse{Incarnation: 2, Clock: time.Second})
+	}
+	s.Report(now, "entry-1")
+	if ends := endsOf(s, now, "2"); len(ends) != 1 || ends[0].End != supervise.Refused {
+		t.Errorf("a run got ends %+v before the capacity was announced, want a refusal", ends)
+	}
+}
+
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -14,7 +14,7 @@
 		switch _, exists := s.runs[x.Task]; {
 		case !c.alive(now):
 			refusal = "SessionLost"
-		case !s.known || s.left || !s.runsListed || s.server.Leaving || s.draining:
+		case !s.known || s.left || !s.runsListed || s.awaitingAnnouncement || s.server.Leaving || s.draining:
 			refusal = "NoServer"
 		case s.hasOrphans():
 			refusal = "Orphans"
