Keep the sequence number of a restored backend server

Restore reset the sequence number, so that a restarted agent took a delayed announcement that was older than the saved state, and used its capacity until the next one. The number is now kept.

TestRestoredCapacityIsNotReplacedByOlderAnnouncement, before: got a capacity of 4000m/0MiB/0 from the older announcement

--- a/core/supervise/capacity_test.go
+++ b/core/supervise/capacity_test.go
@@ -108,3 +108,13 @@
 	}
 }
 
+// Guards against a delayed announcement that replaces the newer state which an earlier agent has saved.
+func TestRestoredCapacityIsNotReplacedByOlderAnnouncement(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := supervise.New()
+	s.Restore(now, announced(5, 1000))
+	s.Announce(now, announced(4, 4000))
+	if got, _ := s.Server(); got.Capacity.Processor != 1000 {
+		t.Errorf("got a capacity of %v from the older announcement", got.Capacity)
+	}
+}
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -42,7 +42,6 @@
 	if s.known || server.ID == "" {
 		return nil
 	}
-	server.Sequence = 0
 	s.replaceServer(now, server)
 	s.restored = true
 	return s.takeActions()
