Shrink and grow the capacity of backend servers in the soak

The stand-in can change its capacity, which its next announcement reports, and plans contain such changes. They are drawn by a generator of their own, so that the other disturbances of a seed stay as they are.

--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -118,6 +118,9 @@
 		wait(ctx, d.Duration/4)
 		b.Start(d.Kind == replaceBackend)
 		return
+	case shrinkBackend:
+		s.shrink(ctx, d)
+		return
 	case slowBackend:
 		f.SlowFactor = d.Intensity
 	case failBackend:
@@ -147,6 +150,20 @@
 	})
 }
 
+// shrink reduces the capacity of a backend server for a time. If several disturbances overlap, the smallest applies.
+func (s *testSite) shrink(ctx context.Context, d disturbance) {
+	withFault(ctx, d.Duration, &s.mu, s.capacityShares, d.Target, kind(d.String()), d.Intensity,
+		func(shares map[kind]float64) {
+			capacity := fullCapacity
+			for _, share := range shares {
+				capacity.Processor = min(capacity.Processor, int(share*float64(fullCapacity.Processor)))
+			}
+			// Recorded first, so that no run starts within a grown capacity that the checker does not know.
+			s.checker.RecordCapacity(d.Target, capacity, time.Now())
+			s.backends[d.Target].SetCapacity(capacity)
+		})
+}
+
 func (s *testSite) applyToStore(ctx context.Context, d disturbance) {
 	f := standin.StoreFault{}
 	switch d.Kind {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -57,6 +57,7 @@
 	refuseRequests kind = "RefuseOrders"
 	loseResponses  kind = "LoseAnswers"
 	delayRequests  kind = "LateOrders"
+	shrinkBackend  kind = "Shrink"
 
 	storeBusy          kind = "StoreBusy"
 	storeReset         kind = "StoreReset"
@@ -82,7 +83,8 @@
 	storeKinds = []kind{
 		storeBusy, storeReset, storeNoResponse, storeSlow, storeLoseResponses, storeDelayWrites, dropHistory,
 	}
-	callerKinds = []kind{callerBurst, callerCancels, callerGiveUps}
+	capacityKinds = []kind{shrinkBackend}
+	callerKinds   = []kind{callerBurst, callerCancels, callerGiveUps}
 )
 
 func (k kind) planned() bool { return slices.Contains(plannedKinds, k) }
@@ -95,6 +97,10 @@
 	meanGap = 900 * time.Millisecond
 	// maxDuration is the upper bound of disturbance.Duration.
 	maxDuration = 4 * time.Second
+	// shrinkStretch is the factor on the duration of shrinkBackend. Most of them then outlast shrinkTimeout.
+	shrinkStretch = 3
+	// meanShrinkGap is the mean time between the starts of changes of the capacity.
+	meanShrinkGap = 4 * time.Second
 	// seriesGap is the mean time between the starts of disturbances of the same series.
 	seriesGap = 600 * time.Millisecond
 	// plannedShare is the share of the seeds with planned maintenance only. They check the guarantees that do not apply
@@ -134,11 +140,25 @@
 			plan = append(plan, disturbance{Start: at, Duration: time.Second, Kind: killProcess, Target: name})
 		}
 	}
+	if !onlyPlanned {
+		plan = append(plan, drawShrinks(seed, duration, t.backends)...)
+	}
 	plan = slices.DeleteFunc(plan, func(d disturbance) bool { return d.Start > duration })
 	slices.SortStableFunc(plan, func(a, b disturbance) int { return cmp.Compare(a.Start, b.Start) })
 	return plan
 }
 
+// drawShrinks draws changes of the capacity. They have a generator of their own, so that the other disturbances of a seed
+// are those of earlier violations.
+func drawShrinks(seed uint64, duration time.Duration, backends []string) []disturbance {
+	r := rand.New(rand.NewPCG(seed, 8))
+	var plan []disturbance
+	for at := time.Duration(0); at < duration; at += time.Duration(r.ExpFloat64() * float64(meanShrinkGap)) {
+		plan = append(plan, drawDisturbance(r, at, shrinkBackend, backends[r.IntN(len(backends))]))
+	}
+	return plan
+}
+
 func drawKind(r *rand.Rand, onlyPlanned bool) kind {
 	if onlyPlanned {
 		return plannedKinds[r.IntN(len(plannedKinds))]
@@ -158,7 +178,7 @@
 		return t.processes
 	case slices.Contains(linkKinds, k):
 		return t.links
-	case slices.Contains(backendKinds, k):
+	case slices.Contains(backendKinds, k), slices.Contains(capacityKinds, k):
 		return t.backends
 	}
 	return nil
@@ -178,6 +198,9 @@
 		d.Intensity = 2 + 8*r.Float64()
 	case failBackend, loseResponses, delayRequests, storeLoseResponses, storeDelayWrites:
 		d.Intensity = 0.05 + 0.6*r.Float64()
+	case shrinkBackend:
+		d.Intensity = 0.05 + 0.9*r.Float64() // share of the capacity that remains
+		d.Duration *= shrinkStretch
 	case callerBurst:
 		d.Intensity = 2 + 4*r.Float64()
 	case callerCancels, callerGiveUps:
--- a/soak/site.go
+++ b/soak/site.go
@@ -87,8 +87,12 @@
 	storeFaults    map[kind]standin.StoreFault
 	backendFaults  map[string]map[kind]standin.BackendFault
 	linkFaults     map[string]map[kind]linkFault
+	capacityShares map[string]map[kind]float64 // share of the capacity that remains
 }
 
+// fullCapacity is the capacity of a backend server that has not shrunk.
+var fullCapacity = resource.Amount{Processor: backendCores * 1000, Memory: 65536}
+
 func storeLinkOf(process string) string { return process + "/store" }
 
 // newSite starts a site. The clean-up function stops everything that was started.
@@ -99,7 +103,8 @@
 		processes: map[string]*process{}, links: map[string]*link{},
 		backends: map[string]*standin.Backend{}, missedChecks: map[string]int{}, storeFaults: map[kind]standin.StoreFault{},
 		backendFaults: map[string]map[kind]standin.BackendFault{}, linkFaults: map[string]map[kind]linkFault{},
-		behaviour: callerBehaviour{rateFactor: 1},
+		capacityShares: map[string]map[kind]float64{},
+		behaviour:      callerBehaviour{rateFactor: 1},
 	}
 	cleanUp := func() {
 		for i := len(s.cleanUps) - 1; i >= 0; i-- {
@@ -214,13 +219,14 @@
 			return err
 		}
 	}
-	enforces, capacity := r.Float64() < enforcingShare, resource.Amount{Processor: backendCores * 1000, Memory: 65536}
+	enforces := r.Float64() < enforcingShare
+	s.checker.RecordCapacity(name, fullCapacity, time.Now())
 	b, cleanUp, err := standin.NewBackend(standin.BackendOptions{
 		Name: name, Pool: poolName, Address: s.address(backendHosts, i, backendPort),
-		AnnounceAddress: s.address(announceLinks, i, announcePort), Capacity: capacity, Labels: []string{"a", "r1-1"},
+		AnnounceAddress: s.address(announceLinks, i, announcePort), Capacity: fullCapacity, Labels: []string{"a", "r1-1"},
 		ClockRate: 1 + maxClockDrift*(2*r.Float64()-1), EnforcesCapacity: enforces, Seed: s.options.seed + uint64(i),
 		Events: standin.BackendEvents{
-			RunStarted:        func(x standin.Run) { s.checker.RunStarted(x, enforces, capacity) },
+			RunStarted:        func(x standin.Run) { s.checker.RunStarted(x, enforces) },
 			RunEnded:          s.checker.RunEnded,
 			LeaveAcknowledged: s.checker.RecordLeaveNotice,
 		},
