--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -111,6 +111,7 @@
 	decidingAgent string     // agent of the run that decided the outcome; empty if none did
 	lastServer    *server    // backend server of the latest start
 	resubmission  *batch.Job // the job as submitted again while its runs are being stopped
+	tooLargeSince time.Time  // when a waiting job ceased to fit on any backend server; zero if it fits
 }
 
 // started reports whether a start request was sent that may have taken effect.
@@ -266,7 +267,10 @@
 		p := l.Pools[s.info.Pool]
 		if !s.degraded() {
 			p.Healthy = true
-			p.Free = p.Free.Plus(d.pool(s.info.Pool).usableCapacity(s.free()))
+			// Nothing fits on a backend server that has shrunk below what is in use in any resource.
+			if free := s.free(); free.Valid() {
+				p.Free = p.Free.Plus(d.pool(s.info.Pool).usableCapacity(free))
+			}
 		}
 		p.Largest.Processor = max(p.Largest.Processor, s.capacity.Processor)
 		p.Largest.Memory = max(p.Largest.Memory, s.capacity.Memory)
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -14,7 +14,7 @@
 		switch _, exists := s.runs[x.Task]; {
 		case !c.alive(now):
 			refusal = "SessionLost"
-		case !s.known || s.left || !s.runsListed || s.server.Leaving || s.draining:
+		case !s.known || s.left || !s.runsListed || s.awaitingAnnouncement || s.server.Leaving || s.draining:
 			refusal = "NoServer"
 		case s.hasOrphans():
 			refusal = "Orphans"
@@ -81,6 +81,10 @@
 		s.endRun(now, r, Refused, result.String())
 		return
 	}
+	if !s.inUse("").Fits(s.server.Capacity) {
+		s.endRun(now, r, Refused, NoRoom.String())
+		return
+	}
 	if result == Fenced && r.token == s.token {
 		s.raiseToken(now)
 	}
