Reset the connections of callers and entries at the same moment in the soak

Cause: the soak reset connections of one link at a time, so that a withdrawal was never lost together with the connection of its caller. Change: a disturbance that resets a share of the connections of an entry's callers and of its peers and agents at once, drawn apart from the others, so that earlier seeds keep theirs. Result: TestPlans.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -45,6 +45,7 @@
 
 	delayLink      kind = "Delay"
 	resetLink      kind = "Reset"
+	resetEntry     kind = "ResetEntry" // connections of callers and of other processes at the same moment
 	blackholeLink  kind = "Silence"
 	blockForward   kind = "CutForward"
 	blockBackward  kind = "CutBackward"
@@ -84,13 +85,14 @@
 		storeBusy, storeReset, storeNoResponse, storeSlow, storeLoseResponses, storeDelayWrites, dropHistory,
 	}
 	capacityKinds = []kind{shrinkBackend}
+	entryKinds    = []kind{resetEntry}
 	callerKinds   = []kind{callerBurst, callerCancels, callerGiveUps}
 )
 
 func (k kind) planned() bool { return slices.Contains(plannedKinds, k) }
 
 // targets lists what a plan may disturb.
-type targets struct{ processes, links, backends []string }
+type targets struct{ processes, entries, links, backends []string }
 
 const (
 	// meanGap is the mean time between the starts of independent disturbances. Most last longer, so they overlap.
@@ -99,8 +101,9 @@
 	maxDuration = 4 * time.Second
 	// shrinkStretch is the factor on the duration of shrinkBackend. Most of them then outlast shrinkTimeout.
 	shrinkStretch = 3
-	// meanShrinkGap is the mean time between the starts of changes of the capacity.
+	// meanShrinkGap and meanEntryGap are the mean times between the starts of disturbances of these groups.
 	meanShrinkGap = 4 * time.Second
+	meanEntryGap  = 3 * time.Second
 	// seriesGap is the mean time between the starts of disturbances of the same series.
 	seriesGap = 600 * time.Millisecond
 	// plannedShare is the share of the seeds with planned maintenance only. They check the guarantees that do not apply
@@ -141,22 +144,21 @@
 		}
 	}
 	if !onlyPlanned {
-		plan = append(plan, drawShrinks(seed, duration, t.backends)...)
+		// These have generators of their own, so that the other disturbances of a seed are those of earlier violations.
+		plan = append(plan, drawGroup(rand.New(rand.NewPCG(seed, 8)), duration, meanShrinkGap, shrinkBackend, t.backends)...)
+		plan = append(plan, drawGroup(rand.New(rand.NewPCG(seed, 9)), duration, meanEntryGap, resetEntry, t.entries)...)
 	}
 	plan = slices.DeleteFunc(plan, func(d disturbance) bool { return d.Start > duration })
 	slices.SortStableFunc(plan, func(a, b disturbance) int { return cmp.Compare(a.Start, b.Start) })
 	return plan
 }
 
-// drawShrinks draws changes of the capacity. They have a generator of their own, so that the other disturbances of a seed
-// are those of earlier violations.
-func drawShrinks(seed uint64, duration time.Duration, backends []string) []disturbance {
-	r := rand.New(rand.NewPCG(seed, 8))
-	var plan []disturbance
-	for at := time.Duration(0); at < duration; at += time.Duration(r.ExpFloat64() * float64(meanShrinkGap)) {
-		plan = append(plan, drawDisturbance(r, at, shrinkBackend, backends[r.IntN(len(backends))]))
+// drawGroup draws disturbances of one kind at random intervals.
+func drawGroup(r *rand.Rand, duration, meanGap time.Duration, k kind, candidates []string) (group []disturbance) {
+	for at := time.Duration(0); at < duration; at += time.Duration(r.ExpFloat64() * float64(meanGap)) {
+		group = append(group, drawDisturbance(r, at, k, candidates[r.IntN(len(candidates))]))
 	}
-	return plan
+	return group
 }
 
 func drawKind(r *rand.Rand, onlyPlanned bool) kind {
@@ -190,7 +192,7 @@
 		Duration: time.Duration((0.05 + 0.95*r.Float64()) * float64(maxDuration)),
 	}
 	switch k {
-	case resetLink, blackholeLink:
+	case resetLink, resetEntry, blackholeLink:
 		d.Intensity = 0.2 + 0.8*r.Float64() // share of the connections
 	case delayLink, storeSlow:
 		d.Intensity = 0.02 + 0.3*r.Float64() // seconds
--- a/soak/site.go
+++ b/soak/site.go
@@ -271,7 +271,7 @@
 
 // targets returns all targets that a plan may disturb.
 func (s *testSite) targets() targets {
-	t := targets{backends: s.agents}
+	t := targets{entries: s.entries, backends: s.agents}
 	t.processes = append(append(t.processes, s.entries...), s.agents...)
 	for _, name := range s.entries {
 		t.links = append(t.links, name+"/callers", name+"/inner", storeLinkOf(name))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,7 +33,8 @@
 // drawn.
 func TestPlans(t *testing.T) {
 	all := targets{
-		processes: []string{"entry-1", "agent-1"}, links: []string{"entry-1/inner"}, backends: []string{"agent-1"},
+		processes: []string{"entry-1", "agent-1"}, entries: []string{"entry-1"}, links: []string{"entry-1/inner"},
+		backends: []string{"agent-1"},
 	}
 	seen := map[kind]bool{}
 	for seed := range uint64(60) {
@@ -45,7 +46,7 @@
 			seen[d.Kind] = true
 		}
 	}
-	for _, kinds := range [][]kind{plannedKinds, processKinds, linkKinds, backendKinds, storeKinds, callerKinds, capacityKinds} {
+	for _, kinds := range [][]kind{plannedKinds, processKinds, linkKinds, backendKinds, storeKinds, callerKinds, capacityKinds, entryKinds} {
 		for _, k := range kinds {
 			if !seen[k] {
 				t.Errorf("no plan contains %s", k)
