--- a/cmd/dogwoodglade/fleet.go
+++ b/cmd/dogwoodglade/fleet.go
@@ -162,7 +162,7 @@
 	e, closeEntry, err := batchentry.New(batchentry.Options{
 		Name: f.settings.Name, Region: f.settings.Region, DataCentre: f.settings.DataCentre,
 		Address: f.settings.InnerAddress, Weight: max(f.settings.ProcessorShare, minWeight), Seeds: f.settings.Seeds,
-		Directory: platform.NewStore(f.settings.StoreAddress), Logger: f.logger, Metrics: f.metrics,
+		Directory: platform.NewStore(f.settings.StoreAddress, f.metrics), Logger: f.logger, Metrics: f.metrics,
 		Dial: platform.Dialer().DialContext, Now: boottime.Now,
 		Listen: func(address string) (net.Listener, error) {
 			return listenTCP(cmp.Or(cmd.String("inner-listen"), address))
@@ -202,7 +202,7 @@
 	defer f.cleanUp()
 	a, closeAgent := batchagent.New(batchagent.Options{
 		Name: f.settings.Name, Region: f.settings.Region, DataCentre: f.settings.DataCentre, Seeds: f.settings.Seeds,
-		Directory: platform.NewStore(f.settings.StoreAddress), Server: platform.NewServer(f.settings.ServerAddress),
+		Directory: platform.NewStore(f.settings.StoreAddress, f.metrics), Server: platform.NewServer(f.settings.ServerAddress),
 		Logger: f.logger, Metrics: f.metrics, Dial: platform.Dialer().DialContext, Now: boottime.Now,
 	})
 	f.cleanUps = append(f.cleanUps, closeAgent)
