Ignore impossible weights of entries

A weight that is negative, infinite or not a number changed how agents choose among all entries: the sum of the weights was no number any more, or below zero, so that one entry became the only dispatcher. An entry with a huge weight became the only dispatcher itself, also if nobody could reach it.

Such weights count as 0.

On the code before, with eight equal entries: home_test.go:189: weight -100: got map[a-x-0:8000], want map[a-x-0:4000 b-x-0:4000] home_test.go:189: weight 1e+300: got map[odd:8000], want ... go test -race ./core/home ./batchentry passes.

--- a/core/home/home.go
+++ b/core/home/home.go
@@ -28,7 +28,12 @@
 	Weight     float64 // agents are distributed in proportion to it; the cores that the entry may use, often a fraction
 }
 
+// WeightPlausible reports whether the weight can be that of an entry. Any other weight counts as 0.
+func (e Entry) WeightPlausible() bool { return e.Weight >= 0 && e.Weight <= maxWeight }
+
 const (
+	// maxWeight is more cores than any host has.
+	maxWeight = 4096
 	// minWeight is the least factor on the weight of an entry, and its square is the least weight, so that an entry with
 	// little or no weight stays in the ranking.
 	minWeight = 1e-3
@@ -41,6 +46,12 @@
 // too small to serve this agent as well, then the other dispatchers of its region, then the other entries of its region,
 // then the rest. Each of these groups is ordered by weighted rendezvous hashing.
 func Rank(agent, region, dataCentre string, entries []Entry) []Entry {
+	entries = slices.Clone(entries)
+	for i, e := range entries {
+		if !e.WeightPlausible() {
+			entries[i].Weight = 0
+		}
+	}
 	isDispatcher := dispatchers(region, entries)
 	weights := map[string]float64{} // weight of the dispatchers by data centre of the region
 	regionWeight := 0.0
@@ -74,15 +85,14 @@
 		}
 		return e.Weight
 	}
-	ranked := slices.Clone(entries)
-	slices.SortFunc(ranked, func(a, b Entry) int {
+	slices.SortFunc(entries, func(a, b Entry) int {
 		return cmp.Or(
 			cmp.Compare(tier(a), tier(b)),
 			cmp.Compare(score(agent, b.Name, weight(b)), score(agent, a.Name, weight(a))),
 			cmp.Compare(a.Name, b.Name),
 		)
 	})
-	return ranked
+	return entries
 }
 
 // dispatchers returns the names of the entries of a region that agents choose as their homes: the fewest, largest
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
 	"slices"
 	"testing"
 
@@ -168,3 +170,24 @@
 		entries = slices.DeleteFunc(entries, func(e home.Entry) bool { return count[e.Name] > 0 })
 	}
 }
+
+// Guards against one entry with an impossible weight that changes how agents are distributed over the others.
+func TestImpossibleWeightChangesNoOther(t *testing.T) {
+	entries := slices.Concat(entriesOf("a", "x", 4, 0.4), entriesOf("b", "x", 4, 0.4))
+	count := func(list []home.Entry) map[string]int {
+		total := countFirstChoices(t, "a", list)
+		for name, n := range countFirstChoices(t, "b", list) {
+			total[name] += n
+		}
+		return total
+	}
+	want := count(entries)
+	for _, weight := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -100, 1e300} {
+		odd := home.Entry{Name: "odd", Address: "10.0.0.9:99999", Region: "r", DataCentre: "a", Weight: weight}
+		for _, list := range [][]home.Entry{append([]home.Entry{odd}, entries...), append(slices.Clone(entries), odd)} {
+			if got := count(list); !maps.Equal(got, want) {
+				t.Errorf("weight %v: got %v, want %v", weight, got, want)
+			}
+		}
+	}
+}
