Do not connect an entry to itself

The connector compares an address only as text with the address of its own process. A row with an address without a host, or with another name of the same host, made an entry connect to itself, count itself among the others and offer them its own room for jobs to be passed on.

Both ends of a connection compare incarnations in the handshake, and the connector gives up such an address.

--- a/io/inner/connector.go
+++ b/io/inner/connector.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Delays of a Connector.
@@ -61,7 +63,8 @@
 }
 
 // maintain reconnects to the address whenever its connection is closed. It closes the old connection before it opens
-// the next one, so that no message of the old connection is handled after the new handshake.
+// the next one, so that no message of the old connection is handled after the new handshake. It gives up an address at
+// which this process reaches itself.
 func (c *Connector) maintain(address string, discovered bool) {
 	wait := minRedialDelay
 	lastConnected := time.Now()
@@ -76,7 +79,8 @@
 			p.Close()
 			lastConnected = time.Now()
 		}
-		if discovered && time.Since(lastConnected) > forgetUnreachableAfter {
+		var self *SelfError
+		if errors.As(err, &self) || (discovered && time.Since(lastConnected) > forgetUnreachableAfter) {
 			return
 		}
 		// Jitter prevents the peers of a restarted process from reconnecting all at once.
--- a/io/inner/hello.go
+++ b/io/inner/hello.go
@@ -44,6 +44,10 @@
 		p.Close()
 		return nil, errors.WithStack(&VersionError{Peer: address, Got: reply.Version})
 	}
+	if reply.Identity.Incarnation == local.Identity.Incarnation {
+		p.Close()
+		return nil, errors.WithStack(&SelfError{Address: address})
+	}
 	p.Identity = reply.Identity
 	announceConnected(p, h, ready)
 	return p, nil
@@ -169,15 +173,15 @@
 	s.running.Go(func() { s.watch(p, handshakeDone) })
 }
 
-// handleHello validates a dialler's Hello. A dialler with another protocol version is not accepted, but gets this
-// process's version in an ordinary reply, so that it can report the mismatch.
+// handleHello validates a dialler's Hello. A dialler with another protocol version, or this process itself, is not
+// accepted, but gets an ordinary reply, so that it can report the reason.
 func (s *server) handleHello(p *Peer, message json.RawMessage) (accepted bool, err error) {
 	var h hello
 	if err := json.Unmarshal(message, &h); err != nil || h.Identity.Name == "" || h.Identity.Incarnation == "" {
 		return false, errors.WithStack(&HandshakeError{Peer: "dialler", Want: "a Hello with name and incarnation"})
 	}
 	p.Identity = h.Identity
-	return h.Version == Version, nil
+	return h.Version == Version && h.Identity.Incarnation != s.local.Identity.Incarnation, nil
 }
 
 // watch closes the connection if no valid Hello arrives within handshakeTimeout, and removes it from the peers once it
--- a/io/inner/protocol.go
+++ b/io/inner/protocol.go
@@ -58,6 +58,14 @@
 		"upgrade the older one", e.Peer, e.Got, Version)
 }
 
+// SelfError reports an address at which the process reaches itself.
+type SelfError struct{ Address string }
+
+// Error implements error.
+func (e *SelfError) Error() string {
+	return fmt.Sprintf("connect to %s: it is an address of this process", e.Address)
+}
+
 // FrameTooLargeError reports a message that is larger than MaxFrame.
 type FrameTooLargeError struct{ Size uint64 }
 
