Apply a foreign announcement only when the process it names responds

An agent took every well-formed announcement with a higher start time as a replacement of its backend server. One of another writer therefore ended all runs as lost while they continued, so that entries started their tasks a second time; later announcements of the real backend server were ignored for ever, because their start time was lower. Under the ID of the real one, a sequence number at the limit had the same effect, and a clock far ahead raised the lease and the fencing token for good.

An announcement of another process is put aside while the known one responds, and is applied when another process responds in its place. If no process responds as announced, an earlier incarnation may announce itself. Within an incarnation, the pool must stay, and the clock and sequence number must be plausible. The agent saves the state that it uses, not what was announced.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -383,12 +383,12 @@
 // after the state has been saved or the save has failed. The save precedes the acknowledgement to the backend server,
 // because a restarted agent must know that the backend server is leaving if this has been acknowledged.
 func (a *Agent) HandleAnnouncement(s supervise.Server) {
-	if a.applyAnnouncement(s) {
-		a.save(s)
+	if current, changed := a.applyAnnouncement(s); changed {
+		a.save(current)
 	}
 }
 
-func (a *Agent) applyAnnouncement(s supervise.Server) (changed bool) {
+func (a *Agent) applyAnnouncement(s supervise.Server) (current supervise.Server, changed bool) {
 	a.withSupervisor(func(now time.Time) []supervise.Action {
 		before, _ := a.supervisor.Server()
 		actions := a.supervisor.Announce(now, s)
@@ -401,11 +401,11 @@
 			a.log(number).Str("Peer", after.ID).Int64("Born", after.Incarnation).Stringer("Capacity", after.Capacity).
 				Int("Running", a.supervisor.TotalRunCount()).Send()
 		}
-		changed = !after.Equivalent(a.saved)
+		current, changed = after, !after.Equivalent(a.saved)
 		a.signalServerKnown()
 		return actions
 	})
-	return changed
+	return current, changed
 }
 
 // HandleLeaveNotice handles the notice that the backend server has shut down as planned.
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -13,12 +13,45 @@
 
 // Announce processes an announcement of the backend server. It ignores announcements of an earlier incarnation and
 // those that arrive after a later one.
+//
+// An announcement may come from another writer. One that names another process than the one that responds is only
+// applied once the latter no longer responds in its place.
 func (s *Supervisor) Announce(now time.Time, server Server) []Action {
-	if server.Incarnation < s.server.Incarnation ||
-		(server.Incarnation == s.server.Incarnation && server.Sequence < s.server.Sequence && s.known) ||
-		(server.ID == s.leftID && server.Incarnation <= s.leftIncarnation) {
+	same := s.known && server.ID == s.server.ID && server.Incarnation == s.server.Incarnation
+	switch {
+	case server.ID == s.leftID && server.Incarnation <= s.leftIncarnation,
+		server.Incarnation < s.server.Incarnation && !s.misdirected,
+		same && !s.plausible(now, server):
+		return nil
+	case s.known && !same && s.responded && !s.left && !s.misdirected:
+		s.candidate, s.candidateAt = &server, now
 		return nil
 	}
+	s.applyAnnouncement(now, server)
+	return s.takeActions()
+}
+
+// plausible reports whether an announcement of the known incarnation can be a later one of the same process.
+func (s *Supervisor) plausible(now time.Time, server Server) bool {
+	if server.Sequence < s.server.Sequence {
+		return false
+	}
+	if !s.responded || s.awaitingAnnouncement {
+		return true
+	}
+	return server.Pool == s.server.Pool && server.Clock <= s.serverClock(now)+maxClockLead &&
+		(s.server.Sequence == 0 || server.Sequence-s.server.Sequence <= maxSequenceLead)
+}
+
+// applyCandidate applies the announcement that was put aside, if there is one.
+func (s *Supervisor) applyCandidate(now time.Time) {
+	if c := s.candidate; c != nil {
+		s.candidate = nil
+		s.applyAnnouncement(now, *c)
+	}
+}
+
+func (s *Supervisor) applyAnnouncement(now time.Time, server Server) {
 	switch {
 	case !s.known || server.ID != s.server.ID:
 		s.replaceServer(now, server)
@@ -32,7 +65,6 @@
 	if changed {
 		s.reportAll()
 	}
-	return s.takeActions()
 }
 
 // Restore sets the backend server to the one that an earlier agent on the host had recorded, so that a restarted agent
@@ -62,6 +94,7 @@
 		r.state, r.token, r.serverRestarted = unconfirmed, s.token, true
 	}
 	s.server.Incarnation, s.server.Sequence = incarnation, 0
+	s.responded, s.misdirected, s.announcedAt = false, false, now
 	s.left, s.runsListed, s.awaitingAnnouncement = false, false, true
 	s.unansweredHolds, s.lastEndSequence = 0, 0
 	s.clock, s.clockAt = clock, now
@@ -77,6 +110,7 @@
 	s.unknownRuns = map[batch.TaskID]unknownRun{}
 	s.runNumbers = map[batch.TaskID]endedRunNumber{}
 	s.server = server
+	s.responded, s.misdirected, s.announcedAt, s.candidate = false, false, now, nil
 	s.known, s.left, s.runsListed = true, false, false
 	s.unansweredHolds, s.lastEndSequence = 0, 0
 	s.clock, s.clockAt = server.Clock, now
@@ -158,7 +192,12 @@
 
 // HoldAnswered processes the response to a call from NextHold or CallHold.
 func (s *Supervisor) HoldAnswered(now time.Time, h Hold, response HoldResponse) []Action {
-	if !s.known || h.Server != s.server.ID || response.Incarnation < s.server.Incarnation {
+	if !s.known || h.Server != s.server.ID {
+		return nil
+	}
+	if response.Incarnation < s.server.Incarnation {
+		// If the call was made after the announcement, the announced incarnation does not exist.
+		s.misdirected = s.misdirected || (!s.responded && h.createdAt.After(s.announcedAt))
 		return nil
 	}
 	if s.restored && response.Incarnation != s.server.Incarnation {
@@ -168,8 +207,15 @@
 	s.restored = false
 	if response.Incarnation > s.server.Incarnation {
 		s.serverRestarted(now, response.Incarnation, response.Clock)
+		if c := s.candidate; c != nil && c.ID == s.server.ID && c.Incarnation == s.server.Incarnation {
+			s.applyCandidate(now)
+		}
 		return s.takeActions()
 	}
+	s.responded, s.misdirected = true, false
+	if h.createdAt.After(s.candidateAt) {
+		s.candidate = nil
+	}
 	wasSilent := s.silent()
 	s.unansweredHolds, s.fencedHolds = 0, 0
 	s.observeClock(now, response.Clock)
@@ -263,6 +309,11 @@
 		s.dropRestored()
 		return s.takeActions()
 	}
+	s.misdirected = true
+	if s.candidate != nil {
+		s.applyCandidate(now)
+		return s.takeActions()
+	}
 	return s.HoldFailed(now, h)
 }
 
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -57,6 +57,13 @@
 // maxClockDrift is by how much the clock of a backend server may run slower or faster than the agent's.
 const maxClockDrift = 0.02
 
+// maxClockLead and maxSequenceLead limit by how much the clock reading and the sequence number in an announcement may be
+// ahead of what is known. Announcements arrive seconds late at most.
+const (
+	maxClockLead    = time.Minute
+	maxSequenceLead = 1 << 20
+)
+
 // maxServerLease is the longest lease that a backend server accepts. If it restarts without the agent's knowledge,
 // its clock starts again from zero, so that the end of a lease sent by the agent lies far ahead on that clock. The
 // backend server shortens the lease to this limit.
@@ -284,6 +291,11 @@
 // Supervisor is the state machine that supervises the runs of one agent. It is not safe for concurrent use.
 type Supervisor struct {
 	server               Server
+	responded            bool      // the backend server has responded as the announced incarnation
+	misdirected          bool      // another process has responded in its place
+	announcedAt          time.Time // when it was first announced or restored
+	candidate            *Server   // announced in place of server; unconfirmed
+	candidateAt          time.Time
 	known                bool // a backend server has announced itself or was restored
 	left                 bool // it has left, as announced
 	unansweredHolds      int  // consecutive Hold calls without a response
