Keep huge estimates and demands from overflowing the queue

The queue sums predicted processor time in thousandths of a core times nanoseconds. One job of 4096 tasks of 32 cores with an estimate of 71 s exceeds the range, after which the queue seems empty or negative and every job is accepted. Demands near the limit of their type overflowed likewise.

Predicted run times are limited to ten minutes, the unit is microseconds, and a demand of more than 2^20 of a resource makes a job invalid.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -19,6 +19,8 @@
 const (
 	MaxSteps = 64
 	MaxTasks = 4096 // over all steps
+	// MaxDemand is the limit of each resource of a task. It is beyond any host, and keeps sums over many tasks in range.
+	MaxDemand = 1 << 20
 )
 
 // JobID identifies a job. The caller chooses it, and a resubmission has the same one.
@@ -104,6 +106,8 @@
 			return invalid("step %d has %d tasks, want 1 to %d", i, s.Count, MaxTasks)
 		case !s.Demand.Valid():
 			return invalid("step %d has a negative demand", i)
+		case max(s.Demand.Processor, s.Demand.Memory, s.Demand.Accelerators) > MaxDemand:
+			return invalid("step %d has a demand of %v, want at most %d of each resource", i, s.Demand, MaxDemand)
 		case s.Estimate < 0 || s.MaxPerServer < 0:
 			return invalid("step %d has a negative estimate or limit", i)
 		}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -108,15 +108,15 @@
 	j.waitingWork += t.waitingWork
 }
 
-// coreTime is processor time in thousandths of a core times nanoseconds. It is an integer, so that exactly what was
+// coreTime is processor time in thousandths of a core times microseconds. It is an integer, so that exactly what was
 // added when a task began to wait is subtracted when it starts, and an empty queue sums to 0.
 type coreTime int64
 
-func (c coreTime) seconds() float64 { return float64(c) / 1000 / float64(time.Second) }
+func (c coreTime) seconds() float64 { return float64(c) / 1000 / float64(time.Second/time.Microsecond) }
 
 // predictWork predicts the processor time of a task.
 func predictWork(r *routeState, s *step) coreTime {
-	return coreTime(r.predictRunTime(s.Estimate)) * coreTime(s.Demand.Processor)
+	return coreTime(r.predictRunTime(s.Estimate).Microseconds()) * coreTime(s.Demand.Processor)
 }
 
 // admit decides whether a job is accepted. A job that would wait too long is refused on arrival, so that its caller
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -12,6 +12,8 @@
 	priorRuns = 5
 	// overheadAllowance is the time that a job needs besides its runs, for messages, start requests and answers.
 	overheadAllowance = 15 * time.Millisecond
+	// maxRunTime limits predicted run times. It is longer than any caller waits.
+	maxRunTime = 10 * time.Minute
 	// lateFactor is the multiple of the target time up to which a late answer is still useful to the caller.
 	lateFactor = 3
 
@@ -66,7 +68,7 @@
 
 // predictRunTime predicts the run time of a task on a typical backend server.
 func (r *routeState) predictRunTime(estimate time.Duration) time.Duration {
-	return time.Duration(float64(estimate) * r.runTimeRatio)
+	return time.Duration(min(float64(estimate)*r.runTimeRatio, float64(maxRunTime)))
 }
 
 // shouldShed reports whether to refuse the next job of the route, so that the given share of jobs is refused. The
