--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -399,7 +399,7 @@
 // after the state has been saved or the save has failed. The save precedes the acknowledgement to the backend server,
 // because a restarted agent must know that the backend server is leaving if this has been acknowledged.
 func (a *Agent) HandleAnnouncement(s supervise.Server) {
-	// An overtaken announcement does not change the state, and must not be saved in its place.
+	// An announcement that is ignored or put aside must not be saved in place of the current state.
 	if current, changed := a.applyAnnouncement(s); changed {
 		a.save(current)
 	}
