Tell a crash of a backend server from silence

Cause: every run that ended with its backend server was reported as Lost, whether the server had crashed, was cut off or hung. A task that crashes its backend server cannot be told from one whose server lost its connection. A start to whose address nobody listened counted as Unanswered, as if it could have run. Callers saw: server after server lost to the same task, and jobs that waited behind it. Change: an agent reports Crashed if the process ended without a leave notice: a connection was refused, or another process announced itself or responded. Ends are reported no earlier than before. A start whose connection was refused is reported as Refused. A backend server that does not listen is not offered. Older entries handle the new end like Lost.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -62,7 +62,7 @@
 	// Stop stops a run. It reports whether the backend server confirmed the call.
 	Stop(ctx context.Context, c supervise.CallStop) (answered bool, clock time.Duration)
 	// Hold lists the runs and renews their lease. It returns a FencedError if the backend server has seen a higher
-	// fencing token.
+	// fencing token, and a NotListeningError if nothing listens at its address.
 	Hold(ctx context.Context, h supervise.Hold) (supervise.HoldResponse, error)
 }
 
@@ -90,6 +90,17 @@
 	Server(ctx context.Context, agent string) (supervise.Server, error)
 }
 
+// NotListeningError reports that the connection was refused because nothing listens at the address of the backend server.
+type NotListeningError struct{ Cause error }
+
+// Error implements error.
+func (e *NotListeningError) Error() string {
+	return "the backend server does not listen: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NotListeningError) Unwrap() error { return e.Cause }
+
 // Options configure an agent.
 type Options struct {
 	Name       string
@@ -307,6 +318,7 @@
 	response, err := a.options.Server.Hold(ctx, h)
 	var fenced *FencedError
 	var misdirected *MisdirectedError
+	var notListening *NotListeningError
 	a.withSupervisor(func(now time.Time) []supervise.Action {
 		switch {
 		case err == nil:
@@ -315,6 +327,9 @@
 			return a.supervisor.HoldFenced(now, h, fenced.Clock)
 		case errors.As(err, &misdirected):
 			return a.supervisor.HoldMisdirected(now, h)
+		case errors.As(err, &notListening):
+			a.spareHoldUntil = now.Add(spareHoldPeriod)
+			return a.supervisor.HoldRefused(now, h)
 		default:
 			a.spareHoldUntil = now.Add(spareHoldPeriod)
 			return a.supervisor.HoldFailed(now, h)
--- a/batchentry/log.go
+++ b/batchentry/log.go
@@ -92,7 +92,7 @@
 	switch x.End {
 	case supervise.Done:
 		return
-	case supervise.Lost:
+	case supervise.Lost, supervise.Crashed:
 		number = event.TaskLost
 	case supervise.Refused:
 		number = event.TaskRefused
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -66,6 +66,9 @@
 		s.restart(now, r, result, r.number)
 	case Outdated:
 		s.restart(now, r, result, r.number+runNumberStep)
+	case NotListening:
+		s.endProcess()
+		s.endRun(now, r, Refused, result.String())
 	default:
 		s.endRun(now, r, Refused, result.String())
 	}
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -59,10 +59,10 @@
 // are fenced, and the next Hold response shows which runs exist there.
 func (s *Supervisor) serverRestarted(now time.Time, incarnation int64, clock time.Duration) {
 	for _, r := range s.runs {
-		r.state, r.token, r.serverRestarted = unconfirmed, s.token, true
+		r.state, r.token, r.serverRestarted, r.crashed = unconfirmed, s.token, true, !s.leaves()
 	}
 	s.server.Incarnation, s.server.Sequence = incarnation, 0
-	s.left, s.runsListed, s.awaitingAnnouncement = false, false, true
+	s.left, s.processEnded, s.runsListed, s.awaitingAnnouncement = false, false, false, true
 	s.unansweredHolds, s.lastEndSequence = 0, 0
 	s.clock, s.clockAt = clock, now
 	s.raiseToken(now)
@@ -71,13 +71,17 @@
 
 // replaceServer replaces the earlier backend server. Its runs have ended with its process.
 func (s *Supervisor) replaceServer(now time.Time, server Server) {
+	end := Crashed
+	if s.leaves() {
+		end = Lost
+	}
 	for _, r := range s.sortedRuns() {
-		s.endRun(now, r, Lost, "")
+		s.endRun(now, r, end, "")
 	}
 	s.unknownRuns = map[batch.TaskID]unknownRun{}
 	s.runNumbers = map[batch.TaskID]endedRunNumber{}
 	s.server = server
-	s.known, s.left, s.runsListed = true, false, false
+	s.known, s.left, s.processEnded, s.runsListed = true, false, false, false
 	s.unansweredHolds, s.lastEndSequence = 0, 0
 	s.clock, s.clockAt = server.Clock, now
 	s.leasesEndBy = now
@@ -98,6 +102,18 @@
 	return s.takeActions()
 }
 
+// leaves reports whether the backend server has left or has announced that it will.
+func (s *Supervisor) leaves() bool { return s.left || s.server.Leaving }
+
+// endProcess records that the process of the backend server has ended. Its runs end with it, but a lease may still apply
+// to them at a process that only stopped listening, so they are reported when the lease has expired.
+func (s *Supervisor) endProcess() {
+	if !s.processEnded {
+		s.processEnded = true
+		s.reportAll()
+	}
+}
+
 func (s *Supervisor) reportAll() {
 	for _, entry := range s.sortedEntries() {
 		s.addReport(entry)
@@ -170,7 +186,8 @@
 		s.serverRestarted(now, response.Incarnation, response.Clock)
 		return s.takeActions()
 	}
-	wasSilent := s.silent()
+	wasSilent := s.silent() || s.processEnded
+	s.processEnded = false
 	s.unansweredHolds, s.fencedHolds = 0, 0
 	s.observeClock(now, response.Clock)
 	for _, e := range response.Ended {
@@ -227,6 +244,8 @@
 		switch {
 		case present[r.Task]:
 			s.runStarted(now, r)
+		case r.crashed:
+			s.endRun(now, r, Crashed, "")
 		case r.serverRestarted:
 			s.endRun(now, r, Lost, "")
 		default:
@@ -263,6 +282,16 @@
 		s.dropRestored()
 		return s.takeActions()
 	}
+	s.endProcess()
+	return s.HoldFailed(now, h)
+}
+
+// HoldRefused handles a call whose connection was refused because nothing listens at the address of the backend server.
+func (s *Supervisor) HoldRefused(now time.Time, h Hold) []Action {
+	if !s.known || h.Server != s.server.ID {
+		return nil
+	}
+	s.endProcess()
 	return s.HoldFailed(now, h)
 }
 
--- a/core/supervise/session.go
+++ b/core/supervise/session.go
@@ -99,13 +99,17 @@
 	return ended, s.takeActions()
 }
 
-// expireRuns counts all runs as lost if the backend server does not respond or has left, and its lease has expired.
+// expireRuns counts all runs as ended if the backend server does not respond or has left, and its lease has expired.
 func (s *Supervisor) expireRuns(now time.Time) {
 	if (s.unansweredHolds == 0 && !s.left) || !now.After(s.leasesEndBy) {
 		return
 	}
+	end := Lost
+	if s.processEnded && !s.leaves() {
+		end = Crashed
+	}
 	for _, r := range s.sortedRuns() {
-		s.endRun(now, r, Lost, "")
+		s.endRun(now, r, end, "")
 	}
 	s.unknownRuns = map[batch.TaskID]unknownRun{}
 }
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -9,7 +9,8 @@
 // A request without a response may still be carried out later. The agent then raises its fencing token. The backend
 // server learns the new token from the next request that it responds to, and refuses the old request from then on.
 //
-// The runs of a backend server that does not respond count as ended when the lease has expired.
+// The runs of a backend server that does not respond count as ended when the lease has expired. They are reported as
+// Crashed if its process is known to have ended, and as Lost otherwise.
 //
 // The package opens no connections and reads no clock. It is called by batchagent, which carries out its actions.
 package supervise
@@ -110,7 +111,8 @@
 	Done    End = "Done"
 	Failed  End = "Failed"  // the task or the backend server failed
 	Stopped End = "Stopped" // on request
-	Lost    End = "Lost"    // its lease expired, or the backend server exited
+	Lost    End = "Lost"    // its lease expired, or the backend server left
+	Crashed End = "Crashed" // the process of the backend server ended during the run, without a leave notice
 	Refused End = "Refused" // it was not started
 )
 
@@ -224,10 +226,12 @@
 	OtherServer              // another process responded in place of the backend server
 	Unanswered               // no response; the request may still be carried out
 	Unacceptable             // the request was malformed
+	NotListening             // the connection was refused, so the request was not sent
 )
 
 var resultNames = [...]string{
 	"Accepted", "Fenced", "Outdated", "Late", "NoRoom", "Unhealthy", "OtherServer", "Unanswered", "Unacceptable",
+	"NotListening",
 }
 
 // String returns the name of the result for logs.
@@ -254,6 +258,7 @@
 	restarts  int
 
 	serverRestarted bool // the backend server restarted after the start call
+	crashed         bool // it had not announced that it would leave
 	stopping        bool
 	stopSentAt      time.Time // when the latest stop call was sent
 	sessionEnded    bool
@@ -286,6 +291,7 @@
 	server               Server
 	known                bool // a backend server has announced itself or was restored
 	left                 bool // it has left, as announced
+	processEnded         bool // nothing listens at its address, or another process responded there
 	unansweredHolds      int  // consecutive Hold calls without a response
 	runsListed           bool // its runs were listed since this agent first saw it
 	restored             bool // known only from the state of an earlier agent; has not responded yet
@@ -381,7 +387,7 @@
 // acceptsStarts reports whether the backend server can start runs.
 func (s *Supervisor) acceptsStarts() bool {
 	return s.known && !s.left && s.runsListed && !s.awaitingAnnouncement && !s.server.Leaving && !s.draining &&
-		!s.silent() && !s.hasOrphans()
+		!s.silent() && !s.processEnded && !s.hasOrphans()
 }
 
 // Report returns the report for an entry, and drops the ends of runs that it contains.
