Give up a job whose task crashes backend servers

Cause: a task whose backend server crashed was started on the next one, without limit, and a caller that submitted its job again began anew. Callers saw: one job took down server after server (33 crashes in ten seconds of such jobs), and everybody waited or was refused meanwhile. Change: crashes are counted by task. If a suspect, a task with an earlier crash, ran on the server, only suspects are blamed, otherwise all tasks that ran there. A suspect runs without another suspect beside it, one of a job at a time, on a fifth of a pool's servers at most, and its wait does not count as queued work. After the second crash the job fails. Crashes are recorded after the job was answered, too, and remembered for 10 minutes, so that a job that is submitted again fails at once. A crash does not count as a failure of the server.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -171,6 +171,8 @@
 			if a, ok := e.agents[action.Agent]; ok {
 				a.peer.UpdateRuns(nil, action.Runs)
 			}
+		case dispatch.CrashesBlamed:
+			e.logCrash(action)
 		case dispatch.HealthChanged:
 			e.logHealthChanged(action)
 		case dispatch.Answer:
--- a/batchentry/log.go
+++ b/batchentry/log.go
@@ -29,6 +29,10 @@
 	}
 	if o, ok := a.Outcome.(batch.Failed); ok {
 		line = line.Int("Step", o.Task.Step).Int("Task", o.Task.Index).Int("Attempt", o.Attempts)
+		if o.Crashes > 0 {
+			line = line.Str("Reason", "Crashes").Int("Count", o.Crashes)
+			e.metrics.givenUp.Inc(1)
+		}
 	}
 	line.Send()
 	e.metrics.recordOutcome(a.Outcome, a.Elapsed)
@@ -54,6 +58,15 @@
 		Int("InARow", h.ConsecutiveFailures).Send()
 }
 
+// logCrash logs the tasks that are blamed for the crash of a backend server.
+func (e *Entry) logCrash(c dispatch.CrashesBlamed) {
+	for _, x := range c.Blamed {
+		e.log(event.TaskBlamed).Str("Job", string(x.Task.Job)).Int("Step", x.Task.Step).Int("Task", x.Task.Index).
+			Str("Peer", c.Agent).Int("Count", x.Count).Send()
+	}
+	e.metrics.crashes.Inc(1)
+}
+
 // logStarts logs one line for each job whose tasks are sent to an agent.
 func (e *Entry) logStarts(action *dispatch.StartRuns) {
 	for i, groupStart := 1, 0; i <= len(action.Starts); i++ {
--- a/batchentry/measure.go
+++ b/batchentry/measure.go
@@ -21,6 +21,8 @@
 	forwarded metrics.Counter
 	cancelled metrics.Counter
 	rejected  metrics.Counter // requests that were rejected before a job was created
+	crashes   metrics.Counter // of backend servers while tasks ran on them
+	givenUp   metrics.Counter // jobs that failed because of crashes
 	waited    metrics.Histogram
 	taken     metrics.Histogram
 	queue     metrics.GaugeFloat64
@@ -46,6 +48,8 @@
 		forwarded: metrics.GetOrRegisterCounter("Batch.Forwarded", r),
 		cancelled: metrics.GetOrRegisterCounter("Batch.Cancelled", r),
 		rejected:  metrics.GetOrRegisterCounter("Batch.Rejected", r),
+		crashes:   metrics.GetOrRegisterCounter("Batch.Crashes", r),
+		givenUp:   metrics.GetOrRegisterCounter("Batch.GivenUp", r),
 		waited:    histogram("Batch.WaitedMicroseconds"),
 		taken:     histogram("Batch.TakenMicroseconds"),
 		queue:     metrics.GetOrRegisterGaugeFloat64("Batch.QueuedCoreSeconds", r),
--- a/core/batch/outcome.go
+++ b/core/batch/outcome.go
@@ -8,10 +8,11 @@
 // Completed means that every task succeeded.
 type Completed struct{}
 
-// Failed means that a task failed as often as the route allows.
+// Failed means that a task failed as often as the route allows, or that too many backend servers crashed under it.
 type Failed struct {
 	Task     TaskID
 	Attempts int
+	Crashes  int // backend servers that crashed under the task, if that is why the job failed
 }
 
 // NotRun means that no task of the job has started, and none will unless the job is submitted again.
--- /dev/null
+++ b/core/dispatch/crash.go
@@ -0,0 +1,232 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/supervise"
+)
+
+const (
+	// maxCrashes is the number of crashes of backend servers under a task after which its job fails.
+	maxCrashes = 2
+	// maxSuspectShare is the largest share of a pool's usable backend servers that run suspects at the same time.
+	maxSuspectShare = 0.2
+	// crashRetention is how long crashes are remembered. Callers may resubmit a job for as long.
+	crashRetention = 10 * time.Minute
+	// maxCrashRecords bounds the memory for crashes, in tasks. The oldest records are dropped first.
+	maxCrashRecords = 4096
+)
+
+// Crash is the number of backend servers that have crashed while a task ran on them.
+type Crash struct {
+	Task  batch.TaskID
+	Count int
+	Age   time.Duration // since the latest crash
+}
+
+// CrashesBlamed reports that a backend server has crashed, and the tasks that are blamed for it. The entry passes the
+// counts on to the other entries; see MergeCrashes.
+type CrashesBlamed struct {
+	Agent  string
+	Blamed []Crash
+}
+
+func (CrashesBlamed) action() {}
+
+// crashMemory counts crashes by task. It outlives the jobs, so that a job that is submitted again does not begin anew.
+type crashMemory map[batch.TaskID]crashRecord
+
+type crashRecord struct {
+	count    int
+	latestAt time.Time
+}
+
+// count returns the number of crashes under a task within the retention period.
+func (m crashMemory) count(now time.Time, t batch.TaskID) int {
+	if r, ok := m[t]; ok && now.Sub(r.latestAt) < crashRetention {
+		return r.count
+	}
+	return 0
+}
+
+// raise sets the number of crashes under a task if it is higher than the known one.
+func (m crashMemory) raise(now time.Time, t batch.TaskID, count int, latestAt time.Time) (raised bool) {
+	if count <= m.count(now, t) || now.Sub(latestAt) >= crashRetention {
+		return false
+	}
+	m[t] = crashRecord{count: count, latestAt: latestAt}
+	return true
+}
+
+// evict drops the records whose retention period has ended, and the oldest ones beyond maxCrashRecords.
+func (m crashMemory) evict(now time.Time) {
+	list := m.list(now)
+	if len(list) == len(m) && len(m) <= maxCrashRecords {
+		return
+	}
+	clear(m)
+	for _, c := range list[:min(len(list), maxCrashRecords)] {
+		m[c.Task] = crashRecord{count: c.Count, latestAt: now.Add(-c.Age)}
+	}
+}
+
+// list returns the records within the retention period, the latest first.
+func (m crashMemory) list(now time.Time) []Crash {
+	var list []Crash
+	for t, r := range m {
+		if age := now.Sub(r.latestAt); age < crashRetention {
+			list = append(list, Crash{Task: t, Count: r.count, Age: age})
+		}
+	}
+	slices.SortFunc(list, func(a, b Crash) int { return cmp.Or(cmp.Compare(a.Age, b.Age), a.Task.Compare(b.Task)) })
+	return list
+}
+
+// Crashes returns the crashes that are remembered, the latest first.
+func (d *Dispatcher) Crashes(now time.Time) []Crash { return d.crashes.list(now) }
+
+// MergeCrashes adds the crashes that another entry has recorded. Of two counts for a task, the higher one applies.
+func (d *Dispatcher) MergeCrashes(now time.Time, list []Crash) []Action {
+	for _, c := range list {
+		if !d.crashes.raise(now, c.Task, c.Count, now.Add(-max(c.Age, 0))) {
+			continue
+		}
+		j, t := d.openTask(c.Task)
+		if t == nil {
+			continue
+		}
+		d.suspect(j, t)
+		if c.Count >= maxCrashes {
+			d.finish(now, j, d.crashOutcome(now, t))
+		}
+	}
+	d.crashes.evict(now)
+	d.place(now)
+	return d.takeActions()
+}
+
+// openTask returns a task of an unanswered job, or nil.
+func (d *Dispatcher) openTask(id batch.TaskID) (*job, *task) {
+	j, ok := d.jobs[id.Job]
+	if !ok || j.answered || id.Step < 0 || id.Step >= len(j.steps) {
+		return nil, nil
+	}
+	tasks := j.steps[id.Step].tasks
+	if id.Index < 0 || id.Index >= len(tasks) || tasks[id.Index].state == done {
+		return nil, nil
+	}
+	return j, tasks[id.Index]
+}
+
+// blameCrash counts the crash of a backend server against the tasks that ran there. If some of them are suspects, only
+// those are blamed. The tasks of answered jobs are blamed as well: their callers may submit them again.
+func (d *Dispatcher) blameCrash(now time.Time, s *server, ended []supervise.RunEnd) {
+	var tasks, suspects []*task
+	for _, e := range ended {
+		t, ok := s.runs[e.RunID]
+		if !ok || e.End != supervise.Crashed {
+			continue
+		}
+		tasks = append(tasks, t)
+		if t.suspect {
+			suspects = append(suspects, t)
+		}
+	}
+	if len(tasks) == 0 {
+		return
+	}
+	if len(suspects) > 0 {
+		tasks = suspects
+	}
+	blamed := CrashesBlamed{Agent: s.agent}
+	for _, t := range tasks {
+		count := d.crashes.count(now, t.id) + 1
+		d.crashes.raise(now, t.id, count, now)
+		d.suspect(d.jobs[t.id.Job], t)
+		blamed.Blamed = append(blamed.Blamed, Crash{Task: t.id, Count: count})
+	}
+	d.crashes.evict(now)
+	d.actions = append(d.actions, blamed)
+}
+
+// suspect marks a task as a suspect. Until it starts again, its work does not count as queued: it waits for other
+// suspects, and the tasks behind it do not wait for it.
+func (d *Dispatcher) suspect(j *job, t *task) {
+	if t.suspect {
+		return
+	}
+	t.suspect = true
+	if t.server != nil {
+		t.server.suspects++
+		j.activeSuspects++
+	}
+	if !j.answered {
+		j.waitingWork -= t.waitingWork
+		d.pool(j.Pool).queued -= t.waitingWork
+		t.waitingWork = 0
+	}
+}
+
+// crashOutcome returns the outcome of a job with a task under which too many backend servers have crashed.
+func (d *Dispatcher) crashOutcome(now time.Time, t *task) batch.Failed {
+	return batch.Failed{Task: t.id, Attempts: t.failures, Crashes: d.crashes.count(now, t.id)}
+}
+
+// findGivenUp returns the first task of a job under which too many backend servers have crashed, or nil.
+func (d *Dispatcher) findGivenUp(now time.Time, j *job) *task {
+	if len(d.crashes) == 0 {
+		return nil
+	}
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			if d.crashes.count(now, t.id) >= maxCrashes {
+				return t
+			}
+		}
+	}
+	return nil
+}
+
+// GivenUp reports whether a job would fail at once because of earlier crashes.
+func (d *Dispatcher) GivenUp(now time.Time, b batch.Job) bool {
+	if len(d.crashes) == 0 {
+		return false
+	}
+	for i, st := range b.Steps {
+		for k := range st.Count {
+			if d.crashes.count(now, batch.TaskID{Job: b.ID, Step: i, Index: k}) >= maxCrashes {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// mayStartSuspect reports whether a suspect of a job may be started: one of a job at a time, on a share of the backend
+// servers, so that a crash affects few other tasks and it is clear which task to blame.
+func (d *Dispatcher) mayStartSuspect(j *job) bool {
+	if j.activeSuspects > 0 {
+		return false
+	}
+	usable, occupied := 0, 0
+	for _, s := range d.sortedServers {
+		if s.info.Pool != j.Pool {
+			continue
+		}
+		if s.usable() {
+			usable++
+		}
+		if s.suspects > 0 {
+			occupied++
+		}
+	}
+	return occupied < max(int(maxSuspectShare*float64(usable)), 1)
+}
+
+// onlySuspectsWait reports whether all waiting tasks of a job are suspects.
+func (j *job) onlySuspectsWait() bool {
+	return !slices.ContainsFunc(j.waiting, func(t *task) bool { return !t.suspect })
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -9,6 +9,10 @@
 // A backend server whose runs are slow or fail is degraded: it gets only probes, one task at a time at intervals, until
 // it has recovered.
 //
+// A task that crashes its backend server would crash one after the other. The tasks that ran on a crashed backend server
+// are suspects from then on: they are started one at a time on few backend servers, so that the guilty one is found,
+// and its job fails after the second crash.
+//
 // The package opens no connections and reads no clock. It is called by batchentry, which carries out its actions.
 package dispatch
 
@@ -20,7 +24,8 @@
 	"dogwoodglade/core/supervise"
 )
 
-// Action is an action for the entry to carry out: StartRuns, StopRuns, Answer or HealthChanged.
+// Action is an action for the entry to carry out: StartRuns, StopRuns, Answer, HealthChanged or
+// CrashesBlamed.
 type Action interface{ action() }
 
 // StartRuns sends an agent the start requests for tasks of one or more jobs.
@@ -80,6 +85,7 @@
 	failedOn    []*server
 	movedFrom   []*server // its run was stopped there, to start it elsewhere
 	stopping    bool
+	suspect     bool          // a backend server crashed under it
 	waitingWork coreTime      // predicted when the task began to wait; 0 if it is not waiting
 	percent     int           // progress of its run
 	progressAge time.Duration // age of the run at which its progress reached percent
@@ -95,22 +101,23 @@
 
 type job struct {
 	batch.Job
-	submittedAt   time.Time
-	targetStart   time.Time // latest start that can still meet the target
-	startDeadline time.Time // latest start with which the answer can still be useful to the caller
-	firstStart    time.Time // when the first start request was sent; zero if none was
-	steps         []*step
-	unfinished    int  // tasks that are not done
-	activeRuns    int  // runs that may exist
-	mayHaveRun    bool // a task of the job ran or may have run
-	waiting       []*task
-	waitingWork   coreTime // of its waiting tasks
-	answered      bool
-	queued        bool
-	sequence      uint64
-	decidingAgent string     // agent of the run that decided the outcome; empty if none did
-	lastServer    *server    // backend server of the latest start
-	resubmission  *batch.Job // the job as submitted again while its runs are being stopped
+	submittedAt    time.Time
+	targetStart    time.Time // latest start that can still meet the target
+	startDeadline  time.Time // latest start with which the answer can still be useful to the caller
+	firstStart     time.Time // when the first start request was sent; zero if none was
+	steps          []*step
+	unfinished     int  // tasks that are not done
+	activeRuns     int  // runs that may exist
+	activeSuspects int  // suspects among their tasks
+	mayHaveRun     bool // a task of the job ran or may have run
+	waiting        []*task
+	waitingWork    coreTime // of its waiting tasks
+	answered       bool
+	queued         bool
+	sequence       uint64
+	decidingAgent  string     // agent of the run that decided the outcome; empty if none did
+	lastServer     *server    // backend server of the latest start
+	resubmission   *batch.Job // the job as submitted again while its runs are being stopped
 }
 
 // started reports whether a start request was sent that may have taken effect.
@@ -124,6 +131,7 @@
 	pools         map[string]*poolState
 	sortedPools   []*poolState // sorted by name
 	routes        map[string]*routeState
+	crashes       crashMemory
 	sequence      uint64
 	draining      bool
 	startedAt     time.Time // time of the first call
@@ -140,6 +148,7 @@
 		jobs:    map[batch.JobID]*job{},
 		pools:   map[string]*poolState{},
 		routes:  map[string]*routeState{},
+		crashes: crashMemory{},
 		starts:  map[string]*StartRuns{},
 		stops:   map[string]*StopRuns{},
 	}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -21,6 +21,10 @@
 		return nil
 	}
 	j := d.newJob(now, b)
+	if t := d.findGivenUp(now, j); t != nil {
+		d.answer(now, j, d.crashOutcome(now, t))
+		return d.takeActions()
+	}
 	canStart := d.hasCapacity(now, b)
 	if reason, ok := d.admit(now, j, canStart); !ok {
 		d.answer(now, j, d.notRunOutcome(now, j, reason))
@@ -45,7 +49,8 @@
 		s.tasks = make([]*task, st.Count)
 		d.pool(b.Pool).observeDemand(st)
 		for k := range s.tasks {
-			s.tasks[k] = &task{id: batch.TaskID{Job: b.ID, Step: i, Index: k}}
+			id := batch.TaskID{Job: b.ID, Step: i, Index: k}
+			s.tasks[k] = &task{id: id, suspect: d.crashes.count(now, id) > 0}
 		}
 		j.unfinished += st.Count
 		j.steps = append(j.steps, s)
@@ -103,7 +108,10 @@
 
 func (j *job) addWaiting(r *routeState, s *step, t *task) {
 	t.state = waiting
-	t.waitingWork = predictWork(r, s)
+	t.waitingWork = 0
+	if !t.suspect {
+		t.waitingWork = predictWork(r, s)
+	}
 	j.waiting = append(j.waiting, t)
 	j.waitingWork += t.waitingWork
 }
@@ -248,6 +256,10 @@
 	s.used = s.used.Plus(st.Demand)
 	id := supervise.RunID{Task: t.id, Attempt: t.attempt}
 	s.runs[id] = t
+	if t.suspect {
+		s.suspects++
+		j.activeSuspects++
+	}
 	if s.degraded() {
 		s.nextProbe = now.Add(max(probeInterval, s.probeDelay))
 	}
@@ -262,6 +274,10 @@
 	}
 	delete(s.runs, e.RunID)
 	j := d.jobs[t.id.Job]
+	if t.suspect {
+		s.suspects--
+		j.activeSuspects--
+	}
 	st := j.steps[t.id.Step]
 	s.used = s.used.Minus(st.Demand)
 	j.activeRuns--
@@ -286,6 +302,13 @@
 			d.finish(now, j, batch.Failed{Task: t.id, Attempts: t.failures})
 			return
 		}
+	case supervise.Crashed:
+		t.failedOn = append(t.failedOn, s)
+		if d.crashes.count(now, t.id) >= maxCrashes {
+			j.decidingAgent = s.agent
+			d.finish(now, j, d.crashOutcome(now, t))
+			return
+		}
 	case supervise.Refused:
 		s.backoffUntil = now.Add(refusalBackoff)
 		if j.activeRuns == 0 && !j.mayHaveRun {
@@ -373,6 +396,10 @@
 		return
 	}
 	next := d.newJob(now, *j.resubmission)
+	if t := d.findGivenUp(now, next); t != nil {
+		d.answer(now, next, d.crashOutcome(now, t))
+		return
+	}
 	if reason, ok := d.admit(now, next, d.hasCapacity(now, next.Job)); !ok {
 		d.answer(now, next, d.notRunOutcome(now, next, reason))
 		return
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -73,6 +73,7 @@
 // placePool starts waiting tasks in queue order while there is capacity.
 func (d *Dispatcher) placePool(now time.Time, p *poolState) {
 	var skipped []*job
+	tried := 0
 	for p.queue.Len() > 0 {
 		j := p.queue.jobs[0]
 		switch {
@@ -107,7 +108,10 @@
 		}
 		// The free capacity is too small for the next task of this job, but another job may have a smaller one.
 		skipped = append(skipped, j)
-		if len(skipped) >= lookAhead || d.isFull(p.name) {
+		if !j.onlySuspectsWait() {
+			tried++
+		}
+		if tried >= lookAhead || d.isFull(p.name) {
 			break
 		}
 	}
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -39,6 +39,8 @@
 	// a task that has failed before: most routes allow two runs.
 	failureCost = 3
 	retryCost   = 30
+	// suspectCost is added to the score of a backend server that runs a suspect, which may crash it.
+	suspectCost = 5
 	// minCapacityShare is the least share of its cores that a failing backend server contributes to the capacity of its
 	// pool, so that a pool in which all fail is not mistaken for one without backend servers.
 	minCapacityShare = 0.1
@@ -90,6 +92,7 @@
 	usedByOthers  resource.Amount // by runs of other entries
 	lostRunsEndBy time.Time       // when lost runs cannot exist any more
 	runs          map[supervise.RunID]*task
+	suspects      int // among the tasks of runs
 
 	backoffUntil time.Time // no start requests are sent before this time, after a refusal
 
@@ -171,6 +174,7 @@
 	if !ok || !s.connected {
 		return nil
 	}
+	d.blameCrash(now, s, r.Ended)
 	for _, e := range r.Ended {
 		d.runEnded(now, s, e)
 	}
@@ -205,6 +209,9 @@
 // chooseServer returns the backend server for a task, or nil. constrained reports whether backend servers with free
 // capacity were skipped because of the task's constraints.
 func (d *Dispatcher) chooseServer(now time.Time, j *job, st *step, t *task) (best *server, constrained bool) {
+	if t.suspect && !d.mayStartSuspect(j) {
+		return nil, true
+	}
 	var bestScore float64
 	degraded, usable := d.countDegraded()
 	// A task that has failed on or was moved from every backend server may use any of them again.
@@ -215,7 +222,7 @@
 		}
 		if (st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) ||
 			(avoid && (slices.Contains(t.failedOn, s) || slices.Contains(t.movedFrom, s))) ||
-			(st.MaxPerServer > 0 && tasksOn(st, s) >= st.MaxPerServer) {
+			(st.MaxPerServer > 0 && tasksOn(st, s) >= st.MaxPerServer) || (t.suspect && s.suspects > 0) {
 			constrained = true
 			continue
 		}
@@ -275,6 +282,12 @@
 		score++
 	}
 	switch {
+	case t.suspect:
+		score += float64(len(s.runs))
+	case s.suspects > 0:
+		score += suspectCost
+	}
+	switch {
 	case t.failures > 0:
 		score += retryCost * s.failureShare
 	case s.degraded():
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -39,6 +39,7 @@
 	OutcomeReceived  Number = 2008
 	OutcomeDiscarded Number = 2009
 	TaskStopped      Number = 2010
+	TaskBlamed       Number = 2011
 )
 
 // Events of slots and admission.
--- a/internal/batchplay/batchplay.go
+++ b/internal/batchplay/batchplay.go
@@ -70,8 +70,10 @@
 type Simulation struct {
 	Servers       map[string]*Server // by agent
 	Jobs          map[batch.JobID]*Job
-	Results       map[string]*Results // by kind
-	Overcommitted int                 // start requests beyond the capacity of a backend server
+	Results       map[string]*Results     // by kind
+	Overcommitted int                     // start requests beyond the capacity of a backend server
+	Deadly        func(batch.TaskID) bool // whether a task crashes the backend server that starts it; nil if none does
+	Crashes       map[batch.TaskID]int    // of backend servers, by the task that caused them
 
 	options     Options
 	random      *rand.Rand
@@ -95,6 +97,7 @@
 	start := time.Unix(1000, 0)
 	sim := &Simulation{
 		Servers: map[string]*Server{}, Jobs: map[batch.JobID]*Job{}, Results: map[string]*Results{},
+		Crashes: map[batch.TaskID]int{},
 		options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), startedAt: start, now: start,
 	}
 	var homes []home.Entry
--- a/internal/batchplay/server.go
+++ b/internal/batchplay/server.go
@@ -29,7 +29,10 @@
 	used    resource.Amount
 	gone    bool
 	hanging bool // its runs make no progress
+	down    bool // it has crashed and has not restarted yet
 	runs    map[supervise.RunID]*run
+
+	restarts int64
 }
 
 type run struct {
@@ -66,12 +69,18 @@
 	}
 	sim.perform(s.home, s.home.dispatcher.HandleReport(sim.now, agent, supervise.Report{
 		Offered: !s.gone, Ended: ended, Progress: progress,
-		Server: supervise.Server{ID: agent, Pool: cmp.Or(s.Pool, "pool"), Incarnation: 1, Capacity: s.Capacity},
+		Server: supervise.Server{ID: agent, Pool: cmp.Or(s.Pool, "pool"), Incarnation: 1 + s.restarts, Capacity: s.Capacity},
 	}))
 }
 
 func (sim *Simulation) startRun(e *entry, agent string, x supervise.Start) {
 	s := sim.Servers[agent]
+	if s.down {
+		sim.after(2*sim.delay(e.DataCentre, s.DataCentre), func() {
+			sim.report(agent, []supervise.RunEnd{{RunID: x.RunID, End: supervise.Refused}})
+		})
+		return
+	}
 	s.used = s.used.Plus(x.Demand)
 	if !s.used.Fits(s.Capacity) {
 		sim.Overcommitted++
@@ -87,6 +96,9 @@
 		r.hungAt = r.started
 	}
 	s.runs[x.RunID] = r
+	if sim.Deadly != nil && sim.Deadly(x.Task) {
+		sim.after(delay, func() { sim.crash(agent, x.Task) })
+	}
 	sim.after(2*delay+runTime, func() {
 		if r.ended(sim.now) {
 			sim.endRun(agent, x.RunID, end)
@@ -98,7 +110,7 @@
 func (sim *Simulation) endRun(agent string, id supervise.RunID, end supervise.End) {
 	s := sim.Servers[agent]
 	r, ok := s.runs[id]
-	if !ok {
+	if !ok || s.down {
 		return
 	}
 	delete(s.runs, id)
