Share the crashes under a task between entries

Cause: each entry counted only the crashes it had heard of itself. A caller that gives up after 1.5 s submits its job again at another entry, which began anew. Callers saw: a job that crashed two backend servers at every entry it was submitted to. Change: an entry sends the counts to the other entries when it blames tasks, and all that it remembers to an entry that connects. A job that would fail at once is not forwarded. Entries of earlier versions ignore the message: they have no such method and answer no notification.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -85,7 +85,7 @@
 func (e *Entry) assignCall(c *call) {
 	now := e.options.Now()
 	// A job that another entry forwarded is always dispatched here. Otherwise jobs could be forwarded in a loop.
-	if len(c.origins) == 0 && !e.dispatcher.CanStartNow(now, c.job) &&
+	if len(c.origins) == 0 && !e.dispatcher.CanStartNow(now, c.job) && !e.dispatcher.GivenUp(now, c.job) &&
 		e.forward(c, e.peers.Choose(now, e.dispatcher.Load(), c.job)) {
 		return
 	}
@@ -173,6 +173,7 @@
 			}
 		case dispatch.CrashesBlamed:
 			e.logCrash(action)
+			e.sendCrashes(action.Blamed)
 		case dispatch.HealthChanged:
 			e.logHealthChanged(action)
 		case dispatch.Answer:
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -310,6 +310,9 @@
 	e.entryListVersion++
 	e.connector.AddDiscovered(p.Address)
 	p.Load(e.loadFor(x))
+	if crashes := e.dispatcher.Crashes(now); len(crashes) > 0 {
+		p.Crashes(crashes)
+	}
 }
 
 // Disconnected implements inner.Handler.
--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/dispatch"
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/site"
 	"dogwoodglade/core/supervise"
@@ -18,8 +19,9 @@
 type fakePeerEntry struct {
 	loads chan inner.EntryLoad
 
-	mu    sync.Mutex
-	count map[*inner.Peer]int // received loads by connection
+	mu      sync.Mutex
+	count   map[*inner.Peer]int // received loads by connection
+	crashes []dispatch.Crash
 }
 
 func newFakePeerEntry() *fakePeerEntry {
@@ -43,6 +45,13 @@
 func (o *fakePeerEntry) WithdrawJob(*inner.Peer, batch.JobID, bool)             {}
 func (o *fakePeerEntry) Configuration() site.Configuration                      { return site.Configuration{} }
 
+// Crashes implements inner.BatchEntryHandler.
+func (o *fakePeerEntry) Crashes(_ *inner.Peer, list []dispatch.Crash) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.crashes = append(o.crashes, list...)
+}
+
 func (o *fakePeerEntry) dial(s *testSite, incarnation string) *inner.Peer {
 	s.t.Helper()
 	p, err := inner.Dial(s.t.Context(), s.network.Host("other").Dial, "entry-1:1", inner.Local{
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/dispatch"
 	"dogwoodglade/core/event"
 	"dogwoodglade/io/inner"
 )
@@ -105,6 +106,23 @@
 	}
 }
 
+// sendCrashes passes on the crashes that were recorded here, so that a job that crashes backend servers does not begin
+// anew when it is submitted to another entry.
+func (e *Entry) sendCrashes(list []dispatch.Crash) {
+	for _, x := range e.entries {
+		e.sendToEntry(x, func(p *inner.Peer) bool { return p.Crashes(list) })
+	}
+}
+
+// Crashes implements inner.BatchEntryHandler.
+func (e *Entry) Crashes(p *inner.Peer, list []dispatch.Crash) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.entrySessionOf(p); ok {
+		e.performActions(e.dispatcher.MergeCrashes(e.options.Now(), list))
+	}
+}
+
 // pullConfiguration fetches the configuration of an entry that reported a newer version, and applies it.
 func (e *Entry) pullConfiguration(p *inner.Peer, x *entrySession) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -128,6 +129,10 @@
 	ended     []supervise.TaskEnd
 	starts    []batch.TaskID
 	failTasks bool
+	deadly    batch.JobID // a task of this job crashes it
+	restarts  int64
+	down      bool
+	announce  func()
 	loseHolds int // one in so many Hold calls gets no response; none if 0
 	holds     int
 	endSignal chan struct{}
@@ -199,6 +204,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.expireLease()
+	switch {
+	case b.down:
+		return supervise.NotListening, 0
+	case b.deadly == c.Task.Job:
+		b.starts = append(b.starts, c.Task)
+		b.crash()
+		return supervise.Unanswered, 0
+	}
 	d, err := time.ParseDuration(c.Spec)
 	if err != nil {
 		return supervise.Unacceptable, b.clock()
@@ -228,6 +241,10 @@
 
 func (b *backend) Hold(ctx context.Context, h supervise.Hold) (supervise.HoldResponse, error) {
 	b.mu.Lock()
+	if b.down {
+		b.mu.Unlock()
+		return supervise.HoldResponse{}, &batchagent.NotListeningError{Cause: net.ErrClosed}
+	}
 	b.holds++
 	lost := b.loseHolds > 0 && b.holds%b.loseHolds == 0
 	b.mu.Unlock()
@@ -248,7 +265,7 @@
 	if h.Renew {
 		b.leaseEnd = max(b.leaseEnd, h.Until)
 	}
-	response := supervise.HoldResponse{Incarnation: 1, Clock: b.clock(), Ended: b.ended[min(int(h.Seen), len(b.ended)):]}
+	response := supervise.HoldResponse{Incarnation: 1 + b.restarts, Clock: b.clock(), Ended: b.ended[min(int(h.Seen), len(b.ended)):]}
 	for task, r := range b.running {
 		response.Running = append(response.Running, supervise.RunningTask{Task: task, Number: r.number, Percent: r.percent()})
 	}
@@ -348,9 +365,13 @@
 		Dial: s.network.Host(name).Dial, Now: time.Now,
 	})
 	s.stops[name] = stop
-	a.HandleAnnouncement(supervise.Server{
-		ID: name, Pool: "pool", Incarnation: 1, Sequence: 1, Capacity: resource.Amount{Processor: 10000}, Clock: b.clock(),
-	})
+	b.announce = func() {
+		a.HandleAnnouncement(supervise.Server{
+			ID: name, Pool: "pool", Incarnation: 1 + b.restarts, Sequence: 1, Capacity: resource.Amount{Processor: 10000},
+			Clock: b.clock(),
+		})
+	}
+	b.announce()
 }
 
 // agentCounts returns the number of agents of each running entry that has any.
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -27,6 +27,7 @@
 	methodForwardOutcome = "Forwarded"
 	methodWithdrawJob    = "WithdrawJob"
 	methodConfiguration  = "Configuration"
+	methodCrashes        = "Crashes"
 	methodCombined       = "Combined"
 )
 
@@ -44,6 +45,8 @@
 	// WithdrawJob is called when the sender no longer waits for a job, or, with forAll, when the job is cancelled for
 	// every waiting entry and client.
 	WithdrawJob(p *Peer, id batch.JobID, forAll bool)
+	// Crashes receives the crashes of backend servers that another entry has recorded.
+	Crashes(p *Peer, list []dispatch.Crash)
 	// Configuration returns the configuration in use.
 	Configuration() site.Configuration
 }
@@ -98,6 +101,7 @@
 		Job    batch.JobID
 		ForAll bool
 	}
+	crashesParams       struct{ Crashes []dispatch.Crash }
 	configurationResult struct{ Configuration site.Configuration }
 )
 
@@ -109,6 +113,7 @@
 	RetryAfter time.Duration
 	Task       batch.TaskID
 	Attempts   int
+	Crashes    int
 }
 
 const (
@@ -124,7 +129,7 @@
 	case kindCompleted:
 		return batch.Completed{}
 	case kindFailed:
-		return batch.Failed{Task: f.Task, Attempts: f.Attempts}
+		return batch.Failed{Task: f.Task, Attempts: f.Attempts, Crashes: f.Crashes}
 	case kindNotRun:
 		return batch.NotRun{Reason: f.Reason, RetryAfter: f.RetryAfter}
 	case kindCancelled:
@@ -259,7 +264,7 @@
 	case batch.Completed:
 		f.Kind = kindCompleted
 	case batch.Failed:
-		f.Kind, f.Task, f.Attempts = kindFailed, o.Task, o.Attempts
+		f.Kind, f.Task, f.Attempts, f.Crashes = kindFailed, o.Task, o.Attempts, o.Crashes
 	case batch.NotRun:
 		f.Kind, f.Reason, f.RetryAfter = kindNotRun, o.Reason, o.RetryAfter
 	case batch.Unknown:
@@ -276,6 +281,11 @@
 	return p.notifyCBOR(methodWithdrawJob, withdrawJobParams{Job: id, ForAll: forAll})
 }
 
+// Crashes sends crashes of backend servers to another entry. Entries of earlier versions ignore the message.
+func (p *Peer) Crashes(list []dispatch.Crash) bool {
+	return p.notifyCBOR(methodCrashes, crashesParams{Crashes: list})
+}
+
 // PullConfiguration requests the configuration of another entry.
 func (p *Peer) PullConfiguration(ctx context.Context) (site.Configuration, error) {
 	var result configurationResult
@@ -305,6 +315,7 @@
 			h.ForwardOutcome(p, m.Job, m.outcome())
 		}),
 		methodWithdrawJob: cborNotificationMethod(func(p *Peer, m withdrawJobParams) { h.WithdrawJob(p, m.Job, m.ForAll) }),
+		methodCrashes:     cborNotificationMethod(func(p *Peer, m crashesParams) { h.Crashes(p, m.Crashes) }),
 		methodConfiguration: callMethod(func(context.Context, *Peer, json.RawMessage) (any, error) {
 			return configurationResult{Configuration: h.Configuration()}, nil
 		}),
--- a/io/inner/batch_test.go
+++ b/io/inner/batch_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/dispatch"
 	"dogwoodglade/core/resource"
 	"dogwoodglade/core/site"
 	"dogwoodglade/core/supervise"
@@ -24,6 +25,7 @@
 func (f *fakeBatchEntry) Load(_ *Peer, l EntryLoad)            { f.received <- l }
 func (f *fakeBatchEntry) Forward(_ *Peer, j batch.Job)         { f.received <- j }
 func (f *fakeBatchEntry) WithdrawJob(*Peer, batch.JobID, bool) {}
+func (f *fakeBatchEntry) Crashes(_ *Peer, l []dispatch.Crash)  { f.received <- l }
 func (f *fakeBatchEntry) Configuration() site.Configuration    { return site.Configuration{Version: 7} }
 
 func (f *fakeBatchEntry) ForwardOutcome(_ *Peer, id batch.JobID, o batch.Outcome) {
@@ -72,6 +74,8 @@
 		}
 		job := batch.Job{ID: "job", Pool: "p", Stretch: 1.6, Steps: []batch.Step{{Count: 2, After: []int{0}, Label: "x"}}}
 		p.Forward(job)
+		crash := dispatch.Crash{Task: batch.TaskID{Job: "job", Step: 1, Index: 2}, Count: 2, Age: time.Second}
+		p.Crashes([]dispatch.Crash{crash})
 		for i := range reportCount {
 			if r := (<-entry.received).(supervise.Report); r.Clock != time.Duration(i) {
 				t.Fatalf("report %d: got clock %d", i, r.Clock)
@@ -86,6 +90,9 @@
 		if j.ID != job.ID || j.Stretch != 1.6 || j.Steps[0].Label != "x" || j.Steps[0].After[0] != 0 {
 			t.Errorf("got %+v", j)
 		}
+		if got := (<-entry.received).([]dispatch.Crash); len(got) != 1 || got[0] != crash {
+			t.Errorf("got %+v, want %+v", got, crash)
+		}
 		accepted := <-entry.connected
 		demand := resource.Amount{Processor: 5}
 		starts := []supervise.Start{
