Hold back the tasks of a job that waits for a crash

Cause: a start whose connection was refused was repeated on the next backend server at once. The tasks of a job whose tasks all crash their server are sent together: the first one crashed the server, the others were refused, and crashed the next servers within milliseconds. A start that was not answered counted as a crash under its task, although most of them had never begun, so that a job could fail after one crash. Change: an agent reports that the process of its backend server has ended, and no task of a job with a run there is started until the ends of these runs are known. After a crash, all tasks of the job are suspects. A crash counts under a task whose start was not answered only if there was no other such start.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -23,7 +23,7 @@
 // Crash is the number of backend servers that have crashed while a task ran on them.
 type Crash struct {
 	Task  batch.TaskID
-	Count int
+	Count int           // 0 if it is only known that one crashed when the task was about to start
 	Age   time.Duration // since the latest crash
 }
 
@@ -52,9 +52,15 @@
 	return 0
 }
 
+// has reports whether a backend server crashed under a task, or when it was about to start, within the retention period.
+func (m crashMemory) has(now time.Time, t batch.TaskID) bool {
+	r, ok := m[t]
+	return ok && now.Sub(r.latestAt) < crashRetention
+}
+
 // raise sets the number of crashes under a task if it is higher than the known one.
 func (m crashMemory) raise(now time.Time, t batch.TaskID, count int, latestAt time.Time) (raised bool) {
-	if count <= m.count(now, t) || now.Sub(latestAt) >= crashRetention {
+	if (m.has(now, t) && count <= m.count(now, t)) || now.Sub(latestAt) >= crashRetention {
 		return false
 	}
 	m[t] = crashRecord{count: count, latestAt: latestAt}
@@ -98,7 +104,7 @@
 		if t == nil {
 			continue
 		}
-		d.suspect(j, t)
+		d.suspectJob(j)
 		if c.Count >= maxCrashes {
 			d.finish(now, j, d.crashOutcome(now, t))
 		}
@@ -122,15 +128,20 @@
 }
 
 // blameCrash counts the crash of a backend server against the tasks that ran there. If some of them are suspects, only
-// those are blamed. The tasks of answered jobs are blamed as well: their callers may submit them again.
+// those are blamed. Of several tasks whose start was not answered, most had not begun, so they become suspects without a
+// count. The tasks of answered jobs are blamed as well: their callers may submit them again.
 func (d *Dispatcher) blameCrash(now time.Time, s *server, ended []supervise.RunEnd) {
 	var tasks, suspects []*task
+	unconfirmed := map[*task]bool{}
 	for _, e := range ended {
 		t, ok := s.runs[e.RunID]
 		if !ok || e.End != supervise.Crashed {
 			continue
 		}
 		tasks = append(tasks, t)
+		if e.Unconfirmed {
+			unconfirmed[t] = true
+		}
 		if t.suspect {
 			suspects = append(suspects, t)
 		}
@@ -143,15 +154,66 @@
 	}
 	blamed := CrashesBlamed{Agent: s.agent}
 	for _, t := range tasks {
-		count := d.crashes.count(now, t.id) + 1
+		count := d.crashes.count(now, t.id)
+		if !unconfirmed[t] || len(unconfirmed) == 1 {
+			count++
+		}
 		d.crashes.raise(now, t.id, count, now)
-		d.suspect(d.jobs[t.id.Job], t)
+		d.suspectJob(d.jobs[t.id.Job])
 		blamed.Blamed = append(blamed.Blamed, Crash{Task: t.id, Count: count})
 	}
 	d.crashes.evict(now)
 	d.actions = append(d.actions, blamed)
 }
 
+// suspectJob marks the tasks of a job that are not done as suspects: if one task crashes its backend server, the others
+// probably do as well.
+func (d *Dispatcher) suspectJob(j *job) {
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			if t.state != done {
+				d.suspect(j, t)
+			}
+		}
+	}
+}
+
+// hasSuspect reports whether a backend server has crashed under a task of the job.
+func (d *Dispatcher) hasSuspect(now time.Time, b batch.Job) bool {
+	return d.anyTask(b, func(t batch.TaskID) bool { return d.crashes.has(now, t) })
+}
+
+// anyTask reports whether the condition holds for a task of a job. It does not hold for tasks without known crashes.
+func (d *Dispatcher) anyTask(b batch.Job, condition func(batch.TaskID) bool) bool {
+	if len(d.crashes) == 0 {
+		return false
+	}
+	for i, st := range b.Steps {
+		for k := range st.Count {
+			if condition(batch.TaskID{Job: b.ID, Step: i, Index: k}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// awaitsCrash reports whether a task of the job was sent to a backend server that has crashed. Until it is known which
+// of its tasks ran there, no other one is started.
+func (d *Dispatcher) awaitsCrash(j *job) bool {
+	for _, s := range d.sortedServers {
+		if !s.processEnded {
+			continue
+		}
+		for id := range s.runs {
+			if id.Task.Job == j.ID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // suspect marks a task as a suspect. Until it starts again, its work does not count as queued: it waits for other
 // suspects, and the tasks behind it do not wait for it.
 func (d *Dispatcher) suspect(j *job, t *task) {
@@ -192,17 +254,7 @@
 
 // GivenUp reports whether a job would fail at once because of earlier crashes.
 func (d *Dispatcher) GivenUp(now time.Time, b batch.Job) bool {
-	if len(d.crashes) == 0 {
-		return false
-	}
-	for i, st := range b.Steps {
-		for k := range st.Count {
-			if d.crashes.count(now, batch.TaskID{Job: b.ID, Step: i, Index: k}) >= maxCrashes {
-				return true
-			}
-		}
-	}
-	return false
+	return d.anyTask(b, func(t batch.TaskID) bool { return d.crashes.count(now, t) >= maxCrashes })
 }
 
 // mayStartSuspect reports whether a suspect of a job may be started: one of a job at a time, on a share of the backend
--- a/core/dispatch/crash_test.go
+++ b/core/dispatch/crash_test.go
@@ -137,6 +137,35 @@
 	}
 }
 
+// Guards against a job whose tasks crash one backend server after the other within milliseconds: those that reach a
+// server that another one has just crashed are refused, and were started on the next server at once.
+func TestTasksWaitForSiblingOnCrashedServer(t *testing.T) {
+	x := newCrashRig(time.Unix(1000, 0), "agent-1", "agent-2")
+	x.record(x.Submit(x.now, named("job", 3)))
+	first := x.agents("job")[0]
+	r := x.reports[first]
+	r.Offered, r.ProcessEnded = false, true
+	refused := supervise.RunID{Task: batch.TaskID{Job: "job", Index: 2}, Attempt: 1}
+	delete(x.running, refused)
+	r.Ended = []supervise.RunEnd{{RunID: refused, End: supervise.Refused}}
+	x.record(x.HandleReport(x.now, first, r))
+	x.now = x.now.Add(time.Second)
+	x.record(x.Tick(x.now))
+	if n := len(x.running); n != 2 {
+		t.Fatalf("%d runs, want the two on the crashed backend server", n)
+	}
+	r.Ended = nil
+	for i := range 2 {
+		id := supervise.RunID{Task: batch.TaskID{Job: "job", Index: i}, Attempt: 1}
+		delete(x.running, id)
+		r.Ended = append(r.Ended, supervise.RunEnd{RunID: id, End: supervise.Crashed, Unconfirmed: true})
+	}
+	x.record(x.HandleReport(x.now, first, r))
+	if len(x.running) != 1 || len(x.blamed) != 2 || x.blamed[0].Count != 0 {
+		t.Errorf("running %v, blamed %v; want one task at a time, and no count for starts without an answer", x.running, x.blamed)
+	}
+}
+
 // Guards against an open job whose crashes at another entry are ignored.
 func TestMergedCrashesEndOpenJob(t *testing.T) {
 	x := newCrashRig(time.Unix(1000, 0), "agent-1")
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -9,8 +9,8 @@
 // A backend server whose runs are slow or fail is degraded: it gets only probes, one task at a time at intervals, until
 // it has recovered.
 //
-// A task that crashes its backend server would crash one after the other. The tasks that ran on a crashed backend server
-// are suspects from then on: they are started one at a time on few backend servers, so that the guilty one is found,
+// A task that crashes its backend server would crash one after the other. The jobs whose tasks ran on a crashed backend
+// server are suspect from then on: their tasks are started one at a time on few backend servers, so that the guilty one is found,
 // and its job fails after the second crash.
 //
 // The package opens no connections and reads no clock. It is called by batchentry, which carries out its actions.
@@ -85,7 +85,7 @@
 	failedOn    []*server
 	movedFrom   []*server // its run was stopped there, to start it elsewhere
 	stopping    bool
-	suspect     bool          // a backend server crashed under it
+	suspect     bool          // a backend server crashed under a task of the job
 	waitingWork coreTime      // predicted when the task began to wait; 0 if it is not waiting
 	percent     int           // progress of its run
 	progressAge time.Duration // age of the run at which its progress reached percent
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -44,13 +44,14 @@
 	d.sequence++
 	j := &job{Job: b, submittedAt: now, sequence: d.sequence}
 	r := d.route(b.Route)
+	suspect := d.hasSuspect(now, b)
 	for i, st := range b.Steps {
 		s := &step{Step: st, unfinished: st.Count, pendingDependencies: len(st.After)}
 		s.tasks = make([]*task, st.Count)
 		d.pool(b.Pool).observeDemand(st)
 		for k := range s.tasks {
 			id := batch.TaskID{Job: b.ID, Step: i, Index: k}
-			s.tasks[k] = &task{id: id, suspect: d.crashes.count(now, id) > 0}
+			s.tasks[k] = &task{id: id, suspect: suspect}
 		}
 		j.unfinished += st.Count
 		j.steps = append(j.steps, s)
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -92,7 +92,8 @@
 	usedByOthers  resource.Amount // by runs of other entries
 	lostRunsEndBy time.Time       // when lost runs cannot exist any more
 	runs          map[supervise.RunID]*task
-	suspects      int // among the tasks of runs
+	suspects      int  // among the tasks of runs
+	processEnded  bool // it has crashed, and its runs have not been reported as ended
 
 	backoffUntil time.Time // no start requests are sent before this time, after a refusal
 
@@ -143,7 +144,7 @@
 		slices.SortFunc(d.sortedServers, func(a, b *server) int { return cmp.Compare(a.agent, b.agent) })
 	}
 	d.markLost(s, now.Add(supervise.MaxRunAfterAgentLoss))
-	s.connected, s.offered, s.released = true, false, false
+	s.connected, s.offered, s.released, s.processEnded = true, false, false, false
 	return d.takeActions()
 }
 
@@ -189,6 +190,7 @@
 	d.observeProgress(now, s, r.Progress)
 	changed := s.offered != r.Offered || s.capacity != r.Server.Capacity
 	s.offered, s.released, s.info = r.Offered, r.Released, r.Server
+	s.processEnded = r.ProcessEnded
 	s.capacity, s.usedByOthers = r.Server.Capacity, r.UsedByOthers
 	if changed {
 		d.updatePoolCapacity()
@@ -209,7 +211,7 @@
 // chooseServer returns the backend server for a task, or nil. constrained reports whether backend servers with free
 // capacity were skipped because of the task's constraints.
 func (d *Dispatcher) chooseServer(now time.Time, j *job, st *step, t *task) (best *server, constrained bool) {
-	if t.suspect && !d.mayStartSuspect(j) {
+	if (t.suspect && !d.mayStartSuspect(j)) || (j.activeRuns > 0 && d.awaitsCrash(j)) {
 		return nil, true
 	}
 	var bestScore float64
--- a/core/supervise/crash_test.go
+++ b/core/supervise/crash_test.go
@@ -63,7 +63,7 @@
 			s.Tick(now)
 			ends, endedAfter = s.Report(now, "entry-1").Ended, age
 		}
-		if len(ends) != 1 || ends[0].End != c.want {
+		if len(ends) != 1 || ends[0].End != c.want || ends[0].Unconfirmed {
 			t.Errorf("%s: got %+v, want %s", c.name, ends, c.want)
 		}
 		if !c.atOnce && endedAfter < supervise.ServerLease {
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -145,6 +145,9 @@
 	delete(s.runs, r.Task)
 	s.runNumbers[r.Task] = endedRunNumber{number: r.number, endedAt: now}
 	e := RunEnd{RunID: r.RunID, End: end, Reason: reason}
+	if end == Crashed {
+		e.Unconfirmed = r.unanswered || (r.state != running && !r.crashed)
+	}
 	if r.state == running {
 		e.RunTime = now.Sub(r.startedAt)
 	}
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -59,6 +59,7 @@
 // are fenced, and the next Hold response shows which runs exist there.
 func (s *Supervisor) serverRestarted(now time.Time, incarnation int64, clock time.Duration) {
 	for _, r := range s.runs {
+		r.unanswered = r.state != running
 		r.state, r.token, r.serverRestarted, r.crashed = unconfirmed, s.token, true, !s.leaves()
 	}
 	s.server.Incarnation, s.server.Sequence = incarnation, 0
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -122,6 +122,8 @@
 	End     End
 	RunTime time.Duration // since the backend server accepted the start; 0 if it did not
 	Reason  string        // why the run was refused; empty unless End is Refused
+	// Unconfirmed means that the backend server crashed before it answered the start, so that the run may not have begun.
+	Unconfirmed bool `json:",omitempty"`
 }
 
 // Progress is the progress of a run.
@@ -136,6 +138,7 @@
 	Clock        time.Duration // the agent's clock
 	Offered      bool          // whether the entry may start runs
 	Released     bool          `json:",omitempty"` // whether another entry is the home, but jobs of this one may be finished
+	ProcessEnded bool          `json:",omitempty"` // whether the backend server has crashed; its runs are reported later
 	Server       Server
 	UsedByOthers resource.Amount `json:"Others"` // capacity in use by runs of other entries
 	Ended        []RunEnd
@@ -259,6 +262,7 @@
 
 	serverRestarted bool // the backend server restarted after the start call
 	crashed         bool // it had not announced that it would leave
+	unanswered      bool // and had not answered the start call
 	stopping        bool
 	stopSentAt      time.Time // when the latest stop call was sent
 	sessionEnded    bool
@@ -395,7 +399,7 @@
 	accepts := s.acceptsStarts()
 	r := Report{
 		Clock: sinceEpoch(now), Offered: accepts && entry == s.home, Released: accepts && entry != s.home,
-		Server: s.server, UsedByOthers: s.inUse(entry),
+		Server: s.server, UsedByOthers: s.inUse(entry), ProcessEnded: s.processEnded && !s.leaves(),
 	}
 	c, ok := s.sessions[entry]
 	if !ok {
