Play deadly jobs in the fault soak

Half of the plans with faults have deadly jobs for a while: each of their tasks crashes the backend server that starts it, which is back after three seconds under a new ID. Their callers give up after 1.5 s and submit the job to another entry. The checker reports a task that is started for the third time after three crashes, and accepts "failed" for a job with a task under which two backend servers crashed, as the users' rule does; before, any "failed" without failed runs was a violation, as no crash could lead to it. A backend server that has crashed refuses connections now.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -11,6 +11,7 @@
 	"dogwoodglade/core/resource"
 	"dogwoodglade/core/route"
 	"dogwoodglade/core/site"
+	"dogwoodglade/internal/uniform"
 	"dogwoodglade/platform/standin"
 )
 
@@ -29,6 +30,9 @@
 	failingJobShare = 0.02
 	// meanEarlyDelay is the mean time until a caller that cancels or abandons its job does so.
 	meanEarlyDelay = 300 * time.Millisecond
+	// deadlyTimeout is how long the caller of a deadly job waits before it submits it to another entry.
+	deadlyTimeout  = 1500 * time.Millisecond
+	maxDeadlySends = 6
 )
 
 // jobRoute is the route of all jobs. It is part of every version of the configuration.
@@ -48,6 +52,7 @@
 	rateFactor   float64 // factor by which jobRate is multiplied
 	cancelShare  float64 // share of the jobs that their caller cancels
 	abandonShare float64 // share of the jobs whose caller disconnects early
+	deadlyShare  float64 // share of the jobs that crash backend servers
 }
 
 // callers submit jobs to the entries, which are chosen as by the platform's load balancer.
@@ -93,6 +98,10 @@
 		// delay is how long a caller waits before it cancels or abandons the job.
 		delay := time.Duration(r.ExpFloat64() * float64(meanEarlyDelay))
 		switch draw := r.Float64(); {
+		case uniform.FromString(string(j.ID)+"/deadly") < behaviour.deadlyShare:
+			w.Deadly = true
+			j.Spec = w.Encode()
+			open.Go(func() { x.submitDeadly(j, w) })
 		case draw < behaviour.cancelShare:
 			x.checker.RecordCancelRequest(j)
 			open.Go(func() { x.cancel(j, delay) })
@@ -116,6 +125,18 @@
 	}
 }
 
+// submitDeadly sends a job to one entry after the other until it is answered as failed.
+func (x *client) submitDeadly(j batch.Job, w standin.Workload) {
+	for range maxDeadlySends {
+		if x.send(j, w, deadlyTimeout) == standin.Failed {
+			return
+		}
+		entry, _ := x.entry()
+		x.switchEntry(entry)
+		time.Sleep(resendDelay)
+	}
+}
+
 // send sends a job once, and waits up to limit for the response.
 func (x *client) send(j batch.Job, w standin.Workload, limit time.Duration) standin.Outcome {
 	entry, address := x.entry()
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -38,7 +38,7 @@
 		s.applyToLink(ctx, d)
 	case slices.Contains(storeKinds, d.Kind):
 		s.applyToStore(ctx, d)
-	case slices.Contains(callerKinds, d.Kind):
+	case slices.Contains(callerKinds, d.Kind), slices.Contains(jobKinds, d.Kind):
 		s.applyToCallers(ctx, d)
 	case d.Kind == changeConfiguration:
 		if err := s.configure(); err != nil {
@@ -214,6 +214,9 @@
 	case callerCancels:
 		change(func(x *callerBehaviour) { x.cancelShare += d.Intensity })
 		defer change(func(x *callerBehaviour) { x.cancelShare -= d.Intensity })
+	case deadlyJobs:
+		change(func(x *callerBehaviour) { x.deadlyShare += d.Intensity })
+		defer change(func(x *callerBehaviour) { x.deadlyShare -= d.Intensity })
 	default:
 		change(func(x *callerBehaviour) { x.abandonShare += d.Intensity })
 		defer change(func(x *callerBehaviour) { x.abandonShare -= d.Intensity })
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -31,6 +31,17 @@
 	return s.RecordSubmission(s.job, s.workload, "entry-1")
 }
 
+// crash starts the task the given number of times on backend servers that it crashes.
+func (s scenario) crash(times int) {
+	s.workload.Deadly = true
+	recordOutcome := s.submit()
+	for number := range times {
+		s.runStarted(s.newRun(number + 1))
+		s.RunEnded(s.newRun(number+1), "crashed")
+	}
+	recordOutcome(standin.OutcomeUnknown, "", false)
+}
+
 // Guards against a checker that misses violations, or reports them for correct behaviour.
 func TestChecker(t *testing.T) {
 	const pause = 100 * time.Millisecond
@@ -68,6 +79,22 @@
 			s.RunEnded(s.newRun(1), "failed")
 			recordOutcome(standin.Failed, "", false)
 		}, "no task failed 2 times"},
+		{"failure after two crashes", func(s scenario) {
+			recordOutcome := s.submit()
+			for number := range 2 {
+				s.runStarted(s.newRun(number + 1))
+				s.RunEnded(s.newRun(number+1), "crashed")
+			}
+			recordOutcome(standin.Failed, "", false)
+		}, ""},
+		{"failure after one crash", func(s scenario) {
+			recordOutcome := s.submit()
+			s.runStarted(s.newRun(1))
+			s.RunEnded(s.newRun(1), "crashed")
+			recordOutcome(standin.Failed, "", false)
+		}, "crashed 2 backend servers"},
+		{"deadly task started twice after three crashes", func(s scenario) { s.crash(5) }, ""},
+		{"deadly task started three times after three crashes", func(s scenario) { s.crash(6) }, "after it had crashed 5"},
 		{"false refusal", func(s scenario) {
 			recordOutcome := s.submit()
 			s.runStarted(s.newRun(1))
--- a/soak/link.go
+++ b/soak/link.go
@@ -22,10 +22,13 @@
 
 // link is a TCP proxy in front of a process that can delay, block, blackhole or reset connections.
 type link struct {
-	target   string
-	listener net.Listener
+	address, target string
+	running         sync.WaitGroup
 
 	mu          sync.Mutex // guards what follows
+	listener    net.Listener
+	accepting   chan struct{} // closed when the listener accepts no more connections
+	listening   bool
 	random      *rand.Rand
 	fault       linkFault
 	changed     chan struct{} // closed when the fault changes
@@ -45,32 +48,65 @@
 		return nil, nil, errors.Wrapf(err, "listen for link to %s", target)
 	}
 	l := &link{
-		target: target, listener: listener, random: rand.New(rand.NewPCG(seed, 3)), changed: make(chan struct{}),
+		address: address, target: target, random: rand.New(rand.NewPCG(seed, 3)), changed: make(chan struct{}),
 		connections: map[*proxiedConnection]struct{}{},
 	}
-	var running sync.WaitGroup
-	running.Go(func() {
-		for {
-			client, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			running.Go(func() { l.forward(client) })
-		}
-	})
+	l.serve(listener)
 	return l, func() {
-		_ = listener.Close()
 		l.mu.Lock()
+		_ = l.listener.Close()
 		l.closed = true
 		close(l.changed)
 		for p := range l.connections {
 			p.close()
 		}
 		l.mu.Unlock()
-		running.Wait()
+		l.running.Wait()
 	}, nil
 }
 
+func (l *link) serve(listener net.Listener) {
+	accepting := make(chan struct{})
+	l.listener, l.accepting, l.listening = listener, accepting, true
+	l.running.Go(func() {
+		defer close(accepting)
+		for {
+			client, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			l.running.Go(func() { l.forward(client) })
+		}
+	})
+}
+
+// SetListening stops or resumes listening. While the link does not listen, connections are refused, as by a host on
+// which the target has ended. Open connections are closed.
+func (l *link) SetListening(listening bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || l.listening == listening {
+		return nil
+	}
+	if !listening {
+		l.listening = false
+		_ = l.listener.Close()
+		<-l.accepting // the address is free when Accept has returned
+		for p := range l.connections {
+			if !p.blackholed {
+				p.close()
+			}
+		}
+		return nil
+	}
+	listener, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return errors.Wrapf(err, "listen again for link to %s", l.target)
+	}
+	l.serve(listener)
+	return nil
+}
+
 // SetFault replaces the fault of the link. It also applies to open connections.
 func (l *link) SetFault(f linkFault) {
 	l.mu.Lock()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -69,6 +69,7 @@
 	callerBurst   kind = "Burst"
 	callerCancels kind = "Cancels"
 	callerGiveUps kind = "GiveUps"
+	deadlyJobs    kind = "Deadly" // some jobs crash the backend servers that start their tasks
 )
 
 var (
@@ -83,6 +84,8 @@
 		storeBusy, storeReset, storeNoResponse, storeSlow, storeLoseResponses, storeDelayWrites, dropHistory,
 	}
 	callerKinds = []kind{callerBurst, callerCancels, callerGiveUps}
+	// jobKinds are drawn after all others, so that the plans of earlier seeds keep their disturbances.
+	jobKinds = []kind{deadlyJobs}
 )
 
 func (k kind) planned() bool { return slices.Contains(plannedKinds, k) }
@@ -102,6 +105,8 @@
 	plannedShare = 0.3
 	// seriesShare is the share of the disturbances that are repeated as a series over several targets.
 	seriesShare = 0.2
+	// deadlyShare is the share of the seeds with faults in which some jobs are deadly.
+	deadlyShare = 0.5
 )
 
 // newPlan draws a random plan of the given duration. The same seed and targets give the same plan.
@@ -134,6 +139,9 @@
 			plan = append(plan, disturbance{Start: at, Duration: time.Second, Kind: killProcess, Target: name})
 		}
 	}
+	if !onlyPlanned && r.Float64() < deadlyShare {
+		plan = append(plan, drawDisturbance(r, time.Duration(r.Float64()*float64(duration)), deadlyJobs, ""))
+	}
 	plan = slices.DeleteFunc(plan, func(d disturbance) bool { return d.Start > duration })
 	slices.SortStableFunc(plan, func(a, b disturbance) int { return cmp.Compare(a.Start, b.Start) })
 	return plan
@@ -178,6 +186,8 @@
 		d.Intensity = 2 + 8*r.Float64()
 	case failBackend, loseResponses, delayRequests, storeLoseResponses, storeDelayWrites:
 		d.Intensity = 0.05 + 0.6*r.Float64()
+	case deadlyJobs:
+		d.Intensity = 0.01 + 0.04*r.Float64() // share of the jobs
 	case callerBurst:
 		d.Intensity = 2 + 4*r.Float64()
 	case callerCancels, callerGiveUps:
--- a/soak/site.go
+++ b/soak/site.go
@@ -223,6 +223,11 @@
 			RunStarted:        func(x standin.Run) { s.checker.RunStarted(x, enforces, capacity) },
 			RunEnded:          s.checker.RunEnded,
 			LeaveAcknowledged: s.checker.RecordLeaveNotice,
+			Listening: func(listening bool) {
+				if err := s.links[name+"/orders"].SetListening(listening); err != nil {
+					s.checker.ReportViolation("%s: %v", name, err)
+				}
+			},
 		},
 	})
 	if err != nil {
