--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -66,6 +66,9 @@
 		s.restart(now, r, result, r.number)
 	case Outdated:
 		s.restart(now, r, result, r.number+runNumberStep)
+	case NotListening:
+		s.endProcess()
+		s.endRun(now, r, Refused, result.String())
 	default:
 		s.endRun(now, r, Refused, result.String())
 	}
@@ -146,6 +149,9 @@
 	delete(s.runs, r.Task)
 	s.runNumbers[r.Task] = endedRunNumber{number: r.number, endedAt: now}
 	e := RunEnd{RunID: r.RunID, End: end, Reason: reason}
+	if end == Crashed {
+		e.Unconfirmed = r.unanswered || (r.state != running && !r.crashed)
+	}
 	if r.state == running {
 		e.RunTime = now.Sub(r.startedAt)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -71,6 +71,7 @@
 	callerBurst   kind = "Burst"
 	callerCancels kind = "Cancels"
 	callerGiveUps kind = "GiveUps"
+	deadlyJobs    kind = "Deadly" // some jobs crash the backend servers that start their tasks
 )
 
 var (
@@ -87,6 +88,8 @@
 	capacityKinds = []kind{shrinkBackend}
 	entryKinds    = []kind{resetEntry}
 	callerKinds   = []kind{callerBurst, callerCancels, callerGiveUps}
+	// jobKinds are drawn after all others, so that the plans of earlier seeds keep their disturbances.
+	jobKinds = []kind{deadlyJobs}
 )
 
 func (k kind) planned() bool { return slices.Contains(plannedKinds, k) }
@@ -111,6 +114,8 @@
 	plannedShare = 0.3
 	// seriesShare is the share of the disturbances that are repeated as a series over several targets.
 	seriesShare = 0.2
+	// deadlyShare is the share of the seeds with faults in which some jobs are deadly.
+	deadlyShare = 0.5
 )
 
 // newPlan draws a random plan of the given duration. The same seed and targets give the same plan.
@@ -143,6 +148,9 @@
 			plan = append(plan, disturbance{Start: at, Duration: time.Second, Kind: killProcess, Target: name})
 		}
 	}
+	if !onlyPlanned && r.Float64() < deadlyShare {
+		plan = append(plan, drawDisturbance(r, time.Duration(r.Float64()*float64(duration)), deadlyJobs, ""))
+	}
 	if !onlyPlanned {
 		// These have generators of their own, so that the other disturbances of a seed are those of earlier violations.
 		plan = append(plan, drawGroup(rand.New(rand.NewPCG(seed, 8)), duration, meanShrinkGap, shrinkBackend, t.backends)...)
@@ -203,6 +211,8 @@
 	case shrinkBackend:
 		d.Intensity = 0.05 + 0.9*r.Float64() // share of the capacity that remains
 		d.Duration *= shrinkStretch
+	case deadlyJobs:
+		d.Intensity = 0.01 + 0.04*r.Float64() // share of the jobs
 	case callerBurst:
 		d.Intensity = 2 + 4*r.Float64()
 	case callerCancels, callerGiveUps:
