Leave a connection that delivers nothing to the other entry

Cause: an entry sent on its current connection as long as that was open. If it delivered nothing, the other entry took this one as lost after 0.5 s and connected again; this one heard it on the new connection and kept the old one in use, so that all jobs between the two were dropped again and again. Change: an entry that begins a session without having received anything shows that the current connection does not reach it; a session begins on the new one. Result: TestUndeliveringConnectionIsNotUsedAgain failed before with "14 loads on the earlier connection and 0 on the new one".

--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -162,3 +162,28 @@
 		}
 	})
 }
+
+// Guards against an entry that goes on sending on a connection that delivers nothing, although the other entry has taken
+// it as lost and connected again.
+func TestUndeliveringConnectionIsNotUsedAgain(t *testing.T) {
+	runSite(t, 1, 0, func(s *testSite) {
+		o := newFakePeerEntry()
+		stale := o.dial(s, "first")
+		defer stale.Close()
+		o.exchangeLoads(s, stale, 1, true)
+		fresh := o.dial(s, "first")
+		defer fresh.Close()
+		fresh.Load(inner.EntryLoad{Session: 2, Clock: time.Duration(time.Now().UnixNano())})
+		time.Sleep(10 * time.Millisecond)
+		o.mu.Lock()
+		clear(o.count)
+		o.mu.Unlock()
+		o.exchangeLoads(s, fresh, 2, true)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.count[stale] > 0 || o.count[fresh] < 10 {
+			s.t.Errorf("%d loads on the earlier connection and %d on the new one, want all on the new one",
+				o.count[stale], o.count[fresh])
+		}
+	})
+}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -67,18 +67,20 @@
 func (e *Entry) switchConnection(x *entrySession) bool {
 	closed := x.current
 	for p := range x.connections {
-		if p == closed {
-			continue
-		}
-		e.lastSession++
-		x.current, x.session = p, e.lastSession
-		if p.Load(e.firstLoad(x)) {
+		if p != closed && e.useConnection(x, p) {
 			return true
 		}
 	}
 	return false
 }
 
+// useConnection begins a session on a connection. It reports false if the connection is closed.
+func (e *Entry) useConnection(x *entrySession, p *inner.Peer) bool {
+	e.lastSession++
+	x.current, x.session = p, e.lastSession
+	return p.Load(e.firstLoad(x))
+}
+
 // entrySessionOf returns the entry session that a connection belongs to.
 func (e *Entry) entrySessionOf(p *inner.Peer) (*entrySession, bool) {
 	x, ok := e.entries[p.Name]
@@ -103,8 +105,13 @@
 		x.lastEcho = echo
 	}
 	if l.Session > x.peerSession {
+		lost := x.peerSession > 0 && l.Echo == 0
 		x.peerSession = l.Session
 		e.beginPeerSession(now, x, l)
+		if lost && x.current != p {
+			// The peer had received nothing on the current connection, which can be open here and deliver nothing.
+			e.useConnection(x, p)
+		}
 	}
 	if x.Weight != l.Weight || x.draining != l.Load.Draining {
 		e.entryListVersion++
