Play resubmissions while connections break together

Cause: the trace of the two runs shows a job that ran for nobody, not two runs, because few of the played callers submit a job again. The in-memory network can reset and silence single connections.

--- /dev/null
+++ b/batchentry/resubmission_test.go
@@ -0,0 +1,99 @@
+package batchentry_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/internal/memnet"
+)
+
+// Guards against two runs of a task at the same time when connections of callers, entries and agents break together,
+// and callers submit again at any entry.
+func TestResubmissionsDoNotOverlap(t *testing.T) {
+	for seed := range uint64(disturbedSeeds) {
+		for _, silence := range []bool{false, true} {
+			t.Run(fmt.Sprintf("seed %d, silence %v", seed, silence), func(t *testing.T) {
+				runSiteInOneRegion(t, 5, 6, func(s *testSite) { s.disturb(seed, silence) })
+			})
+		}
+	}
+}
+
+const disturbedSeeds = 6
+
+func (s *testSite) disturb(seed uint64, silence bool) {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 1))
+	number := func(n int) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return random.IntN(n)
+	}
+	names := make([]string, 0, len(s.entries))
+	for name := range s.entries {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	reset := make(chan struct{})
+	resetSignal := func() chan struct{} {
+		mu.Lock()
+		defer mu.Unlock()
+		return reset
+	}
+	end := time.Now().Add(20 * time.Second)
+	var callers sync.WaitGroup
+	for i := range 40 {
+		callers.Go(func() {
+			for k := 0; time.Now().Before(end); k++ {
+				id := fmt.Sprintf("job-%d-%d", i, k)
+				d := time.Duration(100+number(3000)) * time.Millisecond
+				for try := 0; try < 6; try++ {
+					ctx, leave := context.WithCancel(s.t.Context())
+					broken := resetSignal()
+					go func() {
+						select {
+						case <-broken:
+							if number(2) == 0 {
+								leave()
+							}
+						case <-ctx.Done():
+						}
+					}()
+					o := s.entries[names[number(len(names))]].Submit(ctx, newJob(id, 1+i%3, d))
+					leave()
+					if _, done := o.(batch.Completed); done {
+						break
+					}
+					time.Sleep(resubmissionDelay)
+				}
+			}
+		})
+	}
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(300+number(1700)) * time.Millisecond)
+		mu.Lock()
+		close(reset)
+		reset = make(chan struct{})
+		mu.Unlock()
+		s.network.Disturb(func(a, b string) memnet.Fault {
+			if strings.HasPrefix(a, "agent") && number(4) > 0 {
+				return memnet.NoFault
+			}
+			switch x := number(8); {
+			case x < 3:
+				return memnet.ResetFault
+			case silence && x == 3:
+				return memnet.SilenceFault
+			}
+			return memnet.NoFault
+		})
+	}
+	callers.Wait()
+}
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -167,6 +167,55 @@
 	}
 }
 
+// Silence discards all data on the open connections that one host dialled to another one, which stay open. New
+// connections work.
+func (n *Network) Silence(dialler, listener string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.dialler == dialler && c.hosts == newHostPair(dialler, listener) {
+			c.mu.Lock()
+			c.silent = true
+			c.mu.Unlock()
+		}
+	}
+}
+
+// Fault is what happens to an open connection.
+type Fault int
+
+// Faults of a connection.
+const (
+	NoFault Fault = iota
+	ResetFault
+	SilenceFault // of the direction from the end that the fault is chosen for
+)
+
+// Disturb chooses a fault for each end of each open connection.
+func (n *Network) Disturb(choose func(dialler, other string) Fault) {
+	n.mu.Lock()
+	var resets []*conn
+	for c := range n.conns {
+		other := c.hosts.a
+		if other == c.dialler {
+			other = c.hosts.b
+		}
+		switch choose(c.dialler, other) {
+		case NoFault:
+		case ResetFault:
+			resets = append(resets, c)
+		case SilenceFault:
+			c.mu.Lock()
+			c.silent = true
+			c.mu.Unlock()
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range resets {
+		c.abort()
+	}
+}
+
 // conn is one end of a connection. Writes go to a buffer, as with sockets, so that a writer that holds locks does not
 // block while the link is stalled.
 type conn struct {
@@ -181,6 +230,7 @@
 	mu     sync.Mutex
 	buffer []byte
 	closed bool
+	silent bool // data and the end of the connection do not reach the other end
 }
 
 func (n *Network) newConn(c, other net.Conn, dialler, listener string) *conn {
@@ -200,6 +250,9 @@
 	if c.closed {
 		return 0, net.ErrClosed
 	}
+	if c.silent {
+		return len(data), nil
+	}
 	c.buffer = append(c.buffer, data...)
 	c.wakeSender()
 	return len(data), nil
@@ -216,14 +269,16 @@
 func (c *conn) send() {
 	for range c.pending {
 		c.mu.Lock()
-		data, closed := c.buffer, c.closed
+		data, closed, silent := c.buffer, c.closed, c.silent
 		c.buffer = nil
 		c.mu.Unlock()
 		if len(data) > 0 && c.awaitLink() {
 			_, _ = c.Conn.Write(data)
 		}
 		if closed {
-			_ = c.Conn.Close()
+			if !silent {
+				_ = c.Conn.Close()
+			}
 			return
 		}
 	}
