Withdraw a forwarded job whose outcome is unknown

Cause: the list of open jobs can arrive on one connection before a forward of the same session on another. The receiver answered that the outcome was unknown, then accepted the job, and nobody withdrew it: it ran beside its resubmission. Change: an entry that is told that the outcome is unknown withdraws the job, on the connection on which it had forwarded it. Result: TestUnknownOutcomeWithdrawsJob fails without the change ("1 jobs were forwarded and 0 withdrawn, want one each").

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -289,6 +289,9 @@
 	if n, ok := o.(batch.NotRun); ok && c.retries < maxRetries && e.retry(c, n.Reason) {
 		return
 	}
+	if _, unknown := o.(batch.Unknown); unknown {
+		e.cancelDispatch(c) // the other entry may have sent the outcome before it receives the job
+	}
 	e.log(event.JobAnswered).Str("Job", string(id)).Str("Route", c.job.Route).Str("State", batch.OutcomeName(o)).
 		Str("Peer", p.Name).Dur("Taken", e.options.Now().Sub(c.arrived)).Send()
 	e.metrics.recordOutcome(o, e.options.Now().Sub(c.arrived))
--- /dev/null
+++ b/batchentry/crossed_message_test.go
@@ -0,0 +1,77 @@
+package batchentry_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/event"
+	"dogwoodglade/io/inner"
+)
+
+// peerRecorder is another entry that records the messages about jobs that it receives.
+type peerRecorder struct {
+	*fakePeerEntry
+
+	name string
+
+	recorded  sync.Mutex
+	forwarded []batch.Job
+	withdrawn []batch.JobID
+	outcomes  []batch.Outcome
+}
+
+func (r *peerRecorder) Forward(_ *inner.Peer, j batch.Job) {
+	r.recorded.Lock()
+	defer r.recorded.Unlock()
+	r.forwarded = append(r.forwarded, j)
+}
+
+func (r *peerRecorder) WithdrawJob(_ *inner.Peer, id batch.JobID, _ bool) {
+	r.recorded.Lock()
+	defer r.recorded.Unlock()
+	r.withdrawn = append(r.withdrawn, id)
+}
+
+func (r *peerRecorder) ForwardOutcome(_ *inner.Peer, _ batch.JobID, o batch.Outcome) {
+	r.recorded.Lock()
+	defer r.recorded.Unlock()
+	r.outcomes = append(r.outcomes, o)
+}
+
+func (r *peerRecorder) connect(s *testSite) *inner.Peer {
+	s.t.Helper()
+	p, err := inner.Dial(s.t.Context(), s.network.Host(r.name).Dial, "entry-1:1", inner.Local{
+		Identity: inner.Identity{Role: inner.RoleEntry, Name: r.name, Incarnation: "first", Address: r.name + ":1"},
+		Clock:    event.NewRecorder(r.name, 1, time.Now), Metrics: metrics.NewRegistry(),
+	}, r)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return p
+}
+
+// Guards against two runs of a task at the same time: a job is reported as lost and received later, because the two
+// messages crossed on different connections.
+func TestUnknownOutcomeWithdrawsJob(t *testing.T) {
+	runSite(t, 1, 0, func(s *testSite) {
+		r := &peerRecorder{fakePeerEntry: newFakePeerEntry(), name: "other"}
+		p := r.connect(s)
+		defer p.Close()
+		p.Load(fakePeerLoad())
+		time.Sleep(10 * time.Millisecond)
+		go s.entries["entry-1"].Submit(s.t.Context(), newJob("job", 1, time.Second))
+		time.Sleep(10 * time.Millisecond)
+		p.ForwardOutcome("job", batch.Unknown{Reason: batch.PeerLost})
+		time.Sleep(10 * time.Millisecond)
+		r.recorded.Lock()
+		defer r.recorded.Unlock()
+		if len(r.forwarded) != 1 || len(r.withdrawn) != 1 {
+			s.t.Errorf("%d jobs were forwarded and %d withdrawn, want one each", len(r.forwarded), len(r.withdrawn))
+		}
+	})
+}
+
