Take connections that are not in use as no sign of life

Cause: each new connection, and the load sent on it, counted as a message of the other entry, also if the connection in use was silent. With two reconnections a second, jobs that had been withdrawn on the silent one ran on. Change: the load on a connection that is not in use has no session, and does not extend the session. Result: TestNewConnectionsDoNotExtendSession failed before with "1 run in progress 1.3s after the job was withdrawn". TestEntryLeavesSilentConnection failed before with "3 s after the connections became silent, 20 of 20 jobs failed, the first with Unknown:PeerLost".

--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -305,13 +305,14 @@
 		Name: p.Name, Address: p.Address, Region: p.Region, DataCentre: p.DataCentre, Weight: x.Weight,
 	}
 	x.connections[p] = 0
-	if x.current == nil {
-		x.current = p
-	}
-	x.lastLoad = now
 	e.entryListVersion++
 	e.connector.AddDiscovered(p.Address)
-	p.Load(e.firstLoad(x))
+	if x.current == nil {
+		x.current, x.lastLoad = p, now
+		p.Load(e.firstLoad(x))
+	} else {
+		p.Load(e.unusedLoad(x))
+	}
 	if crashes := e.dispatcher.Crashes(now); len(crashes) > 0 {
 		p.Crashes(crashes)
 	}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -40,6 +40,13 @@
 	return l
 }
 
+// unusedLoad returns the load message for a connection that this entry does not send on.
+func (e *Entry) unusedLoad(x *entrySession) inner.EntryLoad {
+	l := x.withSessionFields(e.load(), e.options.Now())
+	l.Session = 0
+	return l
+}
+
 // withSessionFields adds the fields that are specific to the receiving entry to a load message: the session number and
 // the clock readings.
 func (x *entrySession) withSessionFields(l inner.EntryLoad, now time.Time) inner.EntryLoad {
@@ -100,7 +107,11 @@
 		return
 	}
 	now := e.options.Now()
-	x.connections[p], x.peerClock = l.Session, max(x.peerClock, l.Clock)
+	x.connections[p] = l.Session
+	if l.Session < x.peerSession {
+		return // the other entry does not use this connection, so the message says nothing about the one in use
+	}
+	x.peerClock = max(x.peerClock, l.Clock)
 	if echo := time.Unix(0, int64(l.Echo)); l.Echo > 0 && echo.After(x.lastEcho) {
 		x.lastEcho = echo
 	}
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -67,6 +67,7 @@
 	Weight  float64 // share of the agents that the sender can serve
 	// Session rises when the sender considers the receiver lost, and when messages may have been lost with a connection.
 	// The first load of a session lists the jobs of earlier sessions that continue in it. The others are abandoned.
+	// Session is 0 on a connection that the sender does not use for other messages.
 	Session   uint64
 	Forwarded []batch.JobID `cbor:",omitempty"` // jobs that the sender forwarded to the receiver and waits for
 	Accepted  []batch.JobID `cbor:",omitempty"` // jobs that the receiver forwarded to the sender and that are open there
