Pass a stranded job on once

What callers saw: nothing yet; found by the review. Cause: an entry without a backend server passed a job on for its own caller, and also handed it back to the entry that had forwarded the same job, which chose a third one: two entries dispatched it. Change: the job is passed on once, for all who wait for it; it is handed back only if no caller of this entry waits. Result: TestStrandedJobIsNotSplit failed before with "the job was forwarded to another entry and handed back as NotRun:NoServer".

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -226,27 +226,26 @@
 }
 
 // reassignStranded passes on the jobs that another entry can start sooner because this one has no backend server for
-// them, or is stopping. Entries that forwarded such a job choose again; it has not been started.
+// them, or is stopping. If only other entries wait for such a job, they choose again; it has not been started.
 func (e *Entry) reassignStranded(now time.Time) {
 	for _, id := range e.dispatcher.Stranded() {
 		c, ok := e.calls[id]
 		if !ok || c.forwardedTo != "" {
 			continue
 		}
-		to := ""
-		if len(c.waiters) > 0 {
-			if to = e.peers.Choose(now, e.dispatcher.Load(), c.job); to == "" {
-				continue
+		if len(c.waiters) == 0 {
+			if e.dispatcher.Withdraw(id) {
+				e.handBack(c)
+				delete(e.calls, id)
 			}
+			continue
 		}
-		if !e.dispatcher.Withdraw(id) {
+		// The job goes on elsewhere for the callers of this entry, and for the entries that forwarded it.
+		to := e.peers.Choose(now, e.dispatcher.Load(), c.job)
+		if _, isOrigin := c.origins[to]; to == "" || isOrigin || !e.dispatcher.Withdraw(id) {
 			continue
 		}
-		e.handBack(c)
-		switch {
-		case len(c.waiters) == 0:
-			delete(e.calls, id)
-		case !e.forward(c, to):
+		if !e.forward(c, to) {
 			e.dispatch(now, c)
 		}
 	}
