Grant no lease beside a run whose session has expired

What callers saw: nothing yet; found by the review. Cause: a start for one entry extends the lease of all runs. It was granted although the session of another entry's run had expired and the periodic work had not ended it yet. Change: runs whose session has expired count as orphans in every call that grants a lease. Result: TestLeaseNotRenewedAfterSessionExpiry failed before with "a lease until 776ms after the end of the session was granted to a run of that session".

--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -16,7 +16,7 @@
 			refusal = "SessionLost"
 		case !s.known || s.left || !s.runsListed || s.awaitingAnnouncement || s.server.Leaving || s.draining:
 			refusal = "NoServer"
-		case s.hasOrphans():
+		case s.hasOrphans(now):
 			refusal = "Orphans"
 		case exists:
 			refusal = "Running"
@@ -80,7 +80,7 @@
 func (s *Supervisor) restart(now time.Time, r *run, result StartResult, number int) {
 	r.restarts++
 	c, ok := s.sessions[r.entry]
-	if r.stopping || r.restarts > maxRestarts || s.hasOrphans() || !ok || !c.alive(now) {
+	if r.stopping || r.restarts > maxRestarts || s.hasOrphans(now) || !ok || !c.alive(now) {
 		s.endRun(now, r, Refused, result.String())
 		return
 	}
@@ -159,7 +159,7 @@
 		c.ended = append(c.ended, e)
 		s.addReport(r.entry)
 	}
-	if wasOrphaned && !s.hasOrphans() {
+	if wasOrphaned && !s.hasOrphans(now) {
 		s.reportAll()
 	}
 }
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -210,10 +210,10 @@
 	h := Hold{Server: s.server.ID, Token: s.token, Seen: s.lastEndSequence, Wait: wait, createdAt: now}
 	// A backend server that does not respond gets no further renewals. One of them may still be carried out, so its runs
 	// could not be counted as ended as long as renewals are sent.
-	if s.mayRenew(now) && !s.silent() {
+	if s.runsListed && len(s.runs) > 0 && !s.hasOrphans(now) && !s.silent() {
 		h.Renew, h.Until = true, s.grantLease(now)
 	}
-	if !s.runsListed || s.hasOrphans() {
+	if !s.runsListed || s.hasOrphans(now) {
 		h.Wait = 0
 	}
 	return h
@@ -294,7 +294,7 @@
 		}
 		unknown[l.Task] = u
 	}
-	wasOrphaned := s.hasOrphans()
+	wasOrphaned := s.hasOrphans(now)
 	s.unknownRuns = unknown
 	for _, r := range s.sortedRuns() {
 		// Only a list made under a higher token than that of the unanswered start is conclusive.
@@ -312,7 +312,7 @@
 			s.restart(now, r, Unanswered, r.number)
 		}
 	}
-	if wasOrphaned && !s.hasOrphans() {
+	if wasOrphaned && !s.hasOrphans(now) {
 		s.reportAll()
 	}
 }
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -389,42 +389,29 @@
 }
 
 // hasOrphans reports whether a run remains whose session ended, or that no session requested. Meanwhile no lease is
-// granted or renewed, because a lease applies to all runs of the backend server.
-func (s *Supervisor) hasOrphans() bool {
+// granted or renewed, because a lease applies to all runs of the backend server. If the agent's process was suspended, it
+// may get here before Tick has ended the expired sessions, so their ends are checked.
+func (s *Supervisor) hasOrphans(now time.Time) bool {
 	if len(s.unknownRuns) > 0 {
 		return true
 	}
 	for _, r := range s.runs {
-		if r.sessionEnded {
+		if c, ok := s.sessions[r.entry]; r.sessionEnded || !ok || now.After(c.expiresAt) {
 			return true
 		}
 	}
 	return false
 }
 
-// mayRenew reports whether the lease of the runs may be renewed. If the agent's process was suspended, it may get here
-// before Tick has ended the expired sessions, so they are checked again.
-func (s *Supervisor) mayRenew(now time.Time) bool {
-	if !s.runsListed || len(s.runs) == 0 || s.hasOrphans() {
-		return false
-	}
-	for _, r := range s.runs {
-		if c, ok := s.sessions[r.entry]; !ok || now.After(c.expiresAt) {
-			return false
-		}
-	}
-	return true
-}
-
 // acceptsStarts reports whether the backend server can start runs.
-func (s *Supervisor) acceptsStarts() bool {
+func (s *Supervisor) acceptsStarts(now time.Time) bool {
 	return s.known && !s.left && s.runsListed && !s.awaitingAnnouncement && !s.server.Leaving && !s.draining &&
-		!s.silent() && !s.processEnded && !s.hasOrphans()
+		!s.silent() && !s.processEnded && !s.hasOrphans(now)
 }
 
 // Report returns the report for an entry, and drops the ends of runs that it contains.
 func (s *Supervisor) Report(now time.Time, entry string) Report {
-	accepts := s.acceptsStarts()
+	accepts := s.acceptsStarts(now)
 	r := Report{
 		Clock: sinceEpoch(now), Offered: accepts && entry == s.home, Released: accepts && entry != s.home,
 		Server: s.server, UsedByOthers: s.inUse(entry), ProcessEnded: s.processEnded && !s.leaves(),
