Count the time-out of a resubmitted job from its submission

What callers saw: nothing yet; found by the review. Cause: a job that is submitted again while its runs are being stopped waits for their end, and then got its whole time-out again. Change: it keeps what is left of the time-out, and is refused if nothing is left. Result: TestResubmissionKeepsItsTimeout failed before with "the job ended 1.65s after its caller had given up".

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -118,7 +118,8 @@
 	decidingAgent  string     // agent of the run that decided the outcome; empty if none did
 	lastServer     *server    // backend server of the latest start
 	resubmission   *batch.Job // the job as submitted again while its runs are being stopped
-	tooLargeSince  time.Time  // when a waiting job ceased to fit on any backend server; zero if it fits
+	resubmittedAt  time.Time
+	tooLargeSince  time.Time // when a waiting job ceased to fit on any backend server; zero if it fits
 }
 
 // started reports whether a start request was sent that may have taken effect.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -16,7 +16,7 @@
 	if old, ok := d.jobs[b.ID]; ok {
 		if old.answered {
 			// The runs of the answered job are still being stopped, and two runs of a task must not overlap.
-			old.resubmission = &b
+			old.resubmission, old.resubmittedAt = &b, now
 		}
 		return nil
 	}
@@ -396,7 +396,15 @@
 	if j.resubmission == nil {
 		return
 	}
-	next := d.newJob(now, *j.resubmission)
+	b := *j.resubmission
+	if b.Timeout > 0 {
+		b = b.WithTimeout(b.Timeout - now.Sub(j.resubmittedAt))
+	}
+	next := d.newJob(now, b)
+	if j.resubmission.Timeout > 0 && b.Timeout <= 0 {
+		d.answer(now, next, d.notRunOutcome(now, next, batch.DeadlinePassed))
+		return
+	}
 	if t := d.findGivenUp(now, next); t != nil {
 		d.answer(now, next, d.crashOutcome(now, t))
 		return
--- a/core/dispatch/timeout_test.go
+++ b/core/dispatch/timeout_test.go
@@ -45,3 +45,30 @@
 	}
 	return n
 }
+
+// Guards against a resubmitted job that runs beyond the time at which its caller gives up, because it had to wait for
+// the end of its earlier runs.
+func TestResubmissionKeepsItsTimeout(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d, report := withOneServer(now)
+	j := named("again", 2)
+	first := startsOf(d.Submit(now, j))
+	d.Connect(now, "agent-2")
+	d.HandleReport(now, "agent-2", report)
+	d.Disconnect(now, "agent-1", now.Add(supervise.MaxRunAfterAgentLoss))
+	d.Cancel(now, j.ID)
+	j.Timeout = 3 * time.Second
+	submitted := now.Add(10 * time.Millisecond)
+	d.Submit(submitted, j)
+	now = submitted.Add(supervise.MaxRunAfterAgentLoss)
+	starts := startsOf(d.Tick(now)) // the earlier runs have ended
+	if len(first) != 2 || len(starts) != 2 {
+		t.Fatalf("got %d and %d starts, want 2 each", len(first), len(starts))
+	}
+	if o := outcomesOf(d.Tick(submitted.Add(j.Timeout + 100*time.Millisecond))); len(o) != 1 {
+		after := submitted.Add(j.Timeout)
+		for now = after; len(outcomesOf(d.Tick(now))) == 0; now = now.Add(50 * time.Millisecond) {
+		}
+		t.Errorf("the job ended %v after its caller had given up", now.Sub(after))
+	}
+}
