Admit a resubmitted job with the report that offers a server

What callers saw: a refusal as NoServer although a backend server had just come back. Cause: the runs that the job waited for were counted as ended before the offer of the same report was recorded. Change: the offer is recorded first. Result: TestResubmissionAdmittedWhenServerReturns failed before with "got 0 starts and the outcomes [{NoServer 10s}], want 2 starts".

--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -179,10 +179,6 @@
 	for _, e := range r.Ended {
 		d.runEnded(now, s, e)
 	}
-	if r.Offered {
-		// An agent offers its backend server only when no run of an earlier session remains there.
-		d.endLostRuns(now, s)
-	}
 	if s.info.ID != r.Server.ID || s.info.Incarnation != r.Server.Incarnation {
 		s.logSlowdown, s.failureShare, s.consecutiveFailures, s.consecutiveSlowRuns = 0, 0, 0, 0
 		s.quarantined, s.hangs, s.probeDelay = false, false, 0
@@ -195,6 +191,10 @@
 	if changed {
 		d.updatePoolCapacity()
 	}
+	if r.Offered {
+		// An agent offers its backend server only when no run of an earlier session remains there.
+		d.endLostRuns(now, s)
+	}
 	d.place(now)
 	return d.takeActions()
 }
--- a/core/dispatch/timeout_test.go
+++ b/core/dispatch/timeout_test.go
@@ -72,3 +72,20 @@
 		t.Errorf("the job ended %v after its caller had given up", now.Sub(after))
 	}
 }
+
+// Guards against a resubmitted job that is refused for lack of a backend server by the very report that offers one.
+func TestResubmissionAdmittedWhenServerReturns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d, report := withOneServer(now)
+	j := named("again", 2)
+	d.Submit(now, j)
+	d.Disconnect(now, "agent-1", now.Add(supervise.MaxRunAfterAgentLoss))
+	d.Cancel(now, j.ID)
+	d.Submit(now.Add(10*time.Millisecond), j)
+	now = now.Add(supervise.MaxRunAfterAgentLoss - 100*time.Millisecond)
+	d.Connect(now, "agent-1")
+	actions := d.HandleReport(now, "agent-1", report)
+	if starts, o := startsOf(actions), outcomesOf(actions); len(starts) != 2 || len(o) > 0 {
+		t.Errorf("got %d starts and the outcomes %v, want 2 starts", len(starts), o)
+	}
+}
