--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -10,8 +10,8 @@
 // it has recovered.
 //
 // A task that crashes its backend server would crash one after the other. The jobs whose tasks ran on a crashed backend
-// server are suspect from then on: their tasks are started one at a time on few backend servers, so that the guilty one is found,
-// and its job fails after the second crash.
+// server are suspect from then on: their tasks are started one at a time on few backend servers, so that the guilty one
+// is found, and its job fails after the second crash.
 //
 // The package opens no connections and reads no clock. It is called by batchentry, which carries out its actions.
 package dispatch
@@ -24,8 +24,7 @@
 	"dogwoodglade/core/supervise"
 )
 
-// Action is an action for the entry to carry out: StartRuns, StopRuns, Answer, HealthChanged or
-// CrashesBlamed.
+// Action is an action for the entry to carry out: StartRuns, StopRuns, Answer, HealthChanged or CrashesBlamed.
 type Action interface{ action() }
 
 // StartRuns sends an agent the start requests for tasks of one or more jobs.
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -101,7 +101,8 @@
 	return &checker{
 		disturbances: disturbances, jobs: map[batch.JobID]*jobRecord{},
 		activeRuns: map[batch.TaskID]standin.Run{}, usedResources: map[string]resource.Amount{},
-		capacities: map[string][]capacityRecord{}, leavingSince: map[string]time.Time{}, shownVersions: map[string]shownVersion{}, eventCounts: map[string]int{},
+		capacities: map[string][]capacityRecord{}, leavingSince: map[string]time.Time{},
+		shownVersions: map[string]shownVersion{}, eventCounts: map[string]int{},
 	}
 }
 
