--- a/batchentry/crossed_message_test.go
+++ b/batchentry/crossed_message_test.go
@@ -74,4 +74,3 @@
 		}
 	})
 }
-
