Wait until the address of a closed link is free in the soak

It had closed its listener, but a process that is being started holds copies of all sockets for some milliseconds; that this was the cause is not proven. Change: the link tries again for a second.

--- a/soak/link.go
+++ b/soak/link.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -80,6 +81,24 @@
 	})
 }
 
+// listenRetries and listenRetryDelay bound how long an address may stay in use after its listener was closed. A process
+// that is being started holds copies of all sockets until it executes its program.
+const (
+	listenRetries    = 50
+	listenRetryDelay = 20 * time.Millisecond
+)
+
+func listenAgain(address string) (listener net.Listener, err error) {
+	for range listenRetries {
+		listener, err = net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return listener, err
+		}
+		time.Sleep(listenRetryDelay)
+	}
+	return nil, err
+}
+
 // SetListening stops or resumes listening. While the link does not listen, connections are refused, as by a host on
 // which the target has ended. Open connections are closed.
 func (l *link) SetListening(listening bool) error {
@@ -99,7 +118,7 @@
 		}
 		return nil
 	}
-	listener, err := net.Listen("tcp", l.address)
+	listener, err := listenAgain(l.address)
 	if err != nil {
 		return errors.Wrapf(err, "listen again for link to %s", l.target)
 	}
