Recognise the own process by its role, name and incarnation

Cause: a process that dials itself was recognised by its incarnation alone. The cost measures give both ends of a connection the same one. Change: role, name and incarnation must agree.

--- a/io/inner/hello.go
+++ b/io/inner/hello.go
@@ -44,7 +44,7 @@
 		p.Close()
 		return nil, errors.WithStack(&VersionError{Peer: address, Got: reply.Version})
 	}
-	if reply.Identity.Incarnation == local.Identity.Incarnation {
+	if local.isSelf(reply.Identity) {
 		p.Close()
 		return nil, errors.WithStack(&SelfError{Address: address})
 	}
@@ -181,7 +181,7 @@
 		return false, errors.WithStack(&HandshakeError{Peer: "dialler", Want: "a Hello with name and incarnation"})
 	}
 	p.Identity = h.Identity
-	return h.Version == Version && h.Identity.Incarnation != s.local.Identity.Incarnation, nil
+	return h.Version == Version && !s.local.isSelf(h.Identity), nil
 }
 
 // watch closes the connection if no valid Hello arrives within handshakeTimeout, and removes it from the peers once it
--- a/io/inner/peer.go
+++ b/io/inner/peer.go
@@ -27,6 +27,11 @@
 	Metrics  metrics.Registry
 }
 
+// isSelf reports whether an identity is that of the local process.
+func (l Local) isSelf(other Identity) bool {
+	return other.Role == l.Identity.Role && other.Name == l.Identity.Name && other.Incarnation == l.Identity.Incarnation
+}
+
 // Peer is a connection to another process. Its Identity is set by the handshake.
 type Peer struct {
 	Identity
