--- a/review/_stand/limit.go
+++ b/review/_stand/limit.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"dogwoodglade/core/resource"
-	"dogwoodglade/platform/standin"
 )
 
 const (
@@ -122,20 +121,7 @@
 		}
 	}
 	x := &room{limit: cores * 1000}
-	s.unguarded = true
-	s.onStart = func(r standin.Run) {
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		x.used += taskCPU
-		if x.used > x.limit && time.Now().After(x.countedAt) {
-			x.over = append(x.over, fmt.Sprintf("%.3f: task %s makes it %d of %d", s.since(time.Now()), r.Task, x.used, x.limit))
-		}
-	}
-	s.onEnd = func(standin.Run) {
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		x.used -= taskCPU
-	}
+	s.watchRoom(x)
 	agent, err := s.addSide(1, fronts)
 	if err != nil {
 		return false, err
--- a/review/_stand/link.go
+++ b/review/_stand/link.go
@@ -6,7 +6,7 @@
 )
 
 // link forwards TCP connections to a target. Its open connections can be made silent: what either side sends is lost,
-// and neither side learns of it. New connections work.
+// and neither side learns of it, while new connections work. It can be cut: then new connections are silent as well.
 type link struct {
 	target string
 
@@ -14,6 +14,7 @@
 	connections map[*linkConnection]struct{}
 	accepted    int
 	closed      bool
+	isCut       bool
 }
 
 type linkConnection struct {
@@ -56,6 +57,7 @@
 	}
 	c := &linkConnection{client: client, server: server}
 	l.mu.Lock()
+	c.silent = l.isCut
 	l.connections[c] = struct{}{}
 	l.accepted++
 	closed := l.closed
@@ -106,3 +108,13 @@
 	}
 	return len(l.connections)
 }
+
+// cut begins or ends a cut. Connections that were open or opened during the cut stay silent.
+func (l *link) cut(begins bool) {
+	if begins {
+		l.silence()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isCut = begins
+}
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -19,7 +19,7 @@
 		os.Exit(2)
 	}
 	cases := map[string]func(*testSite) (broken bool, err error){
-		"recover": playRecover, "cancel": playCancel, "config": playConfig, "limit": playLimit,
+		"recover": playRecover, "cancel": playCancel, "config": playConfig, "limit": playLimit, "beats": playBeats,
 	}
 	play, ok := cases[os.Args[1]]
 	if !ok {
--- a/review/_stand/site.go
+++ b/review/_stand/site.go
@@ -69,14 +69,15 @@
 	record    *os.File
 	lock      net.Listener
 
-	mu        sync.Mutex
-	processes []*process
-	cleanUps  []func()
-	starts    []standin.Run
-	backends  map[int]*standin.Backend // by the number of the side
-	unguarded bool                     // the backend servers start whatever they are told to start
-	onStart   func(standin.Run)        // may be nil
-	onEnd     func(standin.Run)        // may be nil
+	mu          sync.Mutex
+	processes   []*process
+	cleanUps    []func()
+	starts      []standin.Run
+	backends    map[int]*standin.Backend // by the number of the side
+	announceVia string                   // where backend servers announce themselves, if not at the agent's address
+	unguarded   bool                     // the backend servers start whatever they are told to start
+	onStart     func(standin.Run)        // may be nil
+	onEnd       func(standin.Run)        // may be nil
 }
 
 func newSite(recordPath string) (*testSite, error) {
@@ -232,9 +233,13 @@
 // addSide starts an agent and the backend server beside it.
 func (s *testSite) addSide(number int, seeds []int) (*process, error) {
 	p := &process{name: fmt.Sprintf("side-%s-%d", zoneOf(number), number), role: "agent", s: s}
+	announceAddress := s.address(sideGroup, number, controlPort)
+	if s.announceVia != "" {
+		announceAddress = s.announceVia
+	}
 	b, stop, err := standin.NewBackend(standin.BackendOptions{
 		Name: p.name, Pool: poolName, Address: s.address(sideGroup, number, appPort),
-		AnnounceAddress: s.address(sideGroup, number, controlPort),
+		AnnounceAddress: announceAddress,
 		Capacity:        resource.Amount{Processor: cores * 1000, Memory: 65536}, Labels: []string{"a", "r1-1"},
 		ClockRate: 1, EnforcesCapacity: !s.unguarded, Seed: uint64(number),
 		Events: standin.BackendEvents{
