Let two entries poll the store at short intervals

Cause: the long-poll time of an entry grew with the number of entries, and the time-out with it: 4 s with six entries, 11 s with twenty and more. A response that was lost showed only then. The polls of other entries did not help: each change of the configuration ends and begins all of them at once.

Change: core/watch chooses two of the connected entries as watchers. Load reports say whether an entry reads the store; another one takes the place of a watcher that does not. After a failure the next call does not wait, and watchers pause for 1 s at most.

--- a/batchentry/configuration.go
+++ b/batchentry/configuration.go
@@ -10,21 +10,15 @@
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/home"
 	"dogwoodglade/core/site"
+	"dogwoodglade/core/watch"
 )
 
 const (
-	// watchWaitPerEntry is the long-poll time for configuration changes, multiplied by the number of entries in the
-	// region. With it the total request rate stays that of one entry. The longer wait delays no update, because
-	// entries notify each other of a new version at once.
-	watchWaitPerEntry = 500 * time.Millisecond
-	minWatchWait      = time.Second
-	maxWatchWait      = 10 * time.Second
-	// storeTimeout limits a request to the store, in addition to the long-poll time. The store normally responds
-	// within a few ms; a later response is treated as lost, because a connection can stop delivering data without
-	// being closed.
+	// storeTimeout limits a request to the store. The store normally responds within a few ms; a later response is
+	// treated as lost, because a connection can stop delivering data without being closed.
 	storeTimeout = time.Second
-	// initialStoreTimeout and initialMaxRetryDelay replace storeTimeout and maxRetryDelay while an entry has no
-	// configuration, because it refuses every caller until then. A slow store responds in a quarter of a second.
+	// initialStoreTimeout and initialMaxRetryDelay replace the limits of the plan while an entry has no configuration,
+	// because it refuses every caller until then. A slow store responds in a quarter of a second.
 	initialStoreTimeout  = 500 * time.Millisecond
 	initialMaxRetryDelay = 200 * time.Millisecond
 	minRetryDelay        = 100 * time.Millisecond
@@ -45,63 +39,115 @@
 	}
 }
 
+// configurationReader is the state of reading the configuration from the store.
+type configurationReader struct {
+	position    uint64 // changes up to it have been read
+	hasPosition bool
+	failed      bool // the latest call failed
+}
+
+// errBecameWatcher cancels a poll that is longer than that of a watcher.
+var errBecameWatcher = errors.New("the entry has become a watcher of the configuration")
+
 // watchConfiguration reads the configuration from the store and applies its changes until the context ends.
 func (e *Entry) watchConfiguration(ctx context.Context) {
 	var b backoff
-	var position uint64
-	hasPosition, failed := false, false
+	var r configurationReader
 	for ctx.Err() == nil {
-		c, next, err := e.readConfiguration(ctx, hasPosition, position)
+		e.mu.Lock()
+		plan := e.watchPlan()
+		e.mu.Unlock()
+		c, next, err := e.readConfiguration(ctx, r, plan)
 		var lost *HistoryLostError
 		switch {
+		case errors.Is(err, errBecameWatcher):
+			continue
 		case errors.As(err, &lost):
-			hasPosition = false
+			r.hasPosition = false
 		case err != nil:
-			if !failed && ctx.Err() == nil {
-				e.log(event.PlatformFailed).Err(err).Send()
+			if !r.failed && ctx.Err() == nil {
+				e.log(event.PlatformFailed).Bool("Watcher", plan.Watcher).Err(err).Send()
 			}
-			failed = true
-			_, maxDelay := e.storeLimits()
-			b.pause(ctx, maxDelay)
+			r.failed = true
+			e.setReadsStore(false)
+			b.pause(ctx, plan.MaxRetryDelay)
 			continue
 		default:
-			hasPosition, position = true, next
+			r.hasPosition, r.position = true, next
 		}
-		if failed {
-			failed = false
+		if r.failed {
+			r.failed = false
 			e.log(event.PlatformRestored).Send()
 		}
 		b = backoff{}
+		e.setReadsStore(true)
 		if err == nil && c.Version > 0 {
 			e.applyIfNewer(c, "store")
 		}
 	}
 }
 
-// readConfiguration waits for a change after the position. Without a position it reads the current configuration.
+// readConfiguration waits for a change after the position. Without a position it reads the current configuration. After
+// a failure it does not wait, so that a lost response is noticed soon.
 func (e *Entry) readConfiguration(
-	ctx context.Context, hasPosition bool, position uint64,
+	ctx context.Context, r configurationReader, plan watch.Plan,
 ) (site.Configuration, uint64, error) {
-	if !hasPosition {
-		limit, _ := e.storeLimits()
-		ctx, cancel := context.WithTimeout(ctx, limit)
+	if !r.hasPosition {
+		ctx, cancel := context.WithTimeout(ctx, plan.Timeout)
 		defer cancel()
 		return e.options.Directory.Configuration(ctx)
 	}
-	e.mu.Lock()
-	wait := min(max(time.Duration(len(e.entries)+1)*watchWaitPerEntry, minWatchWait), maxWatchWait)
-	e.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	if r.failed {
+		plan.Wait = 0
+	}
+	ctx, interrupt := context.WithCancelCause(ctx)
+	defer interrupt(nil)
+	e.setPollInterrupt(plan, interrupt)
+	defer e.setPollInterrupt(plan, nil)
+	timeoutCtx, cancel := context.WithTimeout(ctx, plan.Wait+plan.Timeout)
 	defer cancel()
-	return e.options.Directory.WaitForChange(ctx, position, wait)
+	c, next, err := e.options.Directory.WaitForChange(timeoutCtx, r.position, plan.Wait)
+	if err != nil && errors.Is(context.Cause(ctx), errBecameWatcher) {
+		err = errBecameWatcher
+	}
+	return c, next, err
+}
+
+// watchPlan returns how this entry polls the store at present.
+func (e *Entry) watchPlan() watch.Plan {
+	others := make([]watch.Entry, 0, len(e.entries))
+	for name, x := range e.entries {
+		others = append(others, watch.Entry{Name: name, ReadsStore: x.readsStore})
+	}
+	plan := watch.For(e.options.Name, others)
+	if e.config.Version == 0 {
+		plan.Timeout, plan.MaxRetryDelay = initialStoreTimeout, initialMaxRetryDelay
+	}
+	return plan
 }
 
-// storeLimits returns the time-out of a read and the maximum delay before a retry.
-func (e *Entry) storeLimits() (timeout, maxDelay time.Duration) {
-	if e.Configuration().Version == 0 {
-		return initialStoreTimeout, initialMaxRetryDelay
+// interruptLongPoll ends the poll in progress if this entry has become a watcher since the poll began.
+func (e *Entry) interruptLongPoll() {
+	if e.interruptPoll != nil && e.watchPlan().Watcher {
+		e.interruptPoll(errBecameWatcher)
+		e.interruptPoll = nil
 	}
-	return storeTimeout, maxRetryDelay
+}
+
+// setPollInterrupt sets the function that ends the poll in progress. The poll of a watcher is short and not interrupted.
+func (e *Entry) setPollInterrupt(plan watch.Plan, interrupt context.CancelCauseFunc) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if plan.Watcher {
+		interrupt = nil
+	}
+	e.interruptPoll = interrupt
+}
+
+func (e *Entry) setReadsStore(reads bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.readsStore = reads
 }
 
 // applyIfNewer applies a configuration if it is newer than the current one, and announces its version to the other
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -121,6 +121,8 @@
 	listComplete     bool    // the list has all entries that can be reached
 	sentCores        float64 // cores of usable backend servers in the load that was last sent
 	lastSession      uint64
+	readsStore       bool                    // the latest call about the configuration succeeded
+	interruptPoll    context.CancelCauseFunc // ends the long poll in progress; nil if none, or if it is short
 }
 
 type agentSession struct {
@@ -142,6 +144,7 @@
 	lastLoad    time.Time
 	draining    bool // it releases its agents
 	pulling     bool // a newer configuration is being read from the peer
+	readsStore  bool // its latest call to the store succeeded
 
 	session     uint64        // this entry's session number
 	peerSession uint64        // the peer's highest session number so far
@@ -247,6 +250,7 @@
 			lastExpiry = now
 			e.expireForwarded(now)
 		}
+		e.interruptLongPoll()
 		e.updateMetrics(now)
 		e.mu.Unlock()
 	}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -20,7 +20,9 @@
 )
 
 func (e *Entry) load() inner.EntryLoad {
-	l := inner.EntryLoad{Load: e.dispatcher.Load(), Version: e.config.Version, Weight: e.options.Weight}
+	l := inner.EntryLoad{
+		Load: e.dispatcher.Load(), Version: e.config.Version, Weight: e.options.Weight, ReadsStore: e.readsStore,
+	}
 	l.Load.Draining = l.Load.Draining || e.releasingAgents
 	return l
 }
@@ -127,7 +129,7 @@
 	if x.Weight != l.Weight || x.draining != l.Load.Draining {
 		e.entryListVersion++
 	}
-	x.lastLoad, x.Weight, x.draining = now, l.Weight, l.Load.Draining
+	x.lastLoad, x.Weight, x.draining, x.readsStore = now, l.Weight, l.Load.Draining, l.ReadsStore
 	e.peers.RecordReport(now, p.Name, l.Load)
 	for name, pool := range l.Load.Pools {
 		if pool.Cores > 0 {
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -32,16 +32,33 @@
 	entries      []home.Entry
 	servers      map[string]supervise.Server
 	down         bool
-	unresponsive bool // reads of the configuration get no response
+	unresponsive bool // calls about the configuration get no response
 	changed      chan struct{}
+	silenced     chan struct{} // closed when the calls in progress lose their responses
+	polls        int           // calls of WaitForChange
 }
 
 func newFakeStore() *fakeStore {
 	return &fakeStore{
 		config: site.Configuration{Version: 1}, servers: map[string]supervise.Server{}, changed: make(chan struct{}),
+		silenced: make(chan struct{}),
 	}
 }
 
+// silence loses the responses to the calls in progress.
+func (d *fakeStore) silence() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.silenced)
+	d.silenced = make(chan struct{})
+}
+
+func (d *fakeStore) setUnresponsive(unresponsive bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unresponsive = unresponsive
+}
+
 type storeDownError struct{}
 
 func (storeDownError) Error() string { return "the store is down" }
@@ -69,17 +86,29 @@
 	ctx context.Context, after uint64, wait time.Duration,
 ) (site.Configuration, uint64, error) {
 	d.mu.Lock()
-	changed := d.changed
+	d.polls++
+	changed, silenced := d.changed, d.silenced
+	if d.unresponsive {
+		d.mu.Unlock()
+		<-ctx.Done()
+		return site.Configuration{}, 0, ctx.Err()
+	}
 	if d.config.Version > after || d.down {
 		defer d.mu.Unlock()
 		return d.config, d.config.Version, d.check()
 	}
 	d.mu.Unlock()
+	timeout := time.After(wait)
 	select {
 	case <-changed:
-	case <-time.After(wait):
+	case <-timeout:
+	case <-silenced:
+		<-ctx.Done()
 	case <-ctx.Done():
 	}
+	if ctx.Err() != nil {
+		return site.Configuration{}, 0, ctx.Err()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.config, d.config.Version, d.check()
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -65,6 +65,8 @@
 	Load    dispatch.Load
 	Version uint64  // of the configuration
 	Weight  float64 // share of the agents that the sender can serve
+	// ReadsStore reports whether the sender's latest call about the configuration in the store succeeded.
+	ReadsStore bool
 	// Session rises when the sender considers the receiver lost, and when messages may have been lost with a connection.
 	// The first load of a session lists the jobs of earlier sessions that continue in it. The others are abandoned.
 	// Session is 0 on a connection that the sender does not use for other messages.
