--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -123,6 +123,7 @@
 	metrics         agentMetrics
 	homeCheckNeeded chan struct{} // buffered signal to reconsider the choice of the home
 	serverKnown     chan struct{} // buffered signal that a backend server was announced or restored
+	saving          chan struct{} // holds an element during a save
 	calls           sync.WaitGroup
 
 	mu             sync.Mutex // guards the fields below
@@ -135,7 +136,8 @@
 	preferred      preference
 	spareHoldUntil time.Time            // until then a second hold call waits for the ends of runs
 	usedAt         map[string]time.Time // when each connected entry last had runs here, or connected
-	saved          supervise.Server     // the state that was last written to or read from the store
+	saved          supervise.Server     // the state that this process last saved
+	hasSaved       bool
 	stopping       bool
 }
 
@@ -158,6 +160,7 @@
 		metrics:         newAgentMetrics(options.Metrics),
 		homeCheckNeeded: make(chan struct{}, 1),
 		serverKnown:     make(chan struct{}, 1),
+		saving:          make(chan struct{}, 1),
 		supervisor:      supervise.New(),
 		peers:           map[string]*inner.Peer{},
 		known:           map[string]knownEntry{},
@@ -412,15 +415,15 @@
 
 // HandleAnnouncement handles an announcement of the backend server. If the announcement changes the state, it returns
 // after the state has been saved or the save has failed. The save precedes the acknowledgement to the backend server,
-// because a restarted agent must know that the backend server is leaving if this has been acknowledged.
+// because a restarted agent must know that the backend server is leaving if this has been acknowledged. The first
+// announcement is always saved: the store then refuses a save of an earlier process that it carries out late.
 func (a *Agent) HandleAnnouncement(s supervise.Server) {
+	a.applyAnnouncement(s)
 	// An announcement that is ignored or put aside must not be saved in place of the current state.
-	if current, changed := a.applyAnnouncement(s); changed {
-		a.save(current)
-	}
+	a.save()
 }
 
-func (a *Agent) applyAnnouncement(s supervise.Server) (current supervise.Server, changed bool) {
+func (a *Agent) applyAnnouncement(s supervise.Server) {
 	a.withSupervisor(func(now time.Time) []supervise.Action {
 		before, _ := a.supervisor.Server()
 		actions := a.supervisor.Announce(now, s)
@@ -433,11 +436,9 @@
 			a.log(number).Str("Peer", after.ID).Int64("Born", after.Incarnation).Stringer("Capacity", after.Capacity).
 				Int("Running", a.supervisor.TotalRunCount()).Send()
 		}
-		current, changed = after, !after.Equivalent(a.saved)
 		a.signalServerKnown()
 		return actions
 	})
-	return current, changed
 }
 
 // HandleLeaveNotice handles the notice that the backend server has shut down as planned.
--- a/batchagent/save.go
+++ b/batchagent/save.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"dogwoodglade/core/event"
-	"dogwoodglade/core/supervise"
 )
 
 const (
@@ -18,8 +17,18 @@
 	restoreTimeout  = 400 * time.Millisecond
 )
 
-// save writes the state of the backend server to the store.
-func (a *Agent) save(s supervise.Server) {
+// save writes the state of the backend server to the store if it has changed. Saves do not overlap, so that the store has
+// the newest state after the last one.
+func (a *Agent) save() {
+	a.saving <- struct{}{}
+	defer func() { <-a.saving }()
+	a.mu.Lock()
+	s, known := a.supervisor.Server()
+	unchanged := a.hasSaved && s.Equivalent(a.saved)
+	a.mu.Unlock()
+	if !known || unchanged {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
 	defer cancel()
 	err := a.options.Directory.SaveServer(ctx, a.options.Name, s)
@@ -30,7 +39,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.saved = s
+	a.saved, a.hasSaved = s, true
 }
 
 // restore loads the state of the backend server that a previous agent process saved.
@@ -45,7 +54,6 @@
 			continue
 		}
 		a.mu.Lock()
-		a.saved = s
 		a.performActions(a.supervisor.Restore(a.options.Now(), s))
 		a.signalServerKnown()
 		a.mu.Unlock()
--- a/batchagent/save_test.go
+++ b/batchagent/save_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,10 +18,12 @@
 
 var errDown = errors.New("down")
 
-// directory is a store without entries that fails one save.
+// directory is a store without entries that fails one save, or takes some time for it.
 type directory struct {
 	saved supervise.Server
+	saves int
 	fail  bool
+	delay time.Duration // of the next save
 }
 
 func (d *directory) Entries(context.Context) ([]home.Entry, error) { return nil, nil }
@@ -30,7 +33,11 @@
 		d.fail = false
 		return errDown
 	}
+	delay := d.delay
+	d.delay = 0
+	time.Sleep(delay)
 	d.saved = s
+	d.saves++
 	return nil
 }
 
@@ -73,3 +80,53 @@
 		}
 	})
 }
+
+// Guards against the save of an announcement that is still in progress when a newer one has been saved.
+func TestSavesDoNotOvertake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &directory{}
+		a, stop := batchagent.New(batchagent.Options{
+			Name: "agent-1", Directory: d, Server: silentServer{}, Logger: zerolog.Nop(), Now: time.Now,
+		})
+		defer stop()
+		synctest.Wait()
+		announce := func(sequence uint64, processor int) {
+			a.HandleAnnouncement(supervise.Server{
+				ID: "i-1", Pool: "p", Incarnation: 1, Sequence: sequence, Capacity: resource.Amount{Processor: processor},
+				Clock: time.Minute,
+			})
+		}
+		d.delay = 200 * time.Millisecond
+		var announcing sync.WaitGroup
+		announcing.Go(func() { announce(1, 4000) })
+		time.Sleep(50 * time.Millisecond)
+		announcing.Go(func() { announce(2, 1000) })
+		announcing.Wait()
+		if got := d.saved.Capacity.Processor; got != 1000 {
+			t.Errorf("%d thousandths of a core were saved, want 1000", got)
+		}
+	})
+}
+
+// Guards against a late save of an earlier process that replaces the state that a restarted agent has read: the store
+// refuses it only if the new process has saved the state itself.
+func TestRestoredStateIsSavedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := supervise.Server{
+			ID: "i-1", Pool: "p", Incarnation: 1, Sequence: 7, Capacity: resource.Amount{Processor: 1000}, Clock: time.Minute,
+		}
+		d := &directory{saved: s}
+		a, stop := batchagent.New(batchagent.Options{
+			Name: "agent-1", Directory: d, Server: silentServer{}, Logger: zerolog.Nop(), Now: time.Now,
+		})
+		defer stop()
+		synctest.Wait()
+		for range 3 {
+			s.Sequence++
+			a.HandleAnnouncement(s)
+		}
+		if d.saves != 1 {
+			t.Errorf("the state was saved %d times, want 1", d.saves)
+		}
+	})
+}
