Play overlapping waves of disturbances in the soak

A report of two runs of a task at the same time names disturbances of newer kinds and has no trace. The soak had no process that is slow but alive, few callers that leave early and submit again, and its disturbances seldom met within the 1.3 s after which a caller submits again.

The plans of earlier seeds are unchanged.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,6 +26,8 @@
 	// outcome.
 	resendDelay = 1300 * time.Millisecond
 	maxSends    = 3
+	// maxReturns is how often a caller leaves early before it waits for the response.
+	maxReturns = 2
 	// failingJobShare is the share of the jobs in which about half of the tasks fail on every run.
 	failingJobShare = 0.02
 	// meanEarlyDelay is the mean time until a caller that cancels or abandons its job does so.
@@ -53,6 +55,7 @@
 	cancelShare  float64 // share of the jobs that their caller cancels
 	abandonShare float64 // share of the jobs whose caller disconnects early
 	deadlyShare  float64 // share of the jobs that crash backend servers
+	returnShare  float64 // share of the jobs whose caller disconnects early and submits the job again
 }
 
 // callers submit jobs to the entries, which are chosen as by the platform's load balancer.
@@ -108,6 +111,16 @@
 			open.Go(func() { x.send(j, w, j.Timeout+callerTimeoutSlack) })
 		case draw < behaviour.cancelShare+behaviour.abandonShare:
 			open.Go(func() { x.send(j, w, delay) })
+		case draw < behaviour.cancelShare+behaviour.abandonShare+behaviour.returnShare:
+			open.Go(func() {
+				for range maxReturns {
+					x.send(j, w, delay)
+					entry, _ := x.entry()
+					x.switchEntry(entry)
+					time.Sleep(resendDelay)
+				}
+				x.submit(j, w)
+			})
 		default:
 			open.Go(func() { x.submit(j, w) })
 		}
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -32,7 +32,7 @@
 	end := s.disturbances.Begin(subject, d.Kind.planned())
 	defer end()
 	switch {
-	case slices.Contains(processKinds, d.Kind):
+	case slices.Contains(processKinds, d.Kind), d.Kind == throttleProcess:
 		s.applyToProcess(d)
 	case slices.Contains(linkKinds, d.Kind):
 		s.applyToLink(ctx, d)
@@ -42,7 +42,7 @@
 		}
 	case slices.Contains(storeKinds, d.Kind):
 		s.applyToStore(ctx, d)
-	case slices.Contains(callerKinds, d.Kind), slices.Contains(jobKinds, d.Kind):
+	case slices.Contains(callerKinds, d.Kind), slices.Contains(jobKinds, d.Kind), d.Kind == callerReturns:
 		s.applyToCallers(ctx, d)
 	case d.Kind == changeConfiguration:
 		if err := s.configure(); err != nil {
@@ -62,6 +62,9 @@
 	case pauseProcess:
 		p.Pause(d.Duration)
 		return
+	case throttleProcess:
+		p.Throttle(d.Duration, d.Intensity)
+		return
 	case killProcess:
 		p.Kill()
 		time.Sleep(d.Duration)
@@ -235,6 +238,9 @@
 	case callerCancels:
 		change(func(x *callerBehaviour) { x.cancelShare += d.Intensity })
 		defer change(func(x *callerBehaviour) { x.cancelShare -= d.Intensity })
+	case callerReturns:
+		change(func(x *callerBehaviour) { x.returnShare += d.Intensity })
+		defer change(func(x *callerBehaviour) { x.returnShare -= d.Intensity })
 	case deadlyJobs:
 		change(func(x *callerBehaviour) { x.deadlyShare += d.Intensity })
 		defer change(func(x *callerBehaviour) { x.deadlyShare -= d.Intensity })
--- a/soak/main.go
+++ b/soak/main.go
@@ -29,6 +29,7 @@
 	duration     time.Duration // of the plan
 	entries      int
 	agents       int
+	overlapping  bool // the plan is that of newOverlappingPlan
 	binary       string
 	logDirectory string // where logs are saved after a violation
 }
@@ -50,6 +51,9 @@
 			&cli.DurationFlag{Name: "for", Value: 15 * time.Second, Usage: "`TIME` in which a site is disturbed"},
 			&cli.IntFlag{Name: "entries", Value: 3, Usage: "`NUMBER` of entries of a site"},
 			&cli.IntFlag{Name: "agents", Value: 5, Usage: "`NUMBER` of agents of a site, with a backend server each"},
+			&cli.BoolFlag{
+				Name: "overlapping", Usage: "break connections in waves beside slow processes, while callers leave and submit again",
+			},
 			&cli.BoolFlag{Name: "regressions", Usage: "run the seeds of earlier violations instead"},
 			&cli.StringFlag{Name: "binary", Usage: "program to run; by default it is built from these sources"},
 			&cli.StringFlag{
@@ -72,7 +76,7 @@
 func runSeeds(ctx context.Context, cmd *cli.Command) error {
 	o := options{
 		duration: cmd.Duration("for"), entries: cmd.Int("entries"), agents: cmd.Int("agents"), binary: cmd.String("binary"),
-		logDirectory: cmd.String("keep"),
+		logDirectory: cmd.String("keep"), overlapping: cmd.Bool("overlapping"),
 	}
 	if o.binary == "" {
 		binary, cleanUp, err := build(ctx)
@@ -187,6 +191,9 @@
 	}
 	defer cleanUp()
 	plan := newPlan(o.seed, o.duration, s.targets())
+	if o.overlapping {
+		plan = newOverlappingPlan(o.seed, o.duration, s.targets())
+	}
 	for _, d := range plan {
 		fmt.Fprintf(text, "seed %d: %s\n", o.seed, d)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -42,6 +42,8 @@
 
 	killProcess  kind = "Kill"
 	pauseProcess kind = "Pause"
+	// throttleProcess suspends the process for the larger part of each throttlePeriod, as a processor quota does.
+	throttleProcess kind = "Throttle"
 
 	delayLink      kind = "Delay"
 	resetLink      kind = "Reset"
@@ -71,7 +73,8 @@
 	callerBurst   kind = "Burst"
 	callerCancels kind = "Cancels"
 	callerGiveUps kind = "GiveUps"
-	deadlyJobs    kind = "Deadly" // some jobs crash the backend servers that start their tasks
+	callerReturns kind = "Returns" // callers leave early and submit the job again
+	deadlyJobs    kind = "Deadly"  // some jobs crash the backend servers that start their tasks
 )
 
 var (
@@ -184,7 +187,7 @@
 // candidates returns the targets that a kind of disturbance applies to.
 func (t targets) candidates(k kind) []string {
 	switch {
-	case slices.Contains(processKinds, k):
+	case slices.Contains(processKinds, k), k == throttleProcess:
 		return t.processes
 	case slices.Contains(linkKinds, k):
 		return t.links
@@ -215,6 +218,8 @@
 		d.Intensity = 0.01 + 0.04*r.Float64() // share of the jobs
 	case callerBurst:
 		d.Intensity = 2 + 4*r.Float64()
+	case throttleProcess:
+		d.Intensity = 0.1 + 0.4*r.Float64() // share of the time in which the process runs
 	case callerCancels, callerGiveUps:
 		d.Intensity = 0.1 + 0.4*r.Float64()
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -137,3 +137,14 @@
 		p.signal(syscall.SIGCONT, false)
 	}
 }
+
+// throttlePeriod is the period of a processor quota.
+const throttlePeriod = 100 * time.Millisecond
+
+// Throttle lets the process run for a share of each period.
+func (p *process) Throttle(d time.Duration, share float64) {
+	running := time.Duration(share * float64(throttlePeriod))
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(running) {
+		p.Pause(throttlePeriod - running)
+	}
+}
