Start no runs within an outdated capacity

Cause: the agent used the capacity of the latest announcement however old it was. The calls to the backend server went on, and their responses do not tell the capacity.

Change: an agent starts nothing and does not offer its backend server when the latest announcement is older than contact_ms and one announcement interval, by the backend server's own clock if the announcement was delayed.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -114,6 +114,9 @@
 	Metrics    metrics.Registry
 	Dial       inner.DialFunc
 	Now        func() time.Time // a clock that also advances while the host is suspended
+	// MaxCapacityAge is how long after an announcement of the backend server runs may be started within the announced
+	// capacity. 0 means without limit.
+	MaxCapacityAge time.Duration
 }
 
 // Agent is a running agent.
@@ -161,7 +164,7 @@
 		homeCheckNeeded: make(chan struct{}, 1),
 		serverKnown:     make(chan struct{}, 1),
 		saving:          make(chan struct{}, 1),
-		supervisor:      supervise.New(),
+		supervisor:      supervise.New(options.MaxCapacityAge),
 		peers:           map[string]*inner.Peer{},
 		known:           map[string]knownEntry{},
 		avoidUntil:      map[string]time.Time{},
--- a/cmd/dogwoodglade/fleet.go
+++ b/cmd/dogwoodglade/fleet.go
@@ -204,6 +204,7 @@
 		Name: f.settings.Name, Region: f.settings.Region, DataCentre: f.settings.DataCentre, Seeds: f.settings.Seeds,
 		Directory: platform.NewStore(f.settings.StoreAddress, f.metrics), Server: platform.NewServer(f.settings.ServerAddress),
 		Logger: f.logger, Metrics: f.metrics, Dial: platform.Dialer().DialContext, Now: boottime.Now,
+		MaxCapacityAge: f.settings.MaxCapacityAge,
 	})
 	f.cleanUps = append(f.cleanUps, closeAgent)
 	if err := f.serve(f.settings.AnnounceAddress, platform.AnnounceHandler(a)); err != nil {
--- a/core/supervise/capacity_test.go
+++ b/core/supervise/capacity_test.go
@@ -111,10 +111,74 @@
 // Guards against a delayed announcement that replaces the newer state which an earlier agent has saved.
 func TestRestoredCapacityIsNotReplacedByOlderAnnouncement(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := supervise.New()
+	s := supervise.New(0)
 	s.Restore(now, announced(5, 1000))
 	s.Announce(now, announced(4, 4000))
 	if got, _ := s.Server(); got.Capacity.Processor != 1000 {
 		t.Errorf("got a capacity of %v from the older announcement", got.Capacity)
 	}
 }
+
+// Guards against starts beyond a capacity that has shrunk while announcements do not arrive, or arrive late.
+func TestNoStartsOnOutdatedCapacity(t *testing.T) {
+	const maxAge = 4500 * time.Millisecond
+	for _, delay := range []time.Duration{0, 2 * time.Second} {
+		now := time.Unix(1000, 0)
+		clock := time.Minute
+		s := supervise.New(maxAge)
+		advance := func(d time.Duration) {
+			now, clock = now.Add(d), clock+d
+			s.ExtendSession("entry-1", now.Add(time.Second))
+			h, _ := s.NextHold(now, 0)
+			s.HoldAnswered(now, h, supervise.HoldResponse{Incarnation: 1, Clock: clock})
+		}
+		announce := func(sequence uint64, at time.Duration) []supervise.Action {
+			x := announced(sequence, 4000)
+			x.Clock = at
+			return s.Announce(now, x)
+		}
+		announce(1, clock)
+		s.Connect(now, "entry-1")
+		s.SetHome("entry-1")
+		advance(0)
+		advance(10 * time.Second)
+		announce(2, clock-delay)
+		advance(maxAge - delay - 300*time.Millisecond)
+		if ends := endsOf(s, now, "1"); len(ends) > 0 || !s.Report(now, "entry-1").Offered {
+			t.Errorf("delay %v: a run got ends %+v before the capacity was outdated", delay, ends)
+		}
+		advance(300 * time.Millisecond)
+		if ends := endsOf(s, now, "2"); len(ends) != 1 || ends[0].End != supervise.Refused {
+			t.Errorf("delay %v: a run got ends %+v with an outdated capacity, want a refusal", delay, ends)
+		}
+		if s.Report(now, "entry-1").Offered {
+			t.Errorf("delay %v: the backend server is offered with an outdated capacity", delay)
+		}
+		if !reports(announce(3, clock), "entry-1") || !s.Report(now, "entry-1").Offered {
+			t.Errorf("delay %v: the backend server is not offered after its announcement", delay)
+		}
+		if ends := endsOf(s, now, "3"); len(ends) > 0 {
+			t.Errorf("delay %v: a run got ends %+v after the announcement", delay, ends)
+		}
+	}
+}
+
+// Guards against a start that is repeated with an outdated capacity.
+func TestNoRepeatedStartOnOutdatedCapacity(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, call := startedRun(t, now)
+	now = now.Add(5 * time.Second)
+	s.ExtendSession("entry-1", now.Add(time.Second))
+	if again, ok := startCall(s.StartAnswered(now, call, supervise.Late, time.Minute+5*time.Second)); ok {
+		t.Errorf("run %d was started with an outdated capacity", again.Number)
+	}
+}
+
+func reports(actions []supervise.Action, entry string) bool {
+	for _, a := range actions {
+		if r, ok := a.(supervise.SendReport); ok && r.Entry == entry {
+			return true
+		}
+	}
+	return false
+}
--- a/core/supervise/foreign_test.go
+++ b/core/supervise/foreign_test.go
@@ -67,7 +67,7 @@
 func TestServerIsUsedAfterForeignAnnouncement(t *testing.T) {
 	for _, id := range []string{"odd", "i-1"} {
 		now := time.Unix(1000, 0)
-		s := supervise.New()
+		s := supervise.New(0)
 		s.Announce(now, announcedAs(id, math.MaxInt64, 7))
 		h, _ := s.NextHold(now.Add(time.Millisecond), 0)
 		if id == "i-1" {
--- a/core/supervise/restore_test.go
+++ b/core/supervise/restore_test.go
@@ -15,13 +15,13 @@
 	saved := supervise.Server{
 		ID: "i-1", Pool: "p", Incarnation: 1, Sequence: 1, Capacity: resource.Amount{Processor: 4000}, Clock: time.Minute,
 	}
-	earlier := supervise.New()
+	earlier := supervise.New(0)
 	earlier.Announce(now, saved)
 	h, _ := earlier.NextHold(now, supervise.HoldWait)
 	earlierToken := h.Token
 
 	now = now.Add(10 * time.Second)
-	s := supervise.New()
+	s := supervise.New(0)
 	s.Restore(now, saved)
 	s.Connect(now, "entry-1")
 	s.ExtendSession("entry-1", now.Add(time.Second))
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -14,7 +14,7 @@
 		switch _, exists := s.runs[x.Task]; {
 		case !c.alive(now):
 			refusal = "SessionLost"
-		case !s.known || s.left || !s.runsListed || s.awaitingAnnouncement || s.server.Leaving || s.draining:
+		case !s.known || s.left || !s.runsListed || !s.capacityKnown(now) || s.server.Leaving || s.draining:
 			refusal = "NoServer"
 		case s.hasOrphans(now):
 			refusal = "Orphans"
@@ -80,7 +80,7 @@
 func (s *Supervisor) restart(now time.Time, r *run, result StartResult, number int) {
 	r.restarts++
 	c, ok := s.sessions[r.entry]
-	if r.stopping || r.restarts > maxRestarts || s.hasOrphans(now) || !ok || !c.alive(now) {
+	if r.stopping || r.restarts > maxRestarts || s.hasOrphans(now) || !ok || !c.alive(now) || !s.capacityKnown(now) {
 		s.endRun(now, r, Refused, result.String())
 		return
 	}
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -58,10 +58,12 @@
 	case server.Incarnation != s.server.Incarnation:
 		s.serverRestarted(now, server.Incarnation, server.Clock)
 	}
-	changed := s.awaitingAnnouncement || s.server.Leaving != server.Leaving || s.server.Capacity != server.Capacity ||
+	changed := !s.capacityKnown(now) || s.server.Leaving != server.Leaving || s.server.Capacity != server.Capacity ||
 		!slices.Equal(s.server.Labels, server.Labels)
 	s.server, s.restored, s.awaitingAnnouncement = server, false, false
 	s.observeClock(now, server.Clock)
+	// The announcement may have been delayed.
+	s.capacityAt = now.Add(-max(s.serverClock(now)-server.Clock, 0))
 	s.replaceSavedToken(now)
 	if changed {
 		s.reportAll()
@@ -116,7 +118,7 @@
 	s.unknownRuns = map[batch.TaskID]unknownRun{}
 	s.runNumbers = map[batch.TaskID]endedRunNumber{}
 	s.server = server
-	s.responded, s.misdirected, s.announcedAt, s.candidate = false, false, now, nil
+	s.responded, s.misdirected, s.announcedAt, s.capacityAt, s.candidate = false, false, now, now, nil
 	s.known, s.left, s.processEnded, s.runsListed = true, false, false, false
 	s.unansweredHolds, s.lastEndSequence = 0, 0
 	s.clock, s.clockAt = server.Clock, now
--- a/core/supervise/start_test.go
+++ b/core/supervise/start_test.go
@@ -23,7 +23,7 @@
 // that entry there.
 func startedRun(t *testing.T, now time.Time) (*supervise.Supervisor, supervise.CallStart) {
 	t.Helper()
-	s := supervise.New()
+	s := supervise.New(4500 * time.Millisecond)
 	s.Announce(now, supervise.Server{
 		ID: "i-1", Pool: "p", Incarnation: 1, Sequence: 1, Capacity: resource.Amount{Processor: 4000}, Clock: time.Minute,
 	})
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -312,7 +312,9 @@
 	runsListed           bool // its runs were listed since this agent first saw it
 	restored             bool // known only from the state of an earlier agent; has not responded yet
 	awaitingAnnouncement bool // it restarted and has not announced its capacity and labels since
-	fencedHolds          int  // consecutive Hold calls refused because of their token
+	maxCapacityAge       time.Duration
+	capacityAt           time.Time // when the capacity was that of the latest announcement; later if that is unknown
+	fencedHolds          int       // consecutive Hold calls refused because of their token
 	leftID               string
 	leftIncarnation      int64
 	token                uint64
@@ -333,9 +335,12 @@
 	actions []Action
 }
 
-// New returns a supervisor without a backend server.
-func New() *Supervisor {
+// New returns a supervisor without a backend server. The capacity may shrink right after an announcement, so no runs are
+// started when the latest one is older than the given age. 0 means that any age is accepted.
+func New(maxCapacityAge time.Duration) *Supervisor {
 	return &Supervisor{
+		maxCapacityAge: maxCapacityAge,
+
 		sessions:    map[string]*session{},
 		runs:        map[batch.TaskID]*run{},
 		unknownRuns: map[batch.TaskID]unknownRun{},
@@ -403,9 +408,14 @@
 	return false
 }
 
+// capacityKnown reports whether the backend server has announced its capacity, and not too long ago.
+func (s *Supervisor) capacityKnown(now time.Time) bool {
+	return !s.awaitingAnnouncement && (s.maxCapacityAge == 0 || now.Sub(s.capacityAt) < s.maxCapacityAge-clockSlack)
+}
+
 // acceptsStarts reports whether the backend server can start runs.
 func (s *Supervisor) acceptsStarts(now time.Time) bool {
-	return s.known && !s.left && s.runsListed && !s.awaitingAnnouncement && !s.server.Leaving && !s.draining &&
+	return s.known && !s.left && s.runsListed && s.capacityKnown(now) && !s.server.Leaving && !s.draining &&
 		!s.silent() && !s.processEnded && !s.hasOrphans(now)
 }
 
--- a/core/supervise/world_test.go
+++ b/core/supervise/world_test.go
@@ -408,7 +408,7 @@
 	for seed := range uint64(300) {
 		sim := &simulation{
 			t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0),
-			agent: supervise.New(), entries: map[string]*entry{}, lossRate: []float64{0, 0.05, 0.3}[seed%3],
+			agent: supervise.New(0), entries: map[string]*entry{}, lossRate: []float64{0, 0.05, 0.3}[seed%3],
 			attempts: map[batch.TaskID]int{}, numbers: map[batch.TaskID]map[int]int{},
 			ended: map[supervise.RunID]supervise.End{},
 		}
--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -28,4 +28,8 @@
 		options: options{seed: 131, duration: 15 * time.Second, entries: 3, agents: 5},
 		cause:   "as seed 115, with one of the two connections between two entries blocked",
 	},
+	{
+		options: options{seed: 7024, duration: 15 * time.Second, entries: 3, agents: 5},
+		cause:   "an agent started tasks within a capacity that had shrunk while the announcements were cut off",
+	},
 }
