Stop renewing the lease beside a run that does not stop

Cause: an agent repeats the stop of a cancelled run until the run has ended. While the stops are lost, its hold calls and the starts of other jobs extend the lease, which applies to all runs of the backend server. The run goes on without a bound, and the caller, who submits the job again after 1.3 s, gets a second run elsewhere.

Change: a run that has not ended 400 ms after its first stop counts as an orphan, beside which no lease is granted or renewed and nothing is started. Stops without a response are repeated every 50 ms.

Agents log a restart of the backend server that they learn of from a response.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -344,7 +344,13 @@
 	a.withSupervisor(func(now time.Time) []supervise.Action {
 		switch {
 		case err == nil:
-			return a.supervisor.HoldAnswered(now, h, response)
+			before, _ := a.supervisor.Server()
+			actions := a.supervisor.HoldAnswered(now, h, response)
+			if after, _ := a.supervisor.Server(); after.Incarnation > before.Incarnation {
+				a.log(event.BackendAnnounced).Str("Peer", after.ID).Int64("Born", after.Incarnation).Str("State", "Restarted").
+					Int("Running", a.supervisor.TotalRunCount()).Send()
+			}
+			return actions
 		case errors.As(err, &fenced):
 			return a.supervisor.HoldFenced(now, h, fenced.Clock)
 		case errors.As(err, &misdirected):
--- a/batchentry/resubmission_test.go
+++ b/batchentry/resubmission_test.go
@@ -97,3 +97,21 @@
 	}
 	callers.Wait()
 }
+
+// Guards against two runs of a task at the same time when the stops of a cancelled job are lost, and its caller submits
+// it again at another entry.
+func TestResubmissionWhileStopsAreLost(t *testing.T) {
+	runSite(t, 2, 4, func(s *testSite) {
+		for _, b := range s.backends {
+			b.loseStops = true
+		}
+		ctx, leave := context.WithTimeout(s.t.Context(), 200*time.Millisecond)
+		defer leave()
+		s.entries["entry-1"].Submit(ctx, newJob("job", 20, 4*time.Second))
+		time.Sleep(resubmissionDelay)
+		ctx, leave = context.WithTimeout(s.t.Context(), 100*time.Millisecond)
+		defer leave()
+		s.entries["entry-2"].Submit(ctx, newJob("job", 20, 4*time.Second))
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -163,6 +163,7 @@
 	down      bool
 	announce  func()
 	loseHolds int // one in so many Hold calls gets no response; none if 0
+	loseStops bool
 	holds     int
 	endSignal chan struct{}
 	overlaps  *overlapRecorder
@@ -261,8 +262,15 @@
 	return supervise.Accepted, b.clock()
 }
 
-func (b *backend) Stop(_ context.Context, c supervise.CallStop) (bool, time.Duration) {
+func (b *backend) Stop(ctx context.Context, c supervise.CallStop) (bool, time.Duration) {
 	b.mu.Lock()
+	if b.loseStops {
+		b.mu.Unlock()
+		<-ctx.Done()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return false, 0
+	}
 	defer b.mu.Unlock()
 	b.end(c.Task, supervise.Stopped)
 	return true, b.clock()
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -113,12 +113,12 @@
 	if r.stopping {
 		return
 	}
-	r.stopping = true
+	r.stopping, r.stoppedAt = true, now
 	s.callStop(now, r)
 }
 
 func (s *Supervisor) callStop(now time.Time, r *run) {
-	r.stopSentAt = now
+	r.stopSentAt, r.stopAnswered = now, false
 	s.actions = append(s.actions, CallStop{Server: s.server.ID, Task: r.Task, Number: r.number, Token: s.token})
 }
 
@@ -126,7 +126,11 @@
 // effect within StopTime, so a repeat is needed only if the stop was for an earlier run number.
 func (s *Supervisor) repeatStops(now time.Time) {
 	for _, r := range s.sortedRuns() {
-		if r.stopping && now.Sub(r.stopSentAt) >= stopRetry {
+		interval := unansweredStopRetry
+		if r.stopAnswered {
+			interval = stopRetry
+		}
+		if r.stopping && now.Sub(r.stopSentAt) >= interval {
 			s.callStop(now, r)
 		}
 	}
@@ -137,6 +141,9 @@
 	if clock > 0 && c.Server == s.server.ID {
 		s.observeClock(now, clock)
 	}
+	if r, ok := s.runs[c.Task]; ok && answered && r.number == c.Number {
+		r.stopAnswered = true
+	}
 	if !answered && c.Server == s.server.ID && c.Token == s.token {
 		s.raiseToken(now)
 	}
@@ -145,7 +152,7 @@
 
 // endRun removes a run and reports its end to its entry.
 func (s *Supervisor) endRun(now time.Time, r *run, end End, reason string) {
-	wasOrphaned := r.sessionEnded
+	wasOrphaned := s.hasOrphans(now)
 	delete(s.runs, r.Task)
 	s.runNumbers[r.Task] = endedRunNumber{number: r.number, endedAt: now}
 	e := RunEnd{RunID: r.RunID, End: end, Reason: reason}
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -35,8 +35,13 @@
 	HoldWait = 120 * time.Millisecond
 	// StopTime is the longest time that the backend server takes to stop a run.
 	StopTime = 50 * time.Millisecond
-	// stopRetry is the interval at which a stop that got no response or had no effect is repeated.
-	stopRetry = 100 * time.Millisecond
+	// stopRetry is the interval at which a stop that had no effect is repeated, and unansweredStopRetry that of a stop
+	// that got no response.
+	stopRetry           = 100 * time.Millisecond
+	unansweredStopRetry = 50 * time.Millisecond
+	// maxStopDelay is how long a run may continue after its first stop before the lease is no longer renewed. Callers
+	// resubmit a job after 1.3 s, and by then the lease has to have expired.
+	maxStopDelay = 400 * time.Millisecond
 	// clockSlack covers the delay between reading a clock and using the value.
 	clockSlack = 50 * time.Millisecond
 	// progressInterval is how often an entry is sent the progress of its runs. The progress of a run younger than
@@ -271,7 +276,9 @@
 	crashed         bool // it had not announced that it would leave
 	unanswered      bool // and had not answered the start call
 	stopping        bool
+	stoppedAt       time.Time // when the first stop call was sent
 	stopSentAt      time.Time // when the latest stop call was sent
+	stopAnswered    bool      // the latest stop call got a response
 	sessionEnded    bool
 }
 
@@ -393,8 +400,8 @@
 	return sum
 }
 
-// hasOrphans reports whether a run remains whose session ended, or that no session requested. Meanwhile no lease is
-// granted or renewed, because a lease applies to all runs of the backend server. If the agent's process was suspended, it
+// hasOrphans reports whether a run remains whose session ended, that no session requested, or that has not ended in time
+// after a stop. Meanwhile no lease is granted or renewed, because a lease applies to all runs of the backend server. If the agent's process was suspended, it
 // may get here before Tick has ended the expired sessions, so their ends are checked.
 func (s *Supervisor) hasOrphans(now time.Time) bool {
 	if len(s.unknownRuns) > 0 {
@@ -404,6 +411,9 @@
 		if c, ok := s.sessions[r.entry]; r.sessionEnded || !ok || now.After(c.expiresAt) {
 			return true
 		}
+		if r.stopping && now.Sub(r.stoppedAt) > maxStopDelay {
+			return true
+		}
 	}
 	return false
 }
