Show that a delayed start can reach a restarted backend server

A start without a response may be carried out seconds later. If the backend server has restarted under its ID meanwhile, it has seen no token, so it accepts the start until the first call that it answers. The entry may have been told that the run was lost, and have started the task elsewhere.

--- a/core/supervise/world_test.go
+++ b/core/supervise/world_test.go
@@ -30,6 +30,10 @@
 	entries     map[string]*entry
 	server      *simServer
 	lossRate    float64
+	// delayedOnWay is whether a late request reaches the process that has replaced the one that it was sent to. Restarts
+	// take time then.
+	delayedOnWay bool
+	downUntil    time.Time // the backend server does not listen before
 
 	attempts      map[batch.TaskID]int              // latest attempt
 	numbers       map[batch.TaskID]map[int]int      // attempt by run number
@@ -145,7 +149,8 @@
 		return supervise.Outdated
 	}
 	id := supervise.RunID{Task: c.Task, Attempt: sim.numbers[c.Task][c.Number]}
-	if end, ok := sim.ended[id]; ok {
+	// A task that is done may start again, because its job is not kept; it has no other run then.
+	if end, ok := sim.ended[id]; ok && (end != supervise.Done || !sim.delayedOnWay) {
 		sim.t.Fatalf("seed %d: %v started after it had been reported as %s", sim.seed, id, end)
 	}
 	b.running[c.Task] = c.Number
@@ -161,6 +166,10 @@
 // callServer sends a request to the backend server. execute carries it out there and returns the function that handles
 // the response in the agent. A request that gets no response is carried out at once, later or never.
 func (sim *simulation) callServer(timeout time.Duration, execute func() func(), unanswered func()) {
+	if sim.now.Before(sim.downUntil) {
+		sim.runOnAgent(timeout, unanswered)
+		return
+	}
 	if sim.random.Float64() >= sim.lossRate {
 		sim.schedule(sim.randomMilliseconds(0, 2), func() {
 			handleResponse := execute()
@@ -172,10 +181,10 @@
 	case 0:
 		sim.schedule(sim.randomMilliseconds(0, 2), func() { execute() })
 	case 1:
-		// A request that waits in the backend server is lost when its process ends.
+		// A request that waits in the backend server is lost when its process ends, unless it is delayed on its way there.
 		b := sim.server
 		sim.schedule(sim.randomMilliseconds(2000, 6000), func() {
-			if sim.server == b {
+			if sim.server == b || (sim.delayedOnWay && !sim.now.Before(sim.downUntil)) {
 				execute()
 			}
 		})
@@ -377,6 +386,9 @@
 			incarnation: old.incarnation + 1, started: sim.now, clockRate: old.clockRate,
 			running: map[batch.TaskID]int{}, highestEnded: map[batch.TaskID]int{},
 		}
+		if sim.delayedOnWay {
+			sim.downUntil = sim.now.Add(sim.randomMilliseconds(0, 3000))
+		}
 	case 4:
 	}
 	sim.schedule(sim.randomMilliseconds(500, 3000), func() {
@@ -406,40 +418,54 @@
 func TestRunsEndAsReported(t *testing.T) {
 	starts := 0
 	for seed := range uint64(300) {
-		sim := &simulation{
-			t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0),
-			agent: supervise.New(0), entries: map[string]*entry{}, lossRate: []float64{0, 0.05, 0.3}[seed%3],
-			attempts: map[batch.TaskID]int{}, numbers: map[batch.TaskID]map[int]int{},
-			ended: map[supervise.RunID]supervise.End{},
-		}
-		sim.server = &simServer{
-			incarnation: 1, started: sim.now.Add(-time.Minute), clockRate: 0.98 + 0.04*sim.random.Float64(),
-			running: map[batch.TaskID]int{}, highestEnded: map[batch.TaskID]int{},
-		}
-		for i := range 2 {
-			e := &entry{name: fmt.Sprintf("entry-%d", i), running: map[supervise.RunID]bool{}}
-			sim.entries[e.name] = e
-			sim.connect(e)
-			sim.extendSessionLoop(e)
-		}
-		sim.announce()
-		sim.holdLoop()
-		sim.tick()
-		sim.sendReports()
-		sim.requestStart()
-		sim.injectFault()
-		end := sim.now.Add(30 * time.Second)
-		for sim.now.Before(end) {
-			at, do, ok := sim.events.Pop()
-			if !ok {
-				break
-			}
-			sim.now = at
-			do()
-		}
-		starts += sim.starts
+		starts += simulate(t, seed, false)
 	}
 	if starts < 2000 {
 		t.Errorf("%d runs started, want at least 2000", starts)
 	}
 }
+
+// Guards against a start request that a restarted backend server carries out late, after the entry was told that the run
+// was lost with the earlier process.
+func TestRunsEndAsReportedBesideDelayedRequests(t *testing.T) {
+	for seed := range uint64(300) {
+		simulate(t, seed, true)
+	}
+}
+
+// simulate plays 30 s and returns the number of runs that started.
+func simulate(t *testing.T, seed uint64, delayedOnWay bool) (starts int) {
+	t.Helper()
+	sim := &simulation{
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0), delayedOnWay: delayedOnWay,
+		agent: supervise.New(0), entries: map[string]*entry{}, lossRate: []float64{0, 0.05, 0.3}[seed%3],
+		attempts: map[batch.TaskID]int{}, numbers: map[batch.TaskID]map[int]int{},
+		ended: map[supervise.RunID]supervise.End{},
+	}
+	sim.server = &simServer{
+		incarnation: 1, started: sim.now.Add(-time.Minute), clockRate: 0.98 + 0.04*sim.random.Float64(),
+		running: map[batch.TaskID]int{}, highestEnded: map[batch.TaskID]int{},
+	}
+	for i := range 2 {
+		e := &entry{name: fmt.Sprintf("entry-%d", i), running: map[supervise.RunID]bool{}}
+		sim.entries[e.name] = e
+		sim.connect(e)
+		sim.extendSessionLoop(e)
+	}
+	sim.announce()
+	sim.holdLoop()
+	sim.tick()
+	sim.sendReports()
+	sim.requestStart()
+	sim.injectFault()
+	end := sim.now.Add(30 * time.Second)
+	for sim.now.Before(end) {
+		at, do, ok := sim.events.Pop()
+		if !ok {
+			break
+		}
+		sim.now = at
+		do()
+	}
+	return sim.starts
+}
