End the lease soon after the limit of a run

Callers: a task may run twice at the same time when a caller submits its job again.

Cause: a run may continue until its limit, the end of its session or of its job's origin. The agent granted leases of 0.6 s up to that moment, so that a run whose stops were lost outlived its limit by 0.6 s of the 1.3 s after which callers submit again. A run that was started beside others even inherited their lease.

Change: no lease is granted for longer than 250 ms past the earliest limit of the runs on the backend server, and a run is refused if the lease of the others would outlast its limit by more. 250 ms are enough for five stops, so that the other runs keep their lease.

Result: TestLeaseEndsSoonAfterLimitOfRun (599.8 ms before, at most 250 ms now) and TestStartRefusedBesideLongerLease failed before.

--- a/core/supervise/limit_test.go
+++ b/core/supervise/limit_test.go
@@ -97,3 +97,55 @@
 		t.Error("the lease is renewed beside a run that might continue only until the session as of its stop ended")
 	}
 }
+
+// Guards against a run that outlives its limit by a whole lease when no stop reaches the backend server.
+func TestLeaseEndsSoonAfterLimitOfRun(t *testing.T) {
+	const most = 250 * time.Millisecond
+	start := time.Unix(1000, 0)
+	for _, step := range []time.Duration{10 * time.Millisecond, 70 * time.Millisecond, 130 * time.Millisecond} {
+		s, call := startedRun(t, start)
+		s.StartAnswered(start, call, supervise.Accepted, time.Minute)
+		limit := start.Add(800 * time.Millisecond)
+		limits := map[batch.JobID]time.Duration{call.Task.Job: time.Duration(limit.UnixNano())}
+		leaseEnd := call.Until
+		for now := start; now.Before(start.Add(2 * time.Second)); now = now.Add(step) {
+			s.ExtendSession("entry-1", now.Add(supervise.SessionLease))
+			s.LimitRuns("entry-1", limits)
+			h, _ := s.NextHold(now, 0)
+			if h.Renew {
+				leaseEnd = max(leaseEnd, h.Until)
+			}
+			clock := time.Minute + now.Sub(start)
+			running := []supervise.RunningTask{{Task: call.Task, Number: call.Number}}
+			s.HoldAnswered(now, h, supervise.HoldResponse{Incarnation: 1, Clock: clock, Running: running})
+			_, actions := s.Tick(now)
+			for _, a := range actions {
+				if c, ok := a.(supervise.CallStop); ok {
+					s.StopAnswered(now, c, false, 0)
+				}
+			}
+		}
+		if got := leaseEnd - time.Minute - limit.Sub(start); got > most {
+			t.Errorf("a call every %v: the lease ends %v after the limit of the run, want at most %v", step, got, most)
+		}
+	}
+}
+
+// Guards against a run that outlives its limit because the backend server has a longer lease for the runs of others.
+func TestStartRefusedBesideLongerLease(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, call := startedRun(t, now)
+	s.StartAnswered(now, call, supervise.Accepted, time.Minute)
+	for _, c := range []struct {
+		limit    time.Duration
+		accepted bool
+	}{{100 * time.Millisecond, false}, {400 * time.Millisecond, true}} {
+		actions := s.StartRuns(now, "entry-1", []supervise.Start{{
+			RunID:  supervise.RunID{Task: batch.TaskID{Job: batch.JobID(c.limit.String())}, Attempt: 1},
+			Demand: resource.Amount{Processor: 1000}, Until: time.Duration(now.Add(c.limit).UnixNano()),
+		}})
+		if _, started := startCall(actions); started != c.accepted {
+			t.Errorf("a run with a limit in %v: started %v, want %v", c.limit, started, c.accepted)
+		}
+	}
+}
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -14,16 +14,22 @@
 	}
 	free := s.server.Capacity.Minus(s.inUse(""))
 	for _, x := range starts {
+		until := c.expiresAt
+		if x.Until > 0 && ClockTime(x.Until).Before(until) {
+			until = ClockTime(x.Until)
+		}
 		refusal := ""
 		switch _, exists := s.runs[x.Task]; {
 		case !c.alive(now):
 			refusal = "SessionLost"
-		case x.Until > 0 && now.After(ClockTime(x.Until)):
+		case now.After(until):
 			refusal = "Expired"
 		case !s.known || s.left || !s.runsListed || !s.capacityKnown(now) || s.server.Leaving || s.draining:
 			refusal = "NoServer"
 		case s.hasOrphans(now):
 			refusal = "Orphans"
+		case s.leaseUntil.After(until.Add(stopWindow)):
+			refusal = "Expiring" // the lease of the other runs would outlast its limit
 		case exists:
 			refusal = "Running"
 		case !x.Demand.Fits(free):
@@ -35,10 +41,7 @@
 			continue
 		}
 		free = free.Minus(x.Demand)
-		r := &run{Start: x, entry: entry, number: s.runNumbers[x.Task].number + 1, until: c.expiresAt}
-		if x.Until > 0 && ClockTime(x.Until).Before(r.until) {
-			r.until = ClockTime(x.Until)
-		}
+		r := &run{Start: x, entry: entry, number: s.runNumbers[x.Task].number + 1, until: until}
 		s.runs[x.Task] = r
 		s.startRun(now, r)
 	}
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -134,7 +134,7 @@
 	s.known, s.left, s.processEnded, s.runsListed = true, false, false, false
 	s.unansweredHolds, s.lastEndSequence, s.listClock = 0, 0, 0
 	s.clock, s.clockAt = server.Clock, now
-	s.leasesEndBy = now
+	s.leasesEndBy, s.leaseUntil = now, now
 	// The token need not be stored: an earlier agent on the host used none above its clock.
 	s.token = hostToken(now)
 	s.listToken = s.token
@@ -190,10 +190,19 @@
 	return s.clock + elapsed - time.Duration(float64(elapsed)*maxClockDrift)
 }
 
-// grantLease returns the end of a lease granted now, on the backend server's clock.
+// grantLease returns the end of a lease granted now, on the backend server's clock. A run outlives its limit by at most
+// stopWindow, even if no stop reaches the backend server.
 func (s *Supervisor) grantLease(now time.Time) time.Duration {
+	lease := ServerLease
+	for _, r := range s.runs {
+		lease = min(lease, r.until.Add(stopWindow).Sub(now))
+	}
+	lease = max(lease, 0)
 	s.extendLeases(now)
-	return s.serverClock(now) + ServerLease
+	if until := now.Add(lease); until.After(s.leaseUntil) {
+		s.leaseUntil = until
+	}
+	return s.serverClock(now) + lease
 }
 
 // extendLeases records the time after which a lease granted until now has certainly expired, on the agent's clock.
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -42,6 +42,9 @@
 	// maxStopDelay is how long a run may continue after its first stop before the lease is no longer renewed. Callers
 	// resubmit a job after 1.3 s, and by then the lease has to have expired.
 	maxStopDelay = 400 * time.Millisecond
+	// stopWindow is how long the lease continues after a run has reached its limit. It leaves time for several stops, so
+	// that the other runs of the backend server keep their lease.
+	stopWindow = 250 * time.Millisecond
 	// clockSlack covers the delay between reading a clock and using the value.
 	clockSlack = 50 * time.Millisecond
 	// progressInterval is how often an entry is sent the progress of its runs. The progress of a run younger than
@@ -350,6 +353,7 @@
 	clock                time.Duration // reading of the backend server's clock on which serverClock is based
 	clockAt              time.Time     // when the reading was received, on the agent's clock
 	leasesEndBy          time.Time     // when every lease on the backend server has expired, on the agent's clock
+	leaseUntil           time.Time     // end of the latest lease, on the agent's clock
 
 	home        string // entry to which the backend server is offered; empty if none
 	sessions    map[string]*session
