Bound forwarded jobs by the time at which their origin was certainly there

Callers: a task may run twice at the same time when a caller submits its job again.

Cause: a forwarded job continued for 0.65 s after the latest load message of its origin had been received. A message that is processed late says nothing about the present: its caller may have left as long ago. The clock reading that the message echoes tells how old it is at most, but its limit of 1 s was too long to end the runs within the 1.3 s after which callers submit again.

Change: the limit of an echoed clock reading is 0.8 s. With 0.15 s for pauses and 0.25 s until the lease has expired, runs end 1.2 s after the origin was there at the latest, whatever is late.

--- a/batchentry/chain_test.go
+++ b/batchentry/chain_test.go
@@ -125,6 +125,36 @@
 	}
 }
 
+// Guards against runs that go on when a caller submits its job again, because the latest load message of the entry that
+// took the job was late, and stops get lost.
+func TestRunsEndBeforeResubmissionAfterLateLoad(t *testing.T) {
+	for _, late := range []time.Duration{100 * time.Millisecond, 250 * time.Millisecond, 400 * time.Millisecond} {
+		for phase := range 10 {
+			runSite(t, 1, 1, func(s *testSite) {
+				o := newFakePeerEntry()
+				p := o.dial(s, "first")
+				defer p.Close()
+				p.Load(inner.EntryLoad{Session: 1})
+				p.Forward(newJob("job", 4, 8*time.Second))
+				o.exchangeLoads(s, p, 1, true)
+				time.Sleep(time.Duration(7*phase) * time.Millisecond)
+				latest := <-o.loads
+				left := time.Now() // the entry that took the job has just looked whether its caller is there
+				l := inner.EntryLoad{Session: 1, Clock: time.Duration(left.UnixNano()), Echo: latest.Clock}
+				s.backends["agent-1"].loseStops = true
+				time.Sleep(late)
+				p.Load(l)
+				for s.liveRunCount() > 0 && time.Since(left) < 5*time.Second {
+					time.Sleep(time.Millisecond)
+				}
+				if took := time.Since(left); took >= resubmissionDelay {
+					s.t.Errorf("load %v late, phase %d: runs went on for %v, want less than %v", late, phase, took, resubmissionDelay)
+				}
+			})
+		}
+	}
+}
+
 // Guards against runs that go on when a caller submits its job again, because the entry that took the job notices late
 // that the caller has left, and stops get lost.
 func TestRunsEndBeforeResubmissionNoticedLate(t *testing.T) {
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -46,10 +46,10 @@
 	// delivering data without being reset.
 	connectionTimeout = supervise.SessionLease
 	// forwardedJobLease limits how long jobs forwarded by another entry continue after the time at which this entry sent
-	// the latest clock reading that the other one echoed. The other entry treats this one as lost connectionTimeout after
-	// the last message that it received, and its callers resubmit 1.3 s later. With this lease the jobs have been
-	// cancelled here by then.
-	forwardedJobLease = time.Second
+	// the latest clock reading that the other one echoed. Their callers were connected at that time or later. With
+	// runLimitSlack and the time until a backend server has stopped the runs, it is less than the 1.3 s after which callers
+	// resubmit, however late messages are processed.
+	forwardedJobLease = 800 * time.Millisecond
 	// runLimitSlack is how long after the end of a forwarded job here an agent may still renew the lease beside its runs. It
 	// covers pauses of the link to the agent.
 	runLimitSlack = 150 * time.Millisecond
