Read from the sockets whether callers are connected before runs are extended

Callers: a task may run twice at the same time when a caller submits its job again.

Cause: every limit of a run began when the entry noticed that the caller had left. The runtime reports that in another goroutine, which runs late in a process that is short of processor time, while keep-alives and load messages went on extending the run.

Change: the permission of a run begins at the caller's socket. Before each keep-alive and each load message the entry reads from the sockets whether the callers of its jobs are connected, and cancels the jobs of those that are not (1005, ConnectionClosed). A run also ends with its caller's time-out at the agent, not only at the entry.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dogwoodglade/core/batch"
@@ -23,18 +24,28 @@
 type call struct {
 	job         batch.Job
 	arrived     time.Time
-	waiters     []chan batch.Outcome // callers of this entry
-	origins     map[string]uint64    // entries that forwarded the job to this one, with the number of their session
-	forwardedTo string               // the entry that dispatches the job; "" for this one
-	retries     int                  // how often it was reassigned after another entry had refused it
+	waiters     []waiter          // callers of this entry
+	origins     map[string]uint64 // entries that forwarded the job to this one, with the number of their session
+	forwardedTo string            // the entry that dispatches the job; "" for this one
+	retries     int               // how often it was reassigned after another entry had refused it
+}
+
+// waiter is a caller of this entry that waits for the outcome of a job.
+type waiter struct {
+	outcome   chan batch.Outcome
+	connected func() bool
 }
 
 // Submit runs a job and returns its outcome. If the context ends first and no other caller or entry waits for the job,
 // the job is cancelled.
-func (e *Entry) Submit(ctx context.Context, j batch.Job) batch.Outcome {
+//
+// The function connected reports whether the caller is still there. It must not block, and is called each time before the
+// permission of the job's runs is extended. It may return false long before the context ends, in a process that is short
+// of processor time.
+func (e *Entry) Submit(ctx context.Context, j batch.Job, connected func() bool) batch.Outcome {
 	outcome := make(chan batch.Outcome, 1)
 	e.mu.Lock()
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || !connected() {
 		e.mu.Unlock()
 		return batch.Cancelled{}
 	}
@@ -43,7 +54,7 @@
 		return batch.NotRun{Reason: batch.Draining, RetryAfter: stoppedRetryAfter}
 	}
 	c := e.findOrNewCall(j)
-	c.waiters = append(c.waiters, outcome)
+	c.waiters = append(c.waiters, waiter{outcome: outcome, connected: connected})
 	e.startCall(c)
 	e.mu.Unlock()
 	select {
@@ -53,16 +64,32 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for i, w := range c.waiters {
-		if w == outcome {
-			c.waiters = append(c.waiters[:i], c.waiters[i+1:]...)
-			e.cancelIfUnneeded(c, "CallerLeft")
-			break
-		}
-	}
+	e.dropWaiters(c, "CallerLeft", func(w waiter) bool { return w.outcome == outcome })
 	return batch.Cancelled{}
 }
 
+// dropWaiters removes the callers of a job for which the condition holds, and cancels the job if nobody else waits for it.
+func (e *Entry) dropWaiters(c *call, reason string, condition func(waiter) bool) {
+	before := len(c.waiters)
+	c.waiters = slices.DeleteFunc(c.waiters, condition)
+	if len(c.waiters) < before {
+		e.cancelIfUnneeded(c, reason)
+	}
+}
+
+// dropDepartedCallers cancels the jobs whose callers have all left. The contexts of their requests may end later.
+func (e *Entry) dropDepartedCallers() {
+	for _, c := range e.calls {
+		e.dropWaiters(c, "ConnectionClosed", func(w waiter) bool {
+			if w.connected() {
+				return false
+			}
+			w.outcome <- batch.Cancelled{}
+			return true
+		})
+	}
+}
+
 // findOrNewCall returns the open call for a job, or a new one that is not yet registered.
 func (e *Entry) findOrNewCall(j batch.Job) *call {
 	c, ok := e.calls[j.ID]
@@ -165,7 +192,7 @@
 func (e *Entry) completeCall(c *call, o batch.Outcome) {
 	delete(e.calls, c.job.ID)
 	for _, w := range c.waiters {
-		w <- o
+		w.outcome <- o
 	}
 	for origin := range c.origins {
 		if x, ok := e.entries[origin]; ok {
--- a/batchentry/chain_test.go
+++ b/batchentry/chain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,10 +162,12 @@
 	runSite(t, 1, 1, func(s *testSite) {
 		ctx, leave := context.WithCancel(s.t.Context())
 		defer leave()
-		go s.entries["entry-1"].Submit(ctx, newJob("job", 4, 8*time.Second))
+		var closed atomic.Bool
+		go s.entries["entry-1"].Entry.Submit(ctx, newJob("job", 4, 8*time.Second), func() bool { return !closed.Load() })
 		time.Sleep(time.Second)
 		s.backends["agent-1"].loseStops = true
 		left := time.Now()
+		closed.Store(true)
 		time.Sleep(450 * time.Millisecond)
 		leave()
 		for s.liveRunCount() > 0 && time.Since(left) < 5*time.Second {
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -50,8 +50,8 @@
 	// runLimitSlack and the time until a backend server has stopped the runs, it is less than the 1.3 s after which callers
 	// resubmit, however late messages are processed.
 	forwardedJobLease = 800 * time.Millisecond
-	// runLimitSlack is how long after the end of a forwarded job here an agent may still renew the lease beside its runs. It
-	// covers pauses of the link to the agent.
+	// runLimitSlack is how long after the end of a job here an agent may still renew the lease beside its runs. It covers
+	// pauses of the link to the agent.
 	runLimitSlack = 150 * time.Millisecond
 	// configurationGrace is how long after its start an entry lets callers wait for its first configuration. It gets one
 	// from the store or from another entry within a few milliseconds.
@@ -358,8 +358,10 @@
 	e.performActions(e.dispatcher.Disconnect(now, name, a.lastReport.Add(supervise.MaxRunAfterAgentLoss)))
 }
 
-// sendKeepAlives extends the sessions of the agents.
+// sendKeepAlives extends the sessions of the agents. Runs continue with them, so the jobs of callers that have left are
+// cancelled first.
 func (e *Entry) sendKeepAlives() {
+	e.dropDepartedCallers()
 	for _, a := range e.agents {
 		e.sendKeepAlive(a)
 	}
@@ -390,19 +392,38 @@
 // It reports false if they may continue for as long as the session.
 func (e *Entry) jobLimit(a *agentSession, id batch.JobID) (until time.Duration, limited bool) {
 	c, ok := e.calls[id]
-	if !ok || len(c.waiters) > 0 {
+	if !ok {
 		return 0, false
 	}
-	var end time.Time
-	for origin := range c.origins {
-		if x, ok := e.entries[origin]; ok {
-			end = latest(end, x.jobsEndAt())
-		}
+	end, ends := e.endOf(c)
+	if !ends {
+		return 0, false
 	}
 	left := end.Add(runLimitSlack).Sub(a.lastReport)
 	return a.agentClock + left, left < supervise.SessionLease
 }
 
+// endOf returns when a job ends here at the latest, as far as is known now: when its caller's time-out passes, and when
+// the entries that forwarded it would be treated as lost. It reports false if neither applies.
+func (e *Entry) endOf(c *call) (end time.Time, ok bool) {
+	if c.job.Timeout > 0 {
+		end, ok = c.arrived.Add(c.job.Timeout), true
+	}
+	if len(c.waiters) > 0 {
+		return end, ok
+	}
+	var originsEnd time.Time
+	for origin := range c.origins {
+		if x, connected := e.entries[origin]; connected {
+			originsEnd = latest(originsEnd, x.jobsEndAt())
+		}
+	}
+	if ok {
+		return earliest(end, originsEnd), true
+	}
+	return originsEnd, true
+}
+
 // jobsEndAt returns when the jobs that another entry forwarded are cancelled here, unless it is heard from before.
 func (x *entrySession) jobsEndAt() time.Time {
 	return earliest(x.lastLoad.Add(connectionTimeout), x.lastEcho.Add(forwardedJobLease))
--- a/batchentry/handover_test.go
+++ b/batchentry/handover_test.go
@@ -10,13 +10,12 @@
 	"testing/synctest"
 	"time"
 
-	"dogwoodglade/batchentry"
 	"dogwoodglade/core/batch"
 )
 
 // stream submits a short job at each of the given entries every 20 ms until the returned function is called, which
 // waits for the outcomes. Every job must complete within the limit.
-func (s *testSite) stream(limit time.Duration, entries func() map[string]*batchentry.Entry) (stop func()) {
+func (s *testSite) stream(limit time.Duration, entries func() map[string]testEntry) (stop func()) {
 	ctx, cancel := context.WithCancel(s.t.Context())
 	var running sync.WaitGroup
 	running.Go(func() {
@@ -47,7 +46,7 @@
 	runSiteInOneRegion(t, 3, 6, func(s *testSite) {
 		var mu sync.Mutex
 		stopping := ""
-		endStream := s.stream(250*time.Millisecond, func() map[string]*batchentry.Entry {
+		endStream := s.stream(250*time.Millisecond, func() map[string]testEntry {
 			mu.Lock()
 			defer mu.Unlock()
 			entries := maps.Clone(s.entries)
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -63,7 +63,10 @@
 	return math.Abs(cores-e.sentCores) > promptLoadChange*max(cores, e.sentCores)
 }
 
+// sendLoad sends the load of this entry to the others. The jobs that it has forwarded continue there, so those of callers
+// that have left are withdrawn first.
 func (e *Entry) sendLoad() {
+	e.dropDepartedCallers()
 	l, now := e.load(), e.options.Now()
 	e.sentCores = l.Load.Total().Cores
 	for _, x := range e.entries {
@@ -85,6 +88,7 @@
 
 // useConnection begins a session on a connection. It reports false if the connection is closed.
 func (e *Entry) useConnection(x *entrySession, p *inner.Peer) bool {
+	e.dropDepartedCallers()
 	e.lastSession++
 	x.current, x.session = p, e.lastSession
 	return p.Load(e.firstLoad(x))
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -340,13 +340,20 @@
 	return b.String()
 }
 
+// testEntry is an entry whose callers leave when their contexts end.
+type testEntry struct{ *batchentry.Entry }
+
+func (e testEntry) Submit(ctx context.Context, j batch.Job) batch.Outcome {
+	return e.Entry.Submit(ctx, j, func() bool { return ctx.Err() == nil })
+}
+
 // testSite is a set of entries and agents on an in-memory network with a fake clock (testing/synctest).
 type testSite struct {
 	t        *testing.T
 	network  *memnet.Network
 	store    *fakeStore
 	overlaps *overlapRecorder
-	entries  map[string]*batchentry.Entry
+	entries  map[string]testEntry
 	backends map[string]*backend
 	stops    map[string]func()
 	metrics  map[string]metrics.Registry // of the entries
@@ -358,7 +365,7 @@
 	s := &testSite{
 		region: region, metrics: map[string]metrics.Registry{}, logs: &logRecorder{},
 		t: t, network: memnet.New(), store: newFakeStore(), overlaps: &overlapRecorder{running: map[batch.TaskID]string{}},
-		entries: map[string]*batchentry.Entry{}, backends: map[string]*backend{}, stops: map[string]func(){},
+		entries: map[string]testEntry{}, backends: map[string]*backend{}, stops: map[string]func(){},
 	}
 	for i := range entries {
 		s.startEntry(fmt.Sprintf("entry-%d", i+1))
@@ -390,7 +397,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.entries[name], s.stops[name] = e, stop
+	s.entries[name], s.stops[name] = testEntry{e}, stop
 }
 
 func (s *testSite) startAgent(name string) {
