Check callers and peers before a late entry handles messages

Callers: a task may run twice at the same time when a caller submits its job again.

Cause: an entry that was suspended may handle a report of an agent or a load message of another entry before its periodic work. It then started tasks of jobs whose caller had left or whose origin had treated it as lost, and the message that had waited counted as a sign of life.

Change: if the latest check is older than 100 ms, the time limits of sessions and the callers' connections are checked before a message or a submission is handled.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -53,6 +53,7 @@
 		e.mu.Unlock()
 		return batch.NotRun{Reason: batch.Draining, RetryAfter: stoppedRetryAfter}
 	}
+	e.checkIfLate(e.options.Now())
 	c := e.findOrNewCall(j)
 	c.waiters = append(c.waiters, waiter{outcome: outcome, connected: connected})
 	e.startCall(c)
@@ -238,6 +239,7 @@
 func (e *Entry) Forward(p *inner.Peer, j batch.Job) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.checkIfLate(e.options.Now())
 	x, ok := e.entrySessionOf(p)
 	if !ok || x.connections[p] < x.peerSession {
 		return // sent in a session that the other entry has since ended, so it no longer waits for the job
@@ -321,6 +323,7 @@
 func (e *Entry) ForwardOutcome(p *inner.Peer, id batch.JobID, o batch.Outcome) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.checkIfLate(e.options.Now())
 	x, connected := e.entrySessionOf(p)
 	if !connected || x.connections[p] < x.peerSession {
 		return // sent in an earlier session, so it may not be the outcome of the job as forwarded in this one
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -33,6 +33,8 @@
 const (
 	// tickInterval is how often time limits are checked.
 	tickInterval = 50 * time.Millisecond
+	// maxCheckAge is the age of the latest check after which messages are only handled once the checks have been repeated.
+	maxCheckAge = 2 * tickInterval
 	// keepAliveInterval allows three keep-alive messages within an agent's session lease.
 	keepAliveInterval = 150 * time.Millisecond
 	// loadInterval is how often this entry sends its load to the other entries.
@@ -124,6 +126,7 @@
 	listComplete     bool    // the list has all entries that can be reached
 	sentCores        float64 // cores of usable backend servers in the load that was last sent
 	lastSession      uint64
+	checkedAt        time.Time               // when the time limits and the callers' connections were last checked
 	readsStore       bool                    // the latest call about the configuration succeeded
 	interruptPoll    context.CancelCauseFunc // ends the long poll in progress; nil if none, or if it is short
 }
@@ -234,7 +237,7 @@
 		}
 		e.mu.Lock()
 		now := e.options.Now()
-		e.closeTimedOut(now)
+		e.check(now)
 		e.performActions(e.dispatcher.Tick(now))
 		if !e.listComplete && now.Sub(e.startedAt) > completeListDelay {
 			e.listComplete = true
@@ -259,6 +262,21 @@
 	}
 }
 
+// check applies the time limits of sessions and cancels the jobs of callers that have left.
+func (e *Entry) check(now time.Time) {
+	e.checkedAt = now
+	e.closeTimedOut(now)
+	e.dropDepartedCallers()
+}
+
+// checkIfLate checks if the periodic work is late. A process that was suspended may handle a message first, and would
+// start tasks of jobs that have ended meanwhile.
+func (e *Entry) checkIfLate(now time.Time) {
+	if now.Sub(e.checkedAt) > maxCheckAge {
+		e.check(now)
+	}
+}
+
 // closeTimedOut ends the sessions of agents and entries that sent nothing within connectionTimeout, and drops forwarded
 // jobs whose lease has expired.
 func (e *Entry) closeTimedOut(now time.Time) {
@@ -464,6 +482,7 @@
 func (e *Entry) Report(p *inner.Peer, r supervise.Report) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.checkIfLate(e.options.Now())
 	a, ok := e.agents[p.Name]
 	if !ok || a.peer != p {
 		return
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -108,11 +108,12 @@
 func (e *Entry) Load(p *inner.Peer, l inner.EntryLoad) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := e.options.Now()
+	e.checkIfLate(now)
 	x, ok := e.entrySessionOf(p)
 	if !ok {
 		return
 	}
-	now := e.options.Now()
 	x.connections[p] = l.Session
 	if l.Session < x.peerSession {
 		return // the other entry does not use this connection, so the message says nothing about the one in use
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -358,7 +359,9 @@
 	stops    map[string]func()
 	metrics  map[string]metrics.Registry // of the entries
 	logs     *logRecorder
-	region   string // of all processes; if empty, each entry has a region of its own, with some of the agents
+	// suspended is how long the entries have been suspended. Their timers did not advance meanwhile.
+	suspended atomic.Int64
+	region    string // of all processes; if empty, each entry has a region of its own, with some of the agents
 }
 
 func newSite(t *testing.T, region string, entries, agents int) *testSite {
@@ -392,7 +395,8 @@
 	s.metrics[name] = metrics.NewRegistry()
 	e, stop, err := batchentry.New(batchentry.Options{
 		Name: name, Region: cmp.Or(s.region, "of-"+name), Address: name + ":1", Weight: 1, Directory: s.store,
-		Logger: s.logs.logger(name), Metrics: s.metrics[name], Dial: host.Dial, Listen: host.Listen, Now: time.Now,
+		Logger: s.logs.logger(name), Metrics: s.metrics[name], Dial: host.Dial, Listen: host.Listen,
+		Now: func() time.Time { return time.Now().Add(time.Duration(s.suspended.Load())) },
 	})
 	if err != nil {
 		s.t.Fatal(err)
