Keep resubmitted jobs at the entry that is stopping their runs

Callers: a task may run twice at the same time when a caller submits its job again to the same entry.

Cause: the entry forwarded such a job to another entry with more capacity while its own runs of it were still being stopped, and an entry that was draining refused a forwarded job in the same state, so that it was started elsewhere.

Change: a job whose earlier runs may exist here waits here until they have ended.

Result: TestResubmissionIsNotForwardedBesideRuns failed with tasks on two agents, TestDrainingEntryDoesNotRefuseBesideRuns with a refusal beside 4 runs.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -116,8 +116,10 @@
 // assignCall dispatches a job here, or forwards it to an entry with more free capacity.
 func (e *Entry) assignCall(c *call) {
 	now := e.options.Now()
-	// A job that another entry forwarded is always dispatched here. Otherwise jobs could be forwarded in a loop.
-	if len(c.origins) == 0 && !e.dispatcher.CanStartNow(now, c.job) && !e.dispatcher.GivenUp(now, c.job) &&
+	// A job that another entry forwarded is always dispatched here. Otherwise jobs could be forwarded in a loop. One that
+	// was submitted again waits here until its earlier runs have ended.
+	bound := len(c.origins) > 0 || e.dispatcher.Stopping(c.job.ID)
+	if !bound && !e.dispatcher.CanStartNow(now, c.job) && !e.dispatcher.GivenUp(now, c.job) &&
 		e.forward(c, e.peers.Choose(now, e.dispatcher.Load(), c.job)) {
 		return
 	}
@@ -244,7 +246,7 @@
 	if !ok || x.connections[p] < x.peerSession {
 		return // sent in a session that the other entry has since ended, so it no longer waits for the job
 	}
-	if _, open := e.calls[j.ID]; e.releasingAgents && !open {
+	if _, open := e.calls[j.ID]; e.releasingAgents && !open && !e.dispatcher.Stopping(j.ID) {
 		e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(j.ID, batch.NotRun{Reason: batch.Draining}) })
 		return
 	}
--- a/batchentry/resubmission_test.go
+++ b/batchentry/resubmission_test.go
@@ -115,3 +115,43 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// Guards against two runs of a task at the same time when a job is submitted again to the entry that is still stopping its
+// runs, and another entry has more capacity.
+func TestResubmissionIsNotForwardedBesideRuns(t *testing.T) {
+	runSite(t, 2, 2, func(s *testSite) {
+		for _, b := range s.backends {
+			b.loseStops = true
+		}
+		ctx, leave := context.WithTimeout(s.t.Context(), 200*time.Millisecond)
+		defer leave()
+		s.entries["entry-1"].Submit(ctx, newJob("job", 10, 400*time.Millisecond))
+		if o := s.entries["entry-1"].Submit(s.t.Context(), newJob("job", 10, 400*time.Millisecond)); o != (batch.Completed{}) {
+			s.t.Errorf("got %s, want Completed", batch.OutcomeName(o))
+		}
+	})
+}
+
+// Guards against two runs of a task at the same time: an entry that is draining refuses a forwarded job whose earlier runs
+// it is still stopping, and the other entry starts it elsewhere.
+func TestDrainingEntryDoesNotRefuseBesideRuns(t *testing.T) {
+	runSite(t, 1, 1, func(s *testSite) {
+		r := &peerRecorder{fakePeerEntry: newFakePeerEntry(), name: "other"}
+		p := r.connect(s)
+		defer p.Close()
+		p.Load(fakePeerLoad())
+		p.Forward(newJob("job", 4, 8*time.Second))
+		time.Sleep(50 * time.Millisecond)
+		s.backends["agent-1"].loseStops = true
+		p.WithdrawJob("job", false)
+		go s.entries["entry-1"].Stop(s.t.Context())
+		time.Sleep(10 * time.Millisecond)
+		p.Forward(newJob("job", 4, 8*time.Second))
+		time.Sleep(10 * time.Millisecond)
+		r.recorded.Lock()
+		defer r.recorded.Unlock()
+		if n := s.liveRunCount(); n > 0 && len(r.outcomes) > 0 {
+			s.t.Errorf("answered %v beside %d runs", r.outcomes, n)
+		}
+	})
+}
