Number the forwards between entries

What callers saw: an outcome or a withdrawal that was under way could end a later forward of the same job. The refusal of an earlier forward made the entry start a job that the other entry held, so that a task had two runs.

Cause: the messages about a forwarded job named the job only. Within a session, nothing told its forwards apart.

Change: each forward has a number that rises within the process of the entry that sends it. Outcomes and withdrawals carry it and end only that forward, and the first load of a session lists the forwards that go on with their numbers. The fields are optional. An entry of an earlier version sends no numbers; its messages are taken as before.

TestOutcomeOfEarlierForwardIgnored failed before; its peer now answers with the number of the forward that it refuses, as an entry does, and the rest of the test is as it was.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -24,11 +24,18 @@
 	job         batch.Job
 	arrived     time.Time
 	waiters     []chan batch.Outcome // callers of this entry
-	origins     map[string]uint64    // entries that forwarded the job to this one, with the number of their session
+	origins     map[string]origin    // entries that forwarded the job to this one
 	forwardedTo string               // the entry that dispatches the job; "" for this one
+	forward     uint64               // number of the latest forward
 	retries     int                  // how often it was reassigned after another entry had refused it
 }
 
+// origin identifies a forward by another entry.
+type origin struct {
+	session uint64 // of the other entry
+	number  uint64 // among the forwards of the other entry's process; 0 if it is of an earlier version
+}
+
 // Submit runs a job and returns its outcome. If the context ends first and no other caller or entry waits for the job,
 // the job is cancelled.
 func (e *Entry) Submit(ctx context.Context, j batch.Job) batch.Outcome {
@@ -67,7 +74,7 @@
 func (e *Entry) findOrNewCall(j batch.Job) *call {
 	c, ok := e.calls[j.ID]
 	if !ok {
-		c = &call{job: j, origins: map[string]uint64{}}
+		c = &call{job: j, origins: map[string]origin{}}
 	}
 	return c
 }
@@ -124,10 +131,15 @@
 func (e *Entry) forward(c *call, to string) bool {
 	x, ok := e.entries[to]
 	j, inTime := c.remaining(e.options.Now())
-	if !ok || !inTime || !e.sendToEntry(x, func(p *inner.Peer) bool { return p.Forward(j) }) {
+	if !ok || !inTime {
+		return false
+	}
+	e.lastForward++
+	number := e.lastForward
+	if !e.sendToEntry(x, func(p *inner.Peer) bool { return p.Forward(j, number) }) {
 		return false
 	}
-	c.forwardedTo = to
+	c.forwardedTo, c.forward = to, number
 	e.logForward(c)
 	return true
 }
@@ -153,7 +165,7 @@
 // cancelDispatch cancels a job in the dispatcher, or withdraws it from the entry that it was forwarded to.
 func (e *Entry) cancelDispatch(c *call) {
 	if x, ok := e.entries[c.forwardedTo]; ok {
-		e.sendToEntry(x, func(p *inner.Peer) bool { return p.WithdrawJob(c.job.ID, false) })
+		e.sendToEntry(x, func(p *inner.Peer) bool { return p.WithdrawJob(c.job.ID, c.forward, false) })
 		return
 	}
 	if c.forwardedTo == "" {
@@ -167,9 +179,9 @@
 	for _, w := range c.waiters {
 		w <- o
 	}
-	for origin := range c.origins {
-		if x, ok := e.entries[origin]; ok {
-			e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(c.job.ID, o) })
+	for name, origin := range c.origins {
+		if x, ok := e.entries[name]; ok {
+			e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(c.job.ID, origin.number, o) })
 		}
 	}
 }
@@ -208,7 +220,7 @@
 }
 
 // Forward implements inner.BatchEntryHandler.
-func (e *Entry) Forward(p *inner.Peer, j batch.Job) {
+func (e *Entry) Forward(p *inner.Peer, j batch.Job, number uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	x, ok := e.entrySessionOf(p)
@@ -216,25 +228,27 @@
 		return // sent in a session that the other entry has since ended, so it no longer waits for the job
 	}
 	if _, open := e.calls[j.ID]; e.releasingAgents && !open {
-		e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(j.ID, batch.NotRun{Reason: batch.Draining}) })
+		e.sendToEntry(x, func(p *inner.Peer) bool {
+			return p.ForwardOutcome(j.ID, number, batch.NotRun{Reason: batch.Draining})
+		})
 		return
 	}
-	session := x.connections[p]
+	from := origin{session: x.connections[p], number: number}
 	c := e.findOrNewCall(j)
 	if c.forwardedTo == p.Name {
 		// The caller submitted the job to both entries, and each forwarded it to the other. The entry whose name sorts
 		// first dispatches it, but only once the other one has declined: that one may have withdrawn the job before it
 		// received it, and then dispatches it.
 		if e.options.Name < p.Name {
-			c.origins[p.Name] = session
+			c.origins[p.Name] = from
 		} else {
 			e.sendToEntry(x, func(p *inner.Peer) bool {
-				return p.ForwardOutcome(j.ID, batch.NotRun{Reason: batch.AlreadySubmitted})
+				return p.ForwardOutcome(j.ID, number, batch.NotRun{Reason: batch.AlreadySubmitted})
 			})
 		}
 		return
 	}
-	c.origins[p.Name] = session
+	c.origins[p.Name] = from
 	e.startCall(c)
 }
 
@@ -266,11 +280,11 @@
 
 // handBack tells the entries that forwarded a job that it has not been started here and will not be.
 func (e *Entry) handBack(c *call) {
-	for origin := range c.origins {
-		e.log(event.JobRefused).Str("Job", string(c.job.ID)).Str("Peer", origin).Str("State", "HandedBack").Send()
-		if x, ok := e.entries[origin]; ok {
+	for name, origin := range c.origins {
+		e.log(event.JobRefused).Str("Job", string(c.job.ID)).Str("Peer", name).Str("State", "HandedBack").Send()
+		if x, ok := e.entries[name]; ok {
 			e.sendToEntry(x, func(p *inner.Peer) bool {
-				return p.ForwardOutcome(c.job.ID, batch.NotRun{Reason: batch.NoServer})
+				return p.ForwardOutcome(c.job.ID, origin.number, batch.NotRun{Reason: batch.NoServer})
 			})
 		}
 	}
@@ -291,7 +305,7 @@
 }
 
 // ForwardOutcome implements inner.BatchEntryHandler.
-func (e *Entry) ForwardOutcome(p *inner.Peer, id batch.JobID, o batch.Outcome) {
+func (e *Entry) ForwardOutcome(p *inner.Peer, id batch.JobID, number uint64, o batch.Outcome) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	x, connected := e.entrySessionOf(p)
@@ -299,7 +313,7 @@
 		return // sent in an earlier session, so it may not be the outcome of the job as forwarded in this one
 	}
 	c, ok := e.calls[id]
-	if !ok || c.forwardedTo != p.Name {
+	if !ok || c.forwardedTo != p.Name || number != 0 && number != c.forward {
 		return
 	}
 	if o == (batch.NotRun{Reason: batch.AlreadySubmitted}) {
@@ -346,7 +360,7 @@
 }
 
 // WithdrawJob implements inner.BatchEntryHandler.
-func (e *Entry) WithdrawJob(p *inner.Peer, id batch.JobID, forAll bool) {
+func (e *Entry) WithdrawJob(p *inner.Peer, id batch.JobID, number uint64, forAll bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	x, connected := e.entrySessionOf(p)
@@ -355,7 +369,7 @@
 	case !ok:
 	case forAll:
 		e.cancel(c)
-	case !connected || x.connections[p] < c.origins[p.Name]:
+	case !connected || x.connections[p] < c.origins[p.Name].session || number != 0 && number != c.origins[p.Name].number:
 		// The other entry has forwarded the job again, or continued it, since it sent the message.
 	default:
 		delete(c.origins, p.Name)
@@ -371,7 +385,7 @@
 	c, ok := e.calls[id]
 	if !ok {
 		for _, x := range e.entries {
-			e.sendToEntry(x, func(p *inner.Peer) bool { return p.WithdrawJob(id, true) })
+			e.sendToEntry(x, func(p *inner.Peer) bool { return p.WithdrawJob(id, 0, true) })
 		}
 		return false
 	}
--- a/batchentry/chain_test.go
+++ b/batchentry/chain_test.go
@@ -105,7 +105,7 @@
 					p := o.dial(s, "first")
 					defer p.Close()
 					p.Load(inner.EntryLoad{Session: 1})
-					p.Forward(newJob("job", 4, 8*time.Second))
+					p.Forward(newJob("job", 4, 8*time.Second), 1)
 					o.exchangeLoads(s, p, 1, true)
 					time.Sleep(time.Duration(7*phase) * time.Millisecond)
 					latest := <-o.loads
@@ -154,7 +154,7 @@
 		p := o.dial(s, "first")
 		defer p.Close()
 		p.Load(inner.EntryLoad{Session: 1})
-		p.Forward(newJob("job", 4, time.Minute))
+		p.Forward(newJob("job", 4, time.Minute), 1)
 		for i := range 40 {
 			clock := time.Duration(time.Now().UnixNano()) // of both entries
 			p.Load(inner.EntryLoad{Session: 1, Clock: clock, Echo: clock})
--- a/batchentry/crossed_message_test.go
+++ b/batchentry/crossed_message_test.go
@@ -20,26 +20,40 @@
 
 	recorded  sync.Mutex
 	forwarded []batch.Job
+	numbers   []uint64 // of the forwards
 	withdrawn []batch.JobID
-	outcomes  []batch.Outcome
+	outcomes  []numberedOutcome
 }
 
-func (r *peerRecorder) Forward(_ *inner.Peer, j batch.Job) {
+func (r *peerRecorder) Forward(_ *inner.Peer, j batch.Job, number uint64) {
 	r.recorded.Lock()
 	defer r.recorded.Unlock()
 	r.forwarded = append(r.forwarded, j)
+	r.numbers = append(r.numbers, number)
 }
 
-func (r *peerRecorder) WithdrawJob(_ *inner.Peer, id batch.JobID, _ bool) {
+func (r *peerRecorder) WithdrawJob(_ *inner.Peer, id batch.JobID, _ uint64, _ bool) {
 	r.recorded.Lock()
 	defer r.recorded.Unlock()
 	r.withdrawn = append(r.withdrawn, id)
 }
 
-func (r *peerRecorder) ForwardOutcome(_ *inner.Peer, _ batch.JobID, o batch.Outcome) {
+func (r *peerRecorder) ForwardOutcome(_ *inner.Peer, _ batch.JobID, number uint64, o batch.Outcome) {
 	r.recorded.Lock()
 	defer r.recorded.Unlock()
-	r.outcomes = append(r.outcomes, o)
+	r.outcomes = append(r.outcomes, numberedOutcome{number: number, outcome: o})
+}
+
+type numberedOutcome struct {
+	number  uint64
+	outcome batch.Outcome
+}
+
+// number returns the number of a forward that it received.
+func (r *peerRecorder) number(i int) uint64 {
+	r.recorded.Lock()
+	defer r.recorded.Unlock()
+	return r.numbers[i]
 }
 
 func (r *peerRecorder) connect(s *testSite) *inner.Peer {
@@ -65,7 +79,7 @@
 		time.Sleep(10 * time.Millisecond)
 		go s.entries["entry-1"].Submit(s.t.Context(), newJob("job", 1, time.Second))
 		time.Sleep(10 * time.Millisecond)
-		p.ForwardOutcome("job", batch.Unknown{Reason: batch.PeerLost})
+		p.ForwardOutcome("job", r.number(0), batch.Unknown{Reason: batch.PeerLost})
 		time.Sleep(10 * time.Millisecond)
 		r.recorded.Lock()
 		defer r.recorded.Unlock()
--- a/batchentry/earlier_version_test.go
+++ b/batchentry/earlier_version_test.go
@@ -22,7 +22,7 @@
 		outcome := make(chan batch.Outcome, 1)
 		go func() { outcome <- s.entries["entry-1"].Submit(s.t.Context(), newJob("job", 4, 100*time.Millisecond)) }()
 		time.Sleep(time.Millisecond)
-		p.Forward(newJob("job", 4, 100*time.Millisecond))
+		p.Forward(newJob("job", 4, 100*time.Millisecond), 0)
 		for {
 			select {
 			case o := <-outcome:
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -124,6 +124,7 @@
 	listComplete     bool    // the list has all entries that can be reached
 	sentCores        float64 // cores of usable backend servers in the load that was last sent
 	lastSession      uint64
+	lastForward      uint64                  // number of the latest forward to another entry
 	readsStore       bool                    // the latest call about the configuration succeeded
 	interruptPoll    context.CancelCauseFunc // ends the long poll in progress; nil if none, or if it is short
 }
--- a/batchentry/lost_message_test.go
+++ b/batchentry/lost_message_test.go
@@ -182,7 +182,7 @@
 			time.Sleep(100 * time.Millisecond)
 			p.Load(load)
 		}
-		p.ForwardOutcome("job", batch.NotRun{Reason: batch.NoServer})
+		p.ForwardOutcome("job", 0, batch.NotRun{Reason: batch.NoServer})
 		p.Load(load)
 		time.Sleep(10 * time.Millisecond)
 		if n := len(o.forwarded); n != 1 {
--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -42,11 +42,11 @@
 	default:
 	}
 }
-func (o *fakePeerEntry) Report(*inner.Peer, supervise.Report)                   {}
-func (o *fakePeerEntry) Forward(_ *inner.Peer, j batch.Job)                     { o.forwarded <- j }
-func (o *fakePeerEntry) ForwardOutcome(*inner.Peer, batch.JobID, batch.Outcome) {}
-func (o *fakePeerEntry) WithdrawJob(*inner.Peer, batch.JobID, bool)             {}
-func (o *fakePeerEntry) Configuration() site.Configuration                      { return site.Configuration{} }
+func (o *fakePeerEntry) Report(*inner.Peer, supervise.Report)                           {}
+func (o *fakePeerEntry) Forward(_ *inner.Peer, j batch.Job, _ uint64)                   { o.forwarded <- j }
+func (o *fakePeerEntry) ForwardOutcome(*inner.Peer, batch.JobID, uint64, batch.Outcome) {}
+func (o *fakePeerEntry) WithdrawJob(*inner.Peer, batch.JobID, uint64, bool)             {}
+func (o *fakePeerEntry) Configuration() site.Configuration                              { return site.Configuration{} }
 
 // Crashes implements inner.BatchEntryHandler.
 func (o *fakePeerEntry) Crashes(_ *inner.Peer, list []dispatch.Crash) {
@@ -99,7 +99,7 @@
 				p := o.dial(s, "first")
 				defer p.Close()
 				p.Load(inner.EntryLoad{Session: 1})
-				p.Forward(newJob("job", 1, 10*time.Second))
+				p.Forward(newJob("job", 1, 10*time.Second), 1)
 				time.Sleep(50 * time.Millisecond)
 				c.act(s, o, p)
 				b := s.backends["agent-1"]
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -31,12 +31,15 @@
 // two has forwarded to the other.
 func (e *Entry) firstLoad(x *entrySession) inner.EntryLoad {
 	l := x.withSessionFields(e.load(), e.options.Now())
+	l.ForwardedNumbers, l.AcceptedNumbers = map[batch.JobID]uint64{}, map[batch.JobID]uint64{}
 	for id, c := range e.calls {
 		if c.forwardedTo == x.Name {
 			l.Forwarded = append(l.Forwarded, id)
+			l.ForwardedNumbers[id] = c.forward
 		}
-		if _, ok := c.origins[x.Name]; ok {
+		if origin, ok := c.origins[x.Name]; ok {
 			l.Accepted = append(l.Accepted, id)
+			l.AcceptedNumbers[id] = origin.number
 		}
 	}
 	return l
@@ -161,18 +164,24 @@
 // in the other entry's new session.
 func (e *Entry) beginPeerSession(now time.Time, x *entrySession, l inner.EntryLoad) {
 	for _, id := range l.Forwarded {
+		number := l.ForwardedNumbers[id]
 		if c, ok := e.calls[id]; ok {
-			if _, ok := c.origins[x.Name]; ok {
-				c.origins[x.Name] = l.Session
+			if origin, ok := c.origins[x.Name]; ok && origin.number == number {
+				origin.session = l.Session
+				c.origins[x.Name] = origin
 				continue
 			}
 		}
 		// The job or its outcome was lost.
-		e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(id, batch.Unknown{Reason: batch.PeerLost}) })
+		e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(id, number, batch.Unknown{Reason: batch.PeerLost}) })
 	}
 	e.dropOrigins(x.Name, l.Session)
 	for id, c := range e.calls {
-		if c.forwardedTo != x.Name || slices.Contains(l.Accepted, id) {
+		if c.forwardedTo != x.Name {
+			continue
+		}
+		number := l.AcceptedNumbers[id]
+		if slices.Contains(l.Accepted, id) && (number == 0 || number == c.forward) {
 			continue
 		}
 		e.logUnknownOutcome(now, c, batch.PeerLost)
@@ -236,7 +245,7 @@
 // that nobody else waits for are cancelled.
 func (e *Entry) dropOrigins(name string, before uint64) {
 	for _, c := range e.calls {
-		if session, ok := c.origins[name]; ok && session < before {
+		if origin, ok := c.origins[name]; ok && origin.session < before {
 			delete(c.origins, name)
 			e.cancelIfUnneeded(c, "OriginLost")
 		}
--- a/batchentry/silent_connection_test.go
+++ b/batchentry/silent_connection_test.go
@@ -56,7 +56,7 @@
 		silent := o.dial(s, "first")
 		defer silent.Close()
 		silent.Load(inner.EntryLoad{Session: 1})
-		silent.Forward(newJob("job", 1, 10*time.Second))
+		silent.Forward(newJob("job", 1, 10*time.Second), 1)
 		time.Sleep(50 * time.Millisecond)
 		// From now on the other entry sends its loads and the withdrawal on the silent connection.
 		for range 3 {
--- a/batchentry/stranded_test.go
+++ b/batchentry/stranded_test.go
@@ -21,7 +21,7 @@
 		p.Load(inner.EntryLoad{Session: 1})
 		q.Load(fakePeerLoad())
 		time.Sleep(10 * time.Millisecond)
-		p.Forward(newJob("job", 1, 100*time.Millisecond))
+		p.Forward(newJob("job", 1, 100*time.Millisecond), 1)
 		synctest.Wait()
 		done := make(chan batch.Outcome, 1)
 		go func() {
@@ -31,7 +31,7 @@
 		origin.recorded.Lock()
 		target.recorded.Lock()
 		if len(target.forwarded) > 0 && len(origin.outcomes) > 0 {
-			s.t.Errorf("the job was forwarded to another entry and handed back as %s", batch.OutcomeName(origin.outcomes[0]))
+			s.t.Errorf("the job was forwarded to another entry and handed back as %s", batch.OutcomeName(origin.outcomes[0].outcome))
 		}
 		target.recorded.Unlock()
 		origin.recorded.Unlock()
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -38,13 +38,15 @@
 	Report(p *Peer, r supervise.Report)
 	// Load receives the load of another entry.
 	Load(p *Peer, l EntryLoad)
-	// Forward receives a job that another entry forwards. This entry replies with ForwardOutcome.
-	Forward(p *Peer, j batch.Job)
-	// ForwardOutcome receives the outcome of a job that this entry forwarded.
-	ForwardOutcome(p *Peer, id batch.JobID, o batch.Outcome)
-	// WithdrawJob is called when the sender no longer waits for a job, or, with forAll, when the job is cancelled for
-	// every waiting entry and client.
-	WithdrawJob(p *Peer, id batch.JobID, forAll bool)
+	// Forward receives a job that another entry forwards. This entry replies with ForwardOutcome. The number identifies
+	// the forward among those of the sender's process; it is 0 in this and the next methods if the sender is of an earlier
+	// version.
+	Forward(p *Peer, j batch.Job, number uint64)
+	// ForwardOutcome receives the outcome of a job as forwarded by this entry under a number.
+	ForwardOutcome(p *Peer, id batch.JobID, number uint64, o batch.Outcome)
+	// WithdrawJob is called when the sender no longer waits for a job as forwarded under a number, or, with forAll, when
+	// the job is cancelled for every waiting entry and client.
+	WithdrawJob(p *Peer, id batch.JobID, number uint64, forAll bool)
 	// Crashes receives the crashes of backend servers that another entry has recorded.
 	Crashes(p *Peer, list []dispatch.Crash)
 	// Configuration returns the configuration in use.
@@ -73,8 +75,11 @@
 	Session   uint64
 	Forwarded []batch.JobID `cbor:",omitempty"` // jobs that the sender forwarded to the receiver and waits for
 	Accepted  []batch.JobID `cbor:",omitempty"` // jobs that the receiver forwarded to the sender and that are open there
-	Clock     time.Duration // time on the sender's clock
-	Echo      time.Duration // latest Clock value that the sender received from the receiver; 0 if none
+	// ForwardedNumbers and AcceptedNumbers have the numbers of the forwards; entries of earlier versions omit them.
+	ForwardedNumbers map[batch.JobID]uint64 `cbor:",omitempty"`
+	AcceptedNumbers  map[batch.JobID]uint64 `cbor:",omitempty"`
+	Clock            time.Duration          // time on the sender's clock
+	Echo             time.Duration          // latest Clock value that the sender received from the receiver; 0 if none
 }
 
 // KeepAlive is sent periodically from an entry to its agents.
@@ -103,10 +108,14 @@
 }
 
 type (
-	reportParams      struct{ Report supervise.Report }
-	forwardParams     struct{ Job batch.Job }
+	reportParams  struct{ Report supervise.Report }
+	forwardParams struct {
+		Job    batch.Job
+		Number uint64 `cbor:",omitempty"`
+	}
 	withdrawJobParams struct {
 		Job    batch.JobID
+		Number uint64 `cbor:",omitempty"`
 		ForAll bool
 	}
 	crashesParams       struct{ Crashes []dispatch.Crash }
@@ -116,6 +125,7 @@
 // forwardOutcomeParams encodes an outcome; Kind selects the fields in use.
 type forwardOutcomeParams struct {
 	Job        batch.JobID
+	Number     uint64 `cbor:",omitempty"`
 	Kind       string
 	Reason     batch.Reason
 	RetryAfter time.Duration
@@ -265,12 +275,14 @@
 // Load sends the load of this entry to another entry.
 func (p *Peer) Load(l EntryLoad) bool { return p.notifyCBOR(methodLoad, l) }
 
-// Forward forwards a job to another entry.
-func (p *Peer) Forward(j batch.Job) bool { return p.notifyCBOR(methodForward, forwardParams{Job: j}) }
+// Forward forwards a job to another entry, under a number that rises within the process.
+func (p *Peer) Forward(j batch.Job, number uint64) bool {
+	return p.notifyCBOR(methodForward, forwardParams{Job: j, Number: number})
+}
 
-// ForwardOutcome sends the outcome of a forwarded job to the entry that forwarded it.
-func (p *Peer) ForwardOutcome(id batch.JobID, o batch.Outcome) bool {
-	f := forwardOutcomeParams{Job: id}
+// ForwardOutcome sends the outcome of a forwarded job, with the number of the forward, to the entry that forwarded it.
+func (p *Peer) ForwardOutcome(id batch.JobID, number uint64, o batch.Outcome) bool {
+	f := forwardOutcomeParams{Job: id, Number: number}
 	switch o := o.(type) {
 	case batch.Completed:
 		f.Kind = kindCompleted
@@ -286,10 +298,10 @@
 	return p.notifyCBOR(methodForwardOutcome, f)
 }
 
-// WithdrawJob tells another entry that this entry no longer waits for a forwarded job, or, with forAll, that the job is
-// cancelled for every waiting entry and client.
-func (p *Peer) WithdrawJob(id batch.JobID, forAll bool) bool {
-	return p.notifyCBOR(methodWithdrawJob, withdrawJobParams{Job: id, ForAll: forAll})
+// WithdrawJob tells another entry that this entry no longer waits for a job as forwarded under a number, or, with forAll,
+// that the job is cancelled for every waiting entry and client.
+func (p *Peer) WithdrawJob(id batch.JobID, number uint64, forAll bool) bool {
+	return p.notifyCBOR(methodWithdrawJob, withdrawJobParams{Job: id, Number: number, ForAll: forAll})
 }
 
 // Crashes sends crashes of backend servers to another entry. Entries of earlier versions ignore the message.
@@ -321,12 +333,14 @@
 	return withCombined(methods{
 		methodReport:  cborNotificationMethod(func(p *Peer, m reportParams) { h.Report(p, m.Report) }),
 		methodLoad:    cborNotificationMethod(func(p *Peer, m EntryLoad) { h.Load(p, m) }),
-		methodForward: cborNotificationMethod(func(p *Peer, m forwardParams) { h.Forward(p, m.Job) }),
+		methodForward: cborNotificationMethod(func(p *Peer, m forwardParams) { h.Forward(p, m.Job, m.Number) }),
 		methodForwardOutcome: cborNotificationMethod(func(p *Peer, m forwardOutcomeParams) {
-			h.ForwardOutcome(p, m.Job, m.outcome())
+			h.ForwardOutcome(p, m.Job, m.Number, m.outcome())
+		}),
+		methodWithdrawJob: cborNotificationMethod(func(p *Peer, m withdrawJobParams) {
+			h.WithdrawJob(p, m.Job, m.Number, m.ForAll)
 		}),
-		methodWithdrawJob: cborNotificationMethod(func(p *Peer, m withdrawJobParams) { h.WithdrawJob(p, m.Job, m.ForAll) }),
-		methodCrashes:     cborNotificationMethod(func(p *Peer, m crashesParams) { h.Crashes(p, m.Crashes) }),
+		methodCrashes: cborNotificationMethod(func(p *Peer, m crashesParams) { h.Crashes(p, m.Crashes) }),
 		methodConfiguration: callMethod(func(context.Context, *Peer, json.RawMessage) (any, error) {
 			return configurationResult{Configuration: h.Configuration()}, nil
 		}),
--- a/io/inner/batch_test.go
+++ b/io/inner/batch_test.go
@@ -1,6 +1,7 @@
 package inner
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,17 +20,23 @@
 	received  chan any
 }
 
-func (f *fakeBatchEntry) Connected(p *Peer)                    { f.connected <- p }
-func (f *fakeBatchEntry) Disconnected(*Peer)                   {}
-func (f *fakeBatchEntry) Report(_ *Peer, r supervise.Report)   { f.received <- r }
-func (f *fakeBatchEntry) Load(_ *Peer, l EntryLoad)            { f.received <- l }
-func (f *fakeBatchEntry) Forward(_ *Peer, j batch.Job)         { f.received <- j }
-func (f *fakeBatchEntry) WithdrawJob(*Peer, batch.JobID, bool) {}
-func (f *fakeBatchEntry) Crashes(_ *Peer, l []dispatch.Crash)  { f.received <- l }
-func (f *fakeBatchEntry) Configuration() site.Configuration    { return site.Configuration{Version: 7} }
+func (f *fakeBatchEntry) Connected(p *Peer)                  { f.connected <- p }
+func (f *fakeBatchEntry) Disconnected(*Peer)                 {}
+func (f *fakeBatchEntry) Report(_ *Peer, r supervise.Report) { f.received <- r }
+func (f *fakeBatchEntry) Load(_ *Peer, l EntryLoad)          { f.received <- l }
+func (f *fakeBatchEntry) Forward(_ *Peer, j batch.Job, number uint64) {
+	f.received <- forwardParams{Job: j, Number: number}
+}
 
-func (f *fakeBatchEntry) ForwardOutcome(_ *Peer, id batch.JobID, o batch.Outcome) {
-	f.received <- string(id) + " " + batch.OutcomeName(o)
+func (f *fakeBatchEntry) WithdrawJob(_ *Peer, id batch.JobID, number uint64, forAll bool) {
+	f.received <- withdrawJobParams{Job: id, Number: number, ForAll: forAll}
+}
+
+func (f *fakeBatchEntry) Crashes(_ *Peer, l []dispatch.Crash) { f.received <- l }
+func (f *fakeBatchEntry) Configuration() site.Configuration   { return site.Configuration{Version: 7} }
+
+func (f *fakeBatchEntry) ForwardOutcome(_ *Peer, id batch.JobID, number uint64, o batch.Outcome) {
+	f.received <- fmt.Sprint(id, " ", number, " ", batch.OutcomeName(o))
 }
 
 type fakeBatchAgent struct{ received chan any }
@@ -69,11 +76,12 @@
 			batch.Unknown{Reason: batch.PeerLost},
 			batch.Cancelled{},
 		}
-		for _, o := range outcomes {
-			p.ForwardOutcome("job", o)
+		for i, o := range outcomes {
+			p.ForwardOutcome("job", uint64(i), o)
 		}
 		job := batch.Job{ID: "job", Pool: "p", Stretch: 1.6, Steps: []batch.Step{{Count: 2, After: []int{0}, Label: "x"}}}
-		p.Forward(job)
+		p.Forward(job, 3)
+		p.WithdrawJob("job", 3, false)
 		crash := dispatch.Crash{Task: batch.TaskID{Job: "job", Step: 1, Index: 2}, Count: 2, Age: time.Second}
 		p.Crashes([]dispatch.Crash{crash})
 		for i := range reportCount {
@@ -81,14 +89,18 @@
 				t.Fatalf("report %d: got clock %d", i, r.Clock)
 			}
 		}
-		for _, o := range outcomes {
-			if got := <-entry.received; got != "job "+batch.OutcomeName(o) {
-				t.Errorf("got %v, want %s", got, batch.OutcomeName(o))
+		for i, o := range outcomes {
+			if got, want := <-entry.received, fmt.Sprint("job ", i, " ", batch.OutcomeName(o)); got != want {
+				t.Errorf("got %v, want %s", got, want)
 			}
 		}
-		j := (<-entry.received).(batch.Job)
-		if j.ID != job.ID || j.Stretch != 1.6 || j.Steps[0].Label != "x" || j.Steps[0].After[0] != 0 {
-			t.Errorf("got %+v", j)
+		forward := (<-entry.received).(forwardParams)
+		j := forward.Job
+		if forward.Number != 3 || j.ID != job.ID || j.Stretch != 1.6 || j.Steps[0].Label != "x" || j.Steps[0].After[0] != 0 {
+			t.Errorf("got %+v", forward)
+		}
+		if got := <-entry.received; got != (withdrawJobParams{Job: "job", Number: 3}) {
+			t.Errorf("got %+v, want the withdrawal of forward 3", got)
 		}
 		if got := (<-entry.received).([]dispatch.Crash); len(got) != 1 || got[0] != crash {
 			t.Errorf("got %+v, want %+v", got, crash)
