Start no job beside a withdrawn forward of it

What callers saw: two entries had forwarded a job to each other, both callers left, and each entry received the other's forward before the withdrawal that followed it. Each started the job, so that its tasks had two runs until the withdrawals were handled.

Cause: an entry forgot a job with its withdrawal. It then started the job when the other entry had forwarded it, or when it was submitted again, although its own forward could still be active there. An entry that was still stopping its own runs of a job could forward it to another one.

Change: an entry remembers what it has withdrawn until the other entry confirms that no run of the job is left there. Without a confirmation, as from an entry of an earlier version or after its loss, it waits until the limits of those runs have passed (maxWithdrawnRun). Until then the job is neither started nor forwarded to a third entry; one that is submitted meanwhile is held, and answered as Unknown if its caller's time-out passes. A confirmation waits for no withdrawal of the same two entries, and every wait is bounded, so two entries cannot block each other. A job whose earlier runs are being stopped here is not forwarded.

TestCrossedForwardsAndWithdrawal begins 10 ms later, too.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -27,6 +27,7 @@
 	origins     map[string]origin    // entries that forwarded the job to this one
 	forwardedTo string               // the entry that dispatches the job; "" for this one
 	forward     uint64               // number of the latest forward
+	held        bool                 // it waits for the end of a withdrawn forward
 	retries     int                  // how often it was reassigned after another entry had refused it
 }
 
@@ -36,6 +37,12 @@
 	number  uint64 // among the forwards of the other entry's process; 0 if it is of an earlier version
 }
 
+// endedBy reports whether a withdrawal that was sent in a session ends the forward. Without a number, it may have been
+// sent before the other entry forwarded the job again, or continued it.
+func (o origin) endedBy(session, number uint64) bool {
+	return number == o.number && (number != 0 || session >= o.session)
+}
+
 // Submit runs a job and returns its outcome. If the context ends first and no other caller or entry waits for the job,
 // the job is cancelled.
 func (e *Entry) Submit(ctx context.Context, j batch.Job) batch.Outcome {
@@ -96,7 +103,9 @@
 func (e *Entry) assignCall(c *call) {
 	now := e.options.Now()
 	// A job that another entry forwarded is always dispatched here. Otherwise jobs could be forwarded in a loop.
-	if len(c.origins) == 0 && !e.dispatcher.CanStartNow(now, c.job) && !e.dispatcher.GivenUp(now, c.job) &&
+	// A job whose earlier runs are still being stopped here starts after them.
+	if len(c.origins) == 0 && !e.dispatcher.Stopping(c.job.ID) &&
+		!e.dispatcher.CanStartNow(now, c.job) && !e.dispatcher.GivenUp(now, c.job) &&
 		e.forward(c, e.peers.Choose(now, e.dispatcher.Load(), c.job)) {
 		return
 	}
@@ -116,6 +125,10 @@
 // refused instead, as the caller may have submitted it elsewhere.
 func (e *Entry) dispatch(now time.Time, c *call) {
 	c.forwardedTo = ""
+	if e.mayRunElsewhere(c.job.ID, "") {
+		e.hold(c)
+		return
+	}
 	j, ok := c.remaining(now)
 	if !ok {
 		e.log(event.JobRefused).Str("Job", string(c.job.ID)).Str("State", string(batch.DeadlinePassed)).
@@ -126,14 +139,18 @@
 	e.performActions(e.dispatcher.Submit(now, j))
 }
 
-// forward sends a job to another entry. It reports false if the message could not be sent or the caller's time-out has
-// passed.
+// forward sends a job to another entry, or holds it while it may still run at a third one. It reports false if the message
+// could not be sent or the caller's time-out has passed.
 func (e *Entry) forward(c *call, to string) bool {
 	x, ok := e.entries[to]
 	j, inTime := c.remaining(e.options.Now())
 	if !ok || !inTime {
 		return false
 	}
+	if e.mayRunElsewhere(c.job.ID, to) {
+		e.hold(c)
+		return true
+	}
 	e.lastForward++
 	number := e.lastForward
 	if !e.sendToEntry(x, func(p *inner.Peer) bool { return p.Forward(j, number) }) {
@@ -165,6 +182,7 @@
 // cancelDispatch cancels a job in the dispatcher, or withdraws it from the entry that it was forwarded to.
 func (e *Entry) cancelDispatch(c *call) {
 	if x, ok := e.entries[c.forwardedTo]; ok {
+		e.recordWithdrawn(c, x)
 		e.sendToEntry(x, func(p *inner.Peer) bool { return p.WithdrawJob(c.job.ID, c.forward, false) })
 		return
 	}
@@ -212,11 +230,12 @@
 			e.logHealthChanged(action)
 		case dispatch.Answer:
 			e.logAnswer(action)
-			if c, ok := e.calls[action.Job]; ok && c.forwardedTo == "" {
+			if c, ok := e.calls[action.Job]; ok && c.forwardedTo == "" && !c.held {
 				e.completeCall(c, action.Outcome)
 			}
 		}
 	}
+	e.confirmWithdrawn()
 }
 
 // Forward implements inner.BatchEntryHandler.
@@ -364,14 +383,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	x, connected := e.entrySessionOf(p)
+	if connected && number != 0 {
+		e.recordUnconfirmed(id, p.Name, number)
+		defer e.confirmWithdrawn()
+	}
 	c, ok := e.calls[id]
 	switch {
 	case !ok:
 	case forAll:
 		e.cancel(c)
-	case !connected || x.connections[p] < c.origins[p.Name].session || number != 0 && number != c.origins[p.Name].number:
-		// The other entry has forwarded the job again, or continued it, since it sent the message.
-	default:
+	case connected && c.origins[p.Name].endedBy(x.connections[p], number):
 		delete(c.origins, p.Name)
 		e.cancelIfUnneeded(c, "Withdrawn")
 	}
--- a/batchentry/crossed_forward_test.go
+++ b/batchentry/crossed_forward_test.go
@@ -13,6 +13,7 @@
 // the other withdraws it before it receives it.
 func TestCrossedForwardsAndWithdrawal(t *testing.T) {
 	runSite(t, 2, 2, func(s *testSite) {
+		time.Sleep(10 * time.Millisecond) // after the loads of this moment
 		for _, name := range []string{"entry-1", "entry-2"} {
 			go s.entries[name].Submit(s.t.Context(), newJob("filler-"+name, 9, time.Second))
 		}
--- a/batchentry/crossed_message_test.go
+++ b/batchentry/crossed_message_test.go
@@ -23,6 +23,7 @@
 	numbers   []uint64 // of the forwards
 	withdrawn []batch.JobID
 	outcomes  []numberedOutcome
+	confirmed []uint64 // numbers of the withdrawals
 }
 
 func (r *peerRecorder) Forward(_ *inner.Peer, j batch.Job, number uint64) {
@@ -44,6 +45,12 @@
 	r.outcomes = append(r.outcomes, numberedOutcome{number: number, outcome: o})
 }
 
+func (r *peerRecorder) JobWithdrawn(_ *inner.Peer, _ batch.JobID, number uint64) {
+	r.recorded.Lock()
+	defer r.recorded.Unlock()
+	r.confirmed = append(r.confirmed, number)
+}
+
 type numberedOutcome struct {
 	number  uint64
 	outcome batch.Outcome
@@ -56,10 +63,12 @@
 	return r.numbers[i]
 }
 
-func (r *peerRecorder) connect(s *testSite) *inner.Peer {
+func (r *peerRecorder) connect(s *testSite) *inner.Peer { return r.connectAs(s, "first") }
+
+func (r *peerRecorder) connectAs(s *testSite, incarnation string) *inner.Peer {
 	s.t.Helper()
 	p, err := inner.Dial(s.t.Context(), s.network.Host(r.name).Dial, "entry-1:1", inner.Local{
-		Identity: inner.Identity{Role: inner.RoleEntry, Name: r.name, Incarnation: "first", Address: r.name + ":1"},
+		Identity: inner.Identity{Role: inner.RoleEntry, Name: r.name, Incarnation: incarnation, Address: r.name + ":1"},
 		Clock:    event.NewRecorder(r.name, 1, time.Now), Metrics: metrics.NewRegistry(),
 	}, r)
 	if err != nil {
--- a/batchentry/crossed_withdrawal_test.go
+++ b/batchentry/crossed_withdrawal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -73,6 +74,7 @@
 // entry receives the forward before the withdrawal that follows it.
 func TestCrossedForwardsAndTwoWithdrawals(t *testing.T) {
 	runSite(t, 2, 2, func(s *testSite) {
+		time.Sleep(10 * time.Millisecond) // after the loads of this moment
 		for _, name := range []string{"entry-1", "entry-2"} {
 			go s.entries[name].Submit(s.t.Context(), newJob("filler-"+name, 9, time.Second))
 		}
@@ -87,6 +89,9 @@
 			})
 		}
 		callers.Wait()
+		if n := strings.Count(s.logs.about(`"job"`), `"JobForwarded"`); n != 2 {
+			s.t.Errorf("the job was forwarded by %d entries, want 2", n)
+		}
 		s.network.SetStalled("entry-1", "entry-2", false)
 		time.Sleep(time.Second)
 	})
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -115,6 +115,8 @@
 	agents           map[string]*agentSession
 	entries          map[string]*entrySession // by name
 	calls            map[batch.JobID]*call
+	withdrawn        map[batch.JobID]map[string]withdrawal // by the entry that the job was forwarded to
+	unconfirmed      map[batch.JobID]map[string]uint64     // number of the latest withdrawal, by origin
 	config           site.Configuration
 	stopping         bool    // Ready reports false
 	closing          bool    // callers should use another entry for their next request
@@ -174,6 +176,8 @@
 		agents:           map[string]*agentSession{},
 		entries:          map[string]*entrySession{},
 		calls:            map[batch.JobID]*call{},
+		withdrawn:        map[batch.JobID]map[string]withdrawal{},
+		unconfirmed:      map[batch.JobID]map[string]uint64{},
 		entryListVersion: 1,
 	}
 	listener, err := options.Listen(options.Address)
@@ -245,6 +249,7 @@
 			lastKeepAlive = now
 			e.sendKeepAlives()
 		}
+		e.expireWithdrawn(now)
 		e.reassignStranded(now)
 		if now.Sub(lastLoadSent) >= loadInterval-tickInterval/2 || e.coresChanged() {
 			lastLoadSent = now
--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -46,6 +46,7 @@
 func (o *fakePeerEntry) Forward(_ *inner.Peer, j batch.Job, _ uint64)                   { o.forwarded <- j }
 func (o *fakePeerEntry) ForwardOutcome(*inner.Peer, batch.JobID, uint64, batch.Outcome) {}
 func (o *fakePeerEntry) WithdrawJob(*inner.Peer, batch.JobID, uint64, bool)             {}
+func (o *fakePeerEntry) JobWithdrawn(*inner.Peer, batch.JobID, uint64)                  {}
 func (o *fakePeerEntry) Configuration() site.Configuration                              { return site.Configuration{} }
 
 // Crashes implements inner.BatchEntryHandler.
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -233,10 +233,14 @@
 		go p.Close()
 	}
 	e.dropOrigins(name, math.MaxUint64)
+	for _, origins := range e.unconfirmed {
+		delete(origins, name) // a new process numbers its forwards anew
+	}
 	for _, c := range e.calls {
 		if c.forwardedTo == name {
 			e.logUnknownOutcome(now, c, batch.PeerLost)
 			e.completeCall(c, batch.Unknown{Reason: batch.PeerLost})
+			e.recordWithdrawn(c, x)
 		}
 	}
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -340,6 +340,12 @@
 	return true, j.started()
 }
 
+// Stopping reports whether a job has been answered and some of its runs may still exist.
+func (d *Dispatcher) Stopping(id batch.JobID) bool {
+	j, ok := d.jobs[id]
+	return ok && j.answered
+}
+
 // CanStartNow reports whether the job could start now: nothing waits in its pool, and there is capacity for all tasks
 // of its steps without dependencies.
 func (d *Dispatcher) CanStartNow(now time.Time, j batch.Job) bool {
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -27,6 +27,7 @@
 	methodForwardOutcome = "Forwarded"
 	methodWithdrawJob    = "WithdrawJob"
 	methodConfiguration  = "Configuration"
+	methodJobWithdrawn   = "JobWithdrawn"
 	methodCrashes        = "Crashes"
 	methodCombined       = "Combined"
 )
@@ -45,8 +46,11 @@
 	// ForwardOutcome receives the outcome of a job as forwarded by this entry under a number.
 	ForwardOutcome(p *Peer, id batch.JobID, number uint64, o batch.Outcome)
 	// WithdrawJob is called when the sender no longer waits for a job as forwarded under a number, or, with forAll, when
-	// the job is cancelled for every waiting entry and client.
+	// the job is cancelled for every waiting entry and client. If the number is not 0, this entry replies with
+	// JobWithdrawn.
 	WithdrawJob(p *Peer, id batch.JobID, number uint64, forAll bool)
+	// JobWithdrawn is called when a forward that this entry has withdrawn has ended, and the sender has no run of the job.
+	JobWithdrawn(p *Peer, id batch.JobID, number uint64)
 	// Crashes receives the crashes of backend servers that another entry has recorded.
 	Crashes(p *Peer, list []dispatch.Crash)
 	// Configuration returns the configuration in use.
@@ -118,6 +122,10 @@
 		Number uint64 `cbor:",omitempty"`
 		ForAll bool
 	}
+	jobWithdrawnParams struct {
+		Job    batch.JobID
+		Number uint64
+	}
 	crashesParams       struct{ Crashes []dispatch.Crash }
 	configurationResult struct{ Configuration site.Configuration }
 )
@@ -304,6 +312,11 @@
 	return p.notifyCBOR(methodWithdrawJob, withdrawJobParams{Job: id, Number: number, ForAll: forAll})
 }
 
+// JobWithdrawn tells another entry that a forward that it has withdrawn has ended, and that no run of the job is left.
+func (p *Peer) JobWithdrawn(id batch.JobID, number uint64) bool {
+	return p.notifyCBOR(methodJobWithdrawn, jobWithdrawnParams{Job: id, Number: number})
+}
+
 // Crashes sends crashes of backend servers to another entry. Entries of earlier versions ignore the message.
 func (p *Peer) Crashes(list []dispatch.Crash) bool {
 	return p.notifyCBOR(methodCrashes, crashesParams{Crashes: list})
@@ -340,6 +353,9 @@
 		methodWithdrawJob: cborNotificationMethod(func(p *Peer, m withdrawJobParams) {
 			h.WithdrawJob(p, m.Job, m.Number, m.ForAll)
 		}),
+		methodJobWithdrawn: cborNotificationMethod(func(p *Peer, m jobWithdrawnParams) {
+			h.JobWithdrawn(p, m.Job, m.Number)
+		}),
 		methodCrashes: cborNotificationMethod(func(p *Peer, m crashesParams) { h.Crashes(p, m.Crashes) }),
 		methodConfiguration: callMethod(func(context.Context, *Peer, json.RawMessage) (any, error) {
 			return configurationResult{Configuration: h.Configuration()}, nil
--- a/io/inner/batch_test.go
+++ b/io/inner/batch_test.go
@@ -35,6 +35,10 @@
 func (f *fakeBatchEntry) Crashes(_ *Peer, l []dispatch.Crash) { f.received <- l }
 func (f *fakeBatchEntry) Configuration() site.Configuration   { return site.Configuration{Version: 7} }
 
+func (f *fakeBatchEntry) JobWithdrawn(_ *Peer, id batch.JobID, number uint64) {
+	f.received <- jobWithdrawnParams{Job: id, Number: number}
+}
+
 func (f *fakeBatchEntry) ForwardOutcome(_ *Peer, id batch.JobID, number uint64, o batch.Outcome) {
 	f.received <- fmt.Sprint(id, " ", number, " ", batch.OutcomeName(o))
 }
@@ -82,6 +86,7 @@
 		job := batch.Job{ID: "job", Pool: "p", Stretch: 1.6, Steps: []batch.Step{{Count: 2, After: []int{0}, Label: "x"}}}
 		p.Forward(job, 3)
 		p.WithdrawJob("job", 3, false)
+		p.JobWithdrawn("job", 3)
 		crash := dispatch.Crash{Task: batch.TaskID{Job: "job", Step: 1, Index: 2}, Count: 2, Age: time.Second}
 		p.Crashes([]dispatch.Crash{crash})
 		for i := range reportCount {
@@ -102,6 +107,9 @@
 		if got := <-entry.received; got != (withdrawJobParams{Job: "job", Number: 3}) {
 			t.Errorf("got %+v, want the withdrawal of forward 3", got)
 		}
+		if got := <-entry.received; got != (jobWithdrawnParams{Job: "job", Number: 3}) {
+			t.Errorf("got %+v, want the confirmation for forward 3", got)
+		}
 		if got := (<-entry.received).([]dispatch.Crash); len(got) != 1 || got[0] != crash {
 			t.Errorf("got %+v, want %+v", got, crash)
 		}
