Count the first echo of a session as it is

What callers could have seen: a job that goes on beside its resubmission.

Cause: the lease of forwarded jobs counts from the clock reading that the other entry echoed, and until then from the beginning of the session here. An entry that was suspended while the other one connected, forwarded a job and took it as lost again began its session when it resumed. The echo in the load before the forward was older and was ignored.

Change: the first echo replaces the beginning of the session also if it is older.

--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -155,7 +155,10 @@
 	session     uint64        // this entry's session number
 	peerSession uint64        // the peer's highest session number so far
 	peerClock   time.Duration // the peer's latest clock reading
-	lastEcho    time.Time     // the latest clock reading of this entry that the peer echoed
+	// lastEcho is the latest clock reading of this entry that the peer echoed. Before the first one, it is the beginning of
+	// the session here; the peer may have used the session for longer.
+	lastEcho time.Time
+	echoed   bool
 }
 
 // New starts an entry. Stop drains it; the returned function stops it immediately.
--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -188,3 +188,28 @@
 		}
 	})
 }
+
+// Guards against a job that goes on beside its resubmission: this entry was suspended when the other one connected,
+// forwarded the job and treated it as lost.
+func TestForwardOfOldSessionNotStarted(t *testing.T) {
+	for _, age := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second} {
+		runSite(t, 1, 1, func(s *testSite) {
+			o := newFakePeerEntry()
+			p := o.dial(s, "first")
+			defer p.Close()
+			time.Sleep(10 * time.Millisecond)
+			echo := time.Duration(time.Now().Add(-age).UnixNano())
+			p.Load(inner.EntryLoad{Session: 1, Echo: echo})
+			p.Forward(newJob("job", 4, 10*time.Second), 1)
+			time.Sleep(100 * time.Millisecond)
+			p.Load(inner.EntryLoad{Session: 1, Echo: echo})
+			want := 4
+			if age > time.Second {
+				want = 0
+			}
+			if n := s.liveRunCount(); n != want {
+				s.t.Errorf("%d runs in progress %v after the echoed clock reading, want %d", n, age, want)
+			}
+		})
+	}
+}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -117,8 +117,8 @@
 		return // the other entry does not use this connection, so the message says nothing about the one in use
 	}
 	x.peerClock = max(x.peerClock, l.Clock)
-	if echo := time.Unix(0, int64(l.Echo)); l.Echo > 0 && echo.After(x.lastEcho) {
-		x.lastEcho = echo
+	if echo := time.Unix(0, int64(l.Echo)); l.Echo > 0 && (!x.echoed || echo.After(x.lastEcho)) {
+		x.lastEcho, x.echoed = echo, true
 	}
 	if l.Session > x.peerSession {
 		lost := x.peerSession > 0 && l.Echo == 0
