Dispatch crossed forwards that an earlier version leaves

What callers saw: an entry and one of an earlier version had forwarded a job to each other, and the caller waited for its time-out.

Cause: of two entries with crossed forwards, the one that dispatches waits until the other one has declined, as that one may have withdrawn its forward and then dispatches the job itself.

Change: the other entry is taken to have declined when it has echoed a clock reading that is later than the forward, and has not withdrawn its own one. Messages of a session keep their order and echoes on other connections are ignored, so a withdrawal before the forward arrived would have come first.

Evidence: TestCrossedForwardWithEntryOfEarlierVersion failed before ("answered Unknown:DeadlinePassed after 21.03s").

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -27,6 +27,7 @@
 	origins     map[string]origin    // entries that forwarded the job to this one
 	forwardedTo string               // the entry that dispatches the job; "" for this one
 	forward     uint64               // number of the latest forward
+	forwardedAt time.Time            // when it was sent
 	held        bool                 // it waits for the end of a withdrawn forward
 	retries     int                  // how often it was reassigned after another entry had refused it
 }
@@ -156,7 +157,7 @@
 	if !e.sendToEntry(x, func(p *inner.Peer) bool { return p.Forward(j, number) }) {
 		return false
 	}
-	c.forwardedTo, c.forward = to, number
+	c.forwardedTo, c.forward, c.forwardedAt = to, number, e.options.Now()
 	e.logForward(c)
 	return true
 }
@@ -310,10 +311,25 @@
 	clear(c.origins)
 }
 
+// declinedSilently reports whether the entry that a job was forwarded to has left it to this one, as an entry of an earlier
+// version does without a message. It has received the forward, as it has echoed a later clock reading. If it had withdrawn
+// its own forward before that, it would no longer be an origin here, as the withdrawal precedes the echo.
+func (e *Entry) declinedSilently(c *call) bool {
+	x, ok := e.entries[c.forwardedTo]
+	if !ok {
+		return false
+	}
+	_, crossed := c.origins[c.forwardedTo]
+	return crossed && x.lastEcho.After(c.forwardedAt)
+}
+
 // expireForwarded ends forwarded jobs whose outcome did not arrive within the caller's time-out. The entry that
 // dispatches a job normally reports the time-out itself, so this covers an outcome message that was lost.
 func (e *Entry) expireForwarded(now time.Time) {
 	for _, c := range e.calls {
+		if e.declinedSilently(c) {
+			e.dispatch(now, c)
+		}
 		if c.forwardedTo == "" || now.Sub(c.arrived) <= c.job.Timeout+forwardMargin {
 			continue
 		}
