--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -25,8 +25,11 @@
 	job         batch.Job
 	arrived     time.Time
 	waiters     []waiter          // callers of this entry
-	origins     map[string]uint64 // entries that forwarded the job to this one, with the number of their session
+	origins     map[string]origin // entries that forwarded the job to this one
 	forwardedTo string            // the entry that dispatches the job; "" for this one
+	forward     uint64            // number of the latest forward
+	forwardedAt time.Time         // when it was sent
+	held        bool              // it waits for the end of a withdrawn forward
 	retries     int               // how often it was reassigned after another entry had refused it
 }
 
@@ -36,6 +39,18 @@
 	connected func() bool
 }
 
+// origin identifies a forward by another entry.
+type origin struct {
+	session uint64 // of the other entry
+	number  uint64 // among the forwards of the other entry's process; 0 if it is of an earlier version
+}
+
+// endedBy reports whether a withdrawal that was sent in a session ends the forward. Without a number, it may have been
+// sent before the other entry forwarded the job again, or continued it.
+func (o origin) endedBy(session, number uint64) bool {
+	return number == o.number && (number != 0 || session >= o.session)
+}
+
 // Submit runs a job and returns its outcome. If the context ends first and no other caller or entry waits for the job,
 // the job is cancelled.
 //
@@ -95,7 +110,7 @@
 func (e *Entry) findOrNewCall(j batch.Job) *call {
 	c, ok := e.calls[j.ID]
 	if !ok {
-		c = &call{job: j, origins: map[string]uint64{}}
+		c = &call{job: j, origins: map[string]origin{}}
 	}
 	return c
 }
@@ -139,6 +154,10 @@
 // refused instead, as the caller may have submitted it elsewhere.
 func (e *Entry) dispatch(now time.Time, c *call) {
 	c.forwardedTo = ""
+	if e.mayRunElsewhere(c.job.ID, "") {
+		e.hold(c)
+		return
+	}
 	j, ok := c.remaining(now)
 	if !ok {
 		e.log(event.JobRefused).Str("Job", string(c.job.ID)).Str("State", string(batch.DeadlinePassed)).
@@ -149,15 +168,24 @@
 	e.performActions(e.dispatcher.Submit(now, j))
 }
 
-// forward sends a job to another entry. It reports false if the message could not be sent or the caller's time-out has
-// passed.
+// forward sends a job to another entry, or holds it while it may still run at a third one. It reports false if the message
+// could not be sent or the caller's time-out has passed.
 func (e *Entry) forward(c *call, to string) bool {
 	x, ok := e.entries[to]
 	j, inTime := c.remaining(e.options.Now())
-	if !ok || !inTime || !e.sendToEntry(x, func(p *inner.Peer) bool { return p.Forward(j) }) {
+	if !ok || !inTime {
+		return false
+	}
+	if e.mayRunElsewhere(c.job.ID, to) {
+		e.hold(c)
+		return true
+	}
+	e.lastForward++
+	number := e.lastForward
+	if !e.sendToEntry(x, func(p *inner.Peer) bool { return p.Forward(j, number) }) {
 		return false
 	}
-	c.forwardedTo = to
+	c.forwardedTo, c.forward, c.forwardedAt = to, number, e.options.Now()
 	e.logForward(c)
 	return true
 }
@@ -183,7 +211,8 @@
 // cancelDispatch cancels a job in the dispatcher, or withdraws it from the entry that it was forwarded to.
 func (e *Entry) cancelDispatch(c *call) {
 	if x, ok := e.entries[c.forwardedTo]; ok {
-		e.sendToEntry(x, func(p *inner.Peer) bool { return p.WithdrawJob(c.job.ID, false) })
+		e.recordWithdrawn(c, x)
+		e.sendToEntry(x, func(p *inner.Peer) bool { return p.WithdrawJob(c.job.ID, c.forward, false) })
 		return
 	}
 	if c.forwardedTo == "" {
@@ -197,9 +226,9 @@
 	for _, w := range c.waiters {
 		w.outcome <- o
 	}
-	for origin := range c.origins {
-		if x, ok := e.entries[origin]; ok {
-			e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(c.job.ID, o) })
+	for name, origin := range c.origins {
+		if x, ok := e.entries[name]; ok {
+			e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(c.job.ID, origin.number, o) })
 		}
 	}
 }
@@ -230,15 +259,16 @@
 			e.logHealthChanged(action)
 		case dispatch.Answer:
 			e.logAnswer(action)
-			if c, ok := e.calls[action.Job]; ok && c.forwardedTo == "" {
+			if c, ok := e.calls[action.Job]; ok && c.forwardedTo == "" && !c.held {
 				e.completeCall(c, action.Outcome)
 			}
 		}
 	}
+	e.confirmWithdrawn()
 }
 
 // Forward implements inner.BatchEntryHandler.
-func (e *Entry) Forward(p *inner.Peer, j batch.Job) {
+func (e *Entry) Forward(p *inner.Peer, j batch.Job, number uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.checkIfLate(e.options.Now())
@@ -247,25 +277,27 @@
 		return // sent in a session that the other entry has since ended, so it no longer waits for the job
 	}
 	if _, open := e.calls[j.ID]; e.releasingAgents && !open && !e.dispatcher.Stopping(j.ID) {
-		e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(j.ID, batch.NotRun{Reason: batch.Draining}) })
+		e.sendToEntry(x, func(p *inner.Peer) bool {
+			return p.ForwardOutcome(j.ID, number, batch.NotRun{Reason: batch.Draining})
+		})
 		return
 	}
-	session := x.connections[p]
+	from := origin{session: x.connections[p], number: number}
 	c := e.findOrNewCall(j)
 	if c.forwardedTo == p.Name {
 		// The caller submitted the job to both entries, and each forwarded it to the other. The entry whose name sorts
 		// first dispatches it, but only once the other one has declined: that one may have withdrawn the job before it
 		// received it, and then dispatches it.
 		if e.options.Name < p.Name {
-			c.origins[p.Name] = session
+			c.origins[p.Name] = from
 		} else {
 			e.sendToEntry(x, func(p *inner.Peer) bool {
-				return p.ForwardOutcome(j.ID, batch.NotRun{Reason: batch.AlreadySubmitted})
+				return p.ForwardOutcome(j.ID, number, batch.NotRun{Reason: batch.AlreadySubmitted})
 			})
 		}
 		return
 	}
-	c.origins[p.Name] = session
+	c.origins[p.Name] = from
 	e.startCall(c)
 }
 
@@ -297,21 +329,36 @@
 
 // handBack tells the entries that forwarded a job that it has not been started here and will not be.
 func (e *Entry) handBack(c *call) {
-	for origin := range c.origins {
-		e.log(event.JobRefused).Str("Job", string(c.job.ID)).Str("Peer", origin).Str("State", "HandedBack").Send()
-		if x, ok := e.entries[origin]; ok {
+	for name, origin := range c.origins {
+		e.log(event.JobRefused).Str("Job", string(c.job.ID)).Str("Peer", name).Str("State", "HandedBack").Send()
+		if x, ok := e.entries[name]; ok {
 			e.sendToEntry(x, func(p *inner.Peer) bool {
-				return p.ForwardOutcome(c.job.ID, batch.NotRun{Reason: batch.NoServer})
+				return p.ForwardOutcome(c.job.ID, origin.number, batch.NotRun{Reason: batch.NoServer})
 			})
 		}
 	}
 	clear(c.origins)
 }
 
+// declinedSilently reports whether the entry that a job was forwarded to has left it to this one, as an entry of an earlier
+// version does without a message. It has received the forward, as it has echoed a later clock reading. If it had withdrawn
+// its own forward before that, it would no longer be an origin here, as the withdrawal precedes the echo.
+func (e *Entry) declinedSilently(c *call) bool {
+	x, ok := e.entries[c.forwardedTo]
+	if !ok {
+		return false
+	}
+	_, crossed := c.origins[c.forwardedTo]
+	return crossed && x.lastEcho.After(c.forwardedAt)
+}
+
 // expireForwarded ends forwarded jobs whose outcome did not arrive within the caller's time-out. The entry that
 // dispatches a job normally reports the time-out itself, so this covers an outcome message that was lost.
 func (e *Entry) expireForwarded(now time.Time) {
 	for _, c := range e.calls {
+		if e.declinedSilently(c) {
+			e.dispatch(now, c)
+		}
 		if c.forwardedTo == "" || now.Sub(c.arrived) <= c.job.Timeout+forwardMargin {
 			continue
 		}
@@ -322,7 +369,7 @@
 }
 
 // ForwardOutcome implements inner.BatchEntryHandler.
-func (e *Entry) ForwardOutcome(p *inner.Peer, id batch.JobID, o batch.Outcome) {
+func (e *Entry) ForwardOutcome(p *inner.Peer, id batch.JobID, number uint64, o batch.Outcome) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.checkIfLate(e.options.Now())
@@ -331,7 +378,7 @@
 		return // sent in an earlier session, so it may not be the outcome of the job as forwarded in this one
 	}
 	c, ok := e.calls[id]
-	if !ok || c.forwardedTo != p.Name {
+	if !ok || c.forwardedTo != p.Name || number != 0 && number != c.forward {
 		return
 	}
 	if o == (batch.NotRun{Reason: batch.AlreadySubmitted}) {
@@ -378,18 +425,20 @@
 }
 
 // WithdrawJob implements inner.BatchEntryHandler.
-func (e *Entry) WithdrawJob(p *inner.Peer, id batch.JobID, forAll bool) {
+func (e *Entry) WithdrawJob(p *inner.Peer, id batch.JobID, number uint64, forAll bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	x, connected := e.entrySessionOf(p)
+	if connected && number != 0 {
+		e.recordUnconfirmed(id, p.Name, number)
+		defer e.confirmWithdrawn()
+	}
 	c, ok := e.calls[id]
 	switch {
 	case !ok:
 	case forAll:
 		e.cancel(c)
-	case !connected || x.connections[p] < c.origins[p.Name]:
-		// The other entry has forwarded the job again, or continued it, since it sent the message.
-	default:
+	case connected && c.origins[p.Name].endedBy(x.connections[p], number):
 		delete(c.origins, p.Name)
 		e.cancelIfUnneeded(c, "Withdrawn")
 	}
@@ -403,7 +452,7 @@
 	c, ok := e.calls[id]
 	if !ok {
 		for _, x := range e.entries {
-			e.sendToEntry(x, func(p *inner.Peer) bool { return p.WithdrawJob(id, true) })
+			e.sendToEntry(x, func(p *inner.Peer) bool { return p.WithdrawJob(id, 0, true) })
 		}
 		return false
 	}
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -117,6 +117,8 @@
 	agents           map[string]*agentSession
 	entries          map[string]*entrySession // by name
 	calls            map[batch.JobID]*call
+	withdrawn        map[batch.JobID]map[string]withdrawal // by the entry that the job was forwarded to
+	unconfirmed      map[batch.JobID]map[string]uint64     // number of the latest withdrawal, by origin
 	config           site.Configuration
 	stopping         bool    // Ready reports false
 	closing          bool    // callers should use another entry for their next request
@@ -126,6 +128,7 @@
 	listComplete     bool    // the list has all entries that can be reached
 	sentCores        float64 // cores of usable backend servers in the load that was last sent
 	lastSession      uint64
+	lastForward      uint64                  // number of the latest forward to another entry
 	checkedAt        time.Time               // when the time limits and the callers' connections were last checked
 	readsStore       bool                    // the latest call about the configuration succeeded
 	interruptPoll    context.CancelCauseFunc // ends the long poll in progress; nil if none, or if it is short
@@ -155,7 +158,10 @@
 	session     uint64        // this entry's session number
 	peerSession uint64        // the peer's highest session number so far
 	peerClock   time.Duration // the peer's latest clock reading
-	lastEcho    time.Time     // the latest clock reading of this entry that the peer echoed
+	// lastEcho is the latest clock reading of this entry that the peer echoed. Before the first one, it is the beginning of
+	// the session here; the peer may have used the session for longer.
+	lastEcho time.Time
+	echoed   bool
 }
 
 // New starts an entry. Stop drains it; the returned function stops it immediately.
@@ -176,6 +182,8 @@
 		agents:           map[string]*agentSession{},
 		entries:          map[string]*entrySession{},
 		calls:            map[batch.JobID]*call{},
+		withdrawn:        map[batch.JobID]map[string]withdrawal{},
+		unconfirmed:      map[batch.JobID]map[string]uint64{},
 		entryListVersion: 1,
 	}
 	listener, err := options.Listen(options.Address)
@@ -247,6 +255,7 @@
 			lastKeepAlive = now
 			e.sendKeepAlives()
 		}
+		e.expireWithdrawn(now)
 		e.reassignStranded(now)
 		if now.Sub(lastLoadSent) >= loadInterval-tickInterval/2 || e.coresChanged() {
 			lastLoadSent = now
--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -42,11 +42,12 @@
 	default:
 	}
 }
-func (o *fakePeerEntry) Report(*inner.Peer, supervise.Report)                   {}
-func (o *fakePeerEntry) Forward(_ *inner.Peer, j batch.Job)                     { o.forwarded <- j }
-func (o *fakePeerEntry) ForwardOutcome(*inner.Peer, batch.JobID, batch.Outcome) {}
-func (o *fakePeerEntry) WithdrawJob(*inner.Peer, batch.JobID, bool)             {}
-func (o *fakePeerEntry) Configuration() site.Configuration                      { return site.Configuration{} }
+func (o *fakePeerEntry) Report(*inner.Peer, supervise.Report)                           {}
+func (o *fakePeerEntry) Forward(_ *inner.Peer, j batch.Job, _ uint64)                   { o.forwarded <- j }
+func (o *fakePeerEntry) ForwardOutcome(*inner.Peer, batch.JobID, uint64, batch.Outcome) {}
+func (o *fakePeerEntry) WithdrawJob(*inner.Peer, batch.JobID, uint64, bool)             {}
+func (o *fakePeerEntry) JobWithdrawn(*inner.Peer, batch.JobID, uint64)                  {}
+func (o *fakePeerEntry) Configuration() site.Configuration                              { return site.Configuration{} }
 
 // Crashes implements inner.BatchEntryHandler.
 func (o *fakePeerEntry) Crashes(_ *inner.Peer, list []dispatch.Crash) {
@@ -99,7 +100,7 @@
 				p := o.dial(s, "first")
 				defer p.Close()
 				p.Load(inner.EntryLoad{Session: 1})
-				p.Forward(newJob("job", 1, 10*time.Second))
+				p.Forward(newJob("job", 1, 10*time.Second), 1)
 				time.Sleep(50 * time.Millisecond)
 				c.act(s, o, p)
 				b := s.backends["agent-1"]
@@ -187,3 +188,28 @@
 		}
 	})
 }
+
+// Guards against a job that goes on beside its resubmission: this entry was suspended when the other one connected,
+// forwarded the job and treated it as lost.
+func TestForwardOfOldSessionNotStarted(t *testing.T) {
+	for _, age := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second} {
+		runSite(t, 1, 1, func(s *testSite) {
+			o := newFakePeerEntry()
+			p := o.dial(s, "first")
+			defer p.Close()
+			time.Sleep(10 * time.Millisecond)
+			echo := time.Duration(time.Now().Add(-age).UnixNano())
+			p.Load(inner.EntryLoad{Session: 1, Echo: echo})
+			p.Forward(newJob("job", 4, 10*time.Second), 1)
+			time.Sleep(100 * time.Millisecond)
+			p.Load(inner.EntryLoad{Session: 1, Echo: echo})
+			want := 4
+			if age > time.Second {
+				want = 0
+			}
+			if n := s.liveRunCount(); n != want {
+				s.t.Errorf("%d runs in progress %v after the echoed clock reading, want %d", n, age, want)
+			}
+		})
+	}
+}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -31,12 +31,15 @@
 // two has forwarded to the other.
 func (e *Entry) firstLoad(x *entrySession) inner.EntryLoad {
 	l := x.withSessionFields(e.load(), e.options.Now())
+	l.ForwardedNumbers, l.AcceptedNumbers = map[batch.JobID]uint64{}, map[batch.JobID]uint64{}
 	for id, c := range e.calls {
 		if c.forwardedTo == x.Name {
 			l.Forwarded = append(l.Forwarded, id)
+			l.ForwardedNumbers[id] = c.forward
 		}
-		if _, ok := c.origins[x.Name]; ok {
+		if origin, ok := c.origins[x.Name]; ok {
 			l.Accepted = append(l.Accepted, id)
+			l.AcceptedNumbers[id] = origin.number
 		}
 	}
 	return l
@@ -119,8 +122,8 @@
 		return // the other entry does not use this connection, so the message says nothing about the one in use
 	}
 	x.peerClock = max(x.peerClock, l.Clock)
-	if echo := time.Unix(0, int64(l.Echo)); l.Echo > 0 && echo.After(x.lastEcho) {
-		x.lastEcho = echo
+	if echo := time.Unix(0, int64(l.Echo)); l.Echo > 0 && (!x.echoed || echo.After(x.lastEcho)) {
+		x.lastEcho, x.echoed = echo, true
 	}
 	if l.Session > x.peerSession {
 		lost := x.peerSession > 0 && l.Echo == 0
@@ -166,18 +169,24 @@
 // in the other entry's new session.
 func (e *Entry) beginPeerSession(now time.Time, x *entrySession, l inner.EntryLoad) {
 	for _, id := range l.Forwarded {
+		number := l.ForwardedNumbers[id]
 		if c, ok := e.calls[id]; ok {
-			if _, ok := c.origins[x.Name]; ok {
-				c.origins[x.Name] = l.Session
+			if origin, ok := c.origins[x.Name]; ok && origin.number == number {
+				origin.session = l.Session
+				c.origins[x.Name] = origin
 				continue
 			}
 		}
 		// The job or its outcome was lost.
-		e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(id, batch.Unknown{Reason: batch.PeerLost}) })
+		e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(id, number, batch.Unknown{Reason: batch.PeerLost}) })
 	}
 	e.dropOrigins(x.Name, l.Session)
 	for id, c := range e.calls {
-		if c.forwardedTo != x.Name || slices.Contains(l.Accepted, id) {
+		if c.forwardedTo != x.Name {
+			continue
+		}
+		number := l.AcceptedNumbers[id]
+		if slices.Contains(l.Accepted, id) && (number == 0 || number == c.forward) {
 			continue
 		}
 		e.logUnknownOutcome(now, c, batch.PeerLost)
@@ -229,10 +238,14 @@
 		go p.Close()
 	}
 	e.dropOrigins(name, math.MaxUint64)
+	for _, origins := range e.unconfirmed {
+		delete(origins, name) // a new process numbers its forwards anew
+	}
 	for _, c := range e.calls {
 		if c.forwardedTo == name {
 			e.logUnknownOutcome(now, c, batch.PeerLost)
 			e.completeCall(c, batch.Unknown{Reason: batch.PeerLost})
+			e.recordWithdrawn(c, x)
 		}
 	}
 }
@@ -241,7 +254,7 @@
 // that nobody else waits for are cancelled.
 func (e *Entry) dropOrigins(name string, before uint64) {
 	for _, c := range e.calls {
-		if session, ok := c.origins[name]; ok && session < before {
+		if origin, ok := c.origins[name]; ok && origin.session < before {
 			delete(c.origins, name)
 			e.cancelIfUnneeded(c, "OriginLost")
 		}
--- a/batchentry/suspended_test.go
+++ b/batchentry/suspended_test.go
@@ -7,25 +7,9 @@
 	"testing"
 	"time"
 
-	"dogwoodglade/core/batch"
 	"dogwoodglade/io/inner"
 )
 
-// startsOf returns how many tasks of a job have been started.
-func (s *testSite) startsOf(id batch.JobID) int {
-	n := 0
-	for _, b := range s.backends {
-		b.mu.Lock()
-		for _, x := range b.starts {
-			if x.Job == id {
-				n++
-			}
-		}
-		b.mu.Unlock()
-	}
-	return n
-}
-
 // Guards against tasks that an entry starts when it wakes, for a caller that left while the entry was suspended.
 func TestNoStartAfterSuspensionForCallerThatHasLeft(t *testing.T) {
 	runSite(t, 1, 1, func(s *testSite) {
@@ -57,7 +41,7 @@
 		p := o.dial(s, "first")
 		defer p.Close()
 		p.Load(inner.EntryLoad{Session: 1})
-		p.Forward(newJob("job", 4, time.Second))
+		p.Forward(newJob("job", 4, time.Second), 1)
 		time.Sleep(301 * time.Millisecond)
 		s.suspended.Store(int64(450 * time.Millisecond))
 		p.Load(inner.EntryLoad{Session: 1})
