--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -136,8 +136,11 @@
 func TestMessagesUseOneConnection(t *testing.T) {
 	runSite(t, 1, 0, func(s *testSite) {
 		o := newFakePeerEntry()
-		peers := []*inner.Peer{o.dial(s, "first"), o.dial(s, "first"), o.dial(s, "first")}
-		time.Sleep(10 * time.Millisecond) // each connection receives an initial load
+		var peers []*inner.Peer
+		for range 3 {
+			peers = append(peers, o.dial(s, "first"))
+			time.Sleep(10 * time.Millisecond) // the entry has accepted the connection and sent an initial load
+		}
 		loads := func() (counts []int) {
 			o.mu.Lock()
 			clear(o.count)
