Log when leases had expired before the end of a run was listed

An agent that was frozen or cut off lists the end of a run long after the run, so its log could not tell a run that went on too long from one that was listed late. The line of the end now has the time since the leases expired, if that was before the call that listed it. No new lines.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -281,9 +281,14 @@
 // logEnds logs the ends of runs that a response contains for the first time.
 func (a *Agent) logEnds(h supervise.Hold, response supervise.HoldResponse) {
 	for _, x := range response.Ended {
-		if x.Sequence > h.Seen {
-			a.logRun(event.TaskEnded, x.Task, x.Number).Str("State", string(x.End)).Send()
+		if x.Sequence <= h.Seen {
+			continue
+		}
+		line := a.logRun(event.TaskEnded, x.Task, x.Number).Str("State", string(x.End))
+		if lapsed, ok := h.Lapsed(a.options.Now()); ok {
+			line = line.Dur("Lapsed", lapsed)
 		}
+		line.Send()
 	}
 }
 
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -223,7 +223,7 @@
 func (s *Supervisor) newHold(now time.Time, wait time.Duration) Hold {
 	h := Hold{
 		Server: s.server.ID, Token: s.token, Seen: s.lastEndSequence, Wait: wait, createdAt: now,
-		incarnation: s.server.Incarnation,
+		leasesEndBy: s.leasesEndBy, incarnation: s.server.Incarnation,
 	}
 	// A backend server that does not respond gets no further renewals. One of them may still be carried out, so its runs
 	// could not be counted as ended as long as renewals are sent.
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -211,9 +211,16 @@
 	Wait   time.Duration // how long the response may be delayed until there is something to report
 
 	createdAt   time.Time
+	leasesEndBy time.Time // of the earlier leases
 	incarnation int64
 }
 
+// Lapsed returns how long ago every lease that the supervisor granted before the call had expired, or false if one still
+// applied when the call was made. Runs that the response lists as ended, and that it had started before, ended by then.
+func (h Hold) Lapsed(now time.Time) (time.Duration, bool) {
+	return now.Sub(h.leasesEndBy), h.createdAt.After(h.leasesEndBy)
+}
+
 // AsOf returns the call as it may be sent at the given time. It drops a renewal whose lease is over: a backend server that
 // has restarted under its ID would take the end of the lease for a time on its new clock.
 func (h Hold) AsOf(now time.Time) Hold {
