--- a/internal/runlog/history.go
+++ b/internal/runlog/history.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"dogwoodglade/core/event"
+	"dogwoodglade/core/supervise"
 )
 
 const (
@@ -41,6 +42,7 @@
 
 // run is a run of a task, as its agent logged it.
 type run struct {
+	task         taskKey
 	agent, entry string
 	number       int
 	sent         time.Time // by the entry; zero if not logged
@@ -119,7 +121,7 @@
 	}
 	r := h.findRun(l)
 	if r == nil {
-		r = &run{agent: l.Process, number: *l.Run, started: l.Time}
+		r = &run{task: l.key(), agent: l.Process, number: *l.Run, started: l.Time}
 		h.runs[l.key()] = append(h.runs[l.key()], r)
 	}
 	r.entry = l.Peer
@@ -138,7 +140,7 @@
 	}
 	r := h.findRun(l)
 	if r == nil {
-		r = &run{agent: l.Process, number: *l.Run, started: l.Time}
+		r = &run{task: l.key(), agent: l.Process, number: *l.Run, started: l.Time}
 		h.runs[l.key()] = append(h.runs[l.key()], r)
 	}
 	if !r.ended.IsZero() {
@@ -167,6 +169,13 @@
 		return r.ended
 	}
 	until := h.last
+	for _, l := range h.losses[r.task] {
+		// The agent may have been killed before it wrote its own line. It computes other ends, such as Lost, itself.
+		isListed := l.State == string(supervise.Stopped) || l.State == string(supervise.Failed)
+		if isListed && l.Peer == r.agent && !l.Time.Before(r.started) && l.Time.Before(until) {
+			until = l.Time
+		}
+	}
 	for _, l := range h.servers[r.agent] {
 		if l.Time.Before(r.started) {
 			continue
--- a/internal/runlog/main.go
+++ b/internal/runlog/main.go
@@ -20,7 +20,8 @@
 the leases counts as the end. A negative gap is thus an overlap to trace, not a proven one, and a short gap may hide one. A
 start without a response counts as a run if its end is listed.
 If an end is not logged, the run counts as open until the agent meets another process of the backend server (4004), or
-until a lease after the agent's next unanswered call to it (4014), or until the log ends.
+until a lease after the agent's next unanswered call to it (4014), or until its entry logs that it failed or was stopped,
+or until the log ends. A process that is killed loses its latest lines.
 A job counts as resubmitted if an entry receives it from a caller after its first submission was answered, refused or
 cancelled there, or beside it. Nothing is known of submissions that no entry logged.
 `
