Split the tasks placed again by the end that the agent logged

The entry logs no end where it placed the task again after its agent was lost or reconnected, or after a stop of its own; what the agent logged tells these apart.

--- a/internal/runlog/report.go
+++ b/internal/runlog/report.go
@@ -13,7 +13,7 @@
 const (
 	resubmitted = "resubmission"
 	forwarded   = "forward"      // or another entry for a reason that was not logged
-	placedAgain = "placed again" // by the same entry, with the end that it logged
+	placedAgain = "placed again" // by the same entry, with the end that it logged, or the agent if the entry logged none
 )
 
 // causeCount counts the second runs with one cause.
@@ -139,7 +139,7 @@
 		}
 	}
 	if state == "" {
-		return placedAgain + ", no end logged"
+		return placedAgain + ", unreported " + cmp.Or(first.end, "end")
 	}
 	return placedAgain + " after " + state
 }
@@ -150,7 +150,7 @@
 	fmt.Fprintf(&b, "%d log lines, %d other lines, %d jobs, %d runs\n", r.lines, r.skipped, r.jobs, r.runs)
 	fmt.Fprintf(&b, "resubmitted: %d jobs, %d times; %d times while an earlier run was possible, %d of them by an end not logged\n",
 		r.resubmittedJobs, r.resubmissions, r.resubmittedDuringRun, r.resubmittedDuringOpenRun)
-	const row = "%-30v %6v %21v %15v %10v %10v %17v\n"
+	const row = "%-32v %6v %21v %15v %10v %10v %17v\n"
 	fmt.Fprintf(&b, row, "second run by", "runs", "earlier run possible", "end not logged", "least gap", "under 100", "to another agent")
 	for _, name := range slices.Sorted(maps.Keys(r.causes)) {
 		c := r.causes[name]
