--- a/internal/runlog/history.go
+++ b/internal/runlog/history.go
@@ -56,6 +56,7 @@
 	jobs    map[string][]line    // lines of entries
 	runs    map[taskKey][]*run   // by start
 	losses  map[taskKey][]line   // ends other than success that entries learned of
+	refused map[taskKey][]line   // starts that agents did not get accepted, perhaps only for want of a response
 	servers map[string][]line    // by agent: lines about its backend server
 	starts  map[string]time.Time // latest start of a process
 	last    time.Time
@@ -66,7 +67,7 @@
 // readHistory reads the log lines of all processes. Text before the JSON object of a line is ignored.
 func readHistory(r io.Reader) (history, error) {
 	h := history{
-		jobs: map[string][]line{}, runs: map[taskKey][]*run{}, losses: map[taskKey][]line{},
+		jobs: map[string][]line{}, runs: map[taskKey][]*run{}, losses: map[taskKey][]line{}, refused: map[taskKey][]line{},
 		servers: map[string][]line{}, starts: map[string]time.Time{},
 	}
 	var lines []line
@@ -103,10 +104,13 @@
 	case event.TaskStarted:
 		h.startRun(l)
 	case event.TaskRefused, event.TaskEnded, event.TaskLost:
-		if l.Run != nil {
-			h.endRun(l)
-		} else {
+		switch {
+		case l.Run == nil:
 			h.losses[l.key()] = append(h.losses[l.key()], l)
+		case l.Number == event.TaskRefused:
+			h.refused[l.key()] = append(h.refused[l.key()], l)
+		default:
+			h.endRun(l)
 		}
 	case event.ProcessStarted:
 		h.starts[l.Process] = l.Time
@@ -135,12 +139,14 @@
 // endRun records the end of a run. An agent logs an end again with each list that contains it, so the first line counts,
 // and may do so before it logs the start.
 func (h *history) endRun(l line) {
-	if l.Number != event.TaskEnded {
-		return
-	}
 	r := h.findRun(l)
 	if r == nil {
 		r = &run{task: l.key(), agent: l.Process, number: *l.Run, started: l.Time}
+		for _, x := range h.refused[l.key()] {
+			if x.Process == l.Process && *x.Run == *l.Run && x.Time.Before(r.started) {
+				r.started, r.entry = x.Time, x.Peer
+			}
+		}
 		h.runs[l.key()] = append(h.runs[l.key()], r)
 	}
 	if !r.ended.IsZero() {
--- a/internal/runlog/main.go
+++ b/internal/runlog/main.go
@@ -18,7 +18,7 @@
 An agent logs a start after the response, so a run begins up to the duration of that call earlier, and an end when the
 backend server lists it, so a run ends earlier. If the list was requested after every lease had expired, the expiry of
 the leases counts as the end. A negative gap is thus an overlap to trace, not a proven one, and a short gap may hide one. A
-start without a response counts as a run if its end is listed.
+start without a response counts as a run from the time-out of the call if its end is listed.
 If an end is not logged, the run counts as open until the agent meets another process of the backend server (4004), or
 until a lease after the agent's next unanswered call to it (4014), or until its entry logs that it failed or was stopped,
 or until the log ends. A process that is killed loses its latest lines.
--- a/internal/runlog/main_test.go
+++ b/internal/runlog/main_test.go
@@ -35,6 +35,13 @@
 {"Process":"side-2","Number":2005,"Job":"c","Step":0,"Task":0,"Run":1,"State":"Done","time":"2026-07-10T16:00:02.000Z"}
 `
 
+// A start gets no response but is carried out; its end is listed after the task was placed again and had started.
+const unansweredLog = `{"Process":"side-1","Number":2004,"Job":"d","Step":0,"Task":0,"Run":1,"Peer":"front-1","State":"Unanswered","time":"2026-07-10T16:00:00.100Z"}
+{"Process":"front-1","Number":2006,"Job":"d","Step":0,"Task":0,"Attempt":1,"Peer":"side-1","State":"Lost","time":"2026-07-10T16:00:01.000Z"}
+{"Process":"side-2","Number":2003,"Job":"d","Step":0,"Task":0,"Run":1,"Peer":"front-1","State":"Accepted","time":"2026-07-10T16:00:01.010Z"}
+{"Process":"side-1","Number":2005,"Job":"d","Step":0,"Task":0,"Run":1,"State":"Lost","Lapsed":20,"time":"2026-07-10T16:00:01.020Z"}
+`
+
 func TestReport(t *testing.T) {
 	tests := []struct {
 		name, log string
@@ -51,6 +58,10 @@
 			"placed again after Lost 1 0 0 50 1 1",
 			"overlaps by the logs, on different agents: 0",
 		}},
+		{"Unanswered", unansweredLog, []string{
+			"placed again after Lost 1 0 0 10 1 1",
+			"overlaps by the logs, on different agents: 0",
+		}},
 		{"NoEnd", openLog, []string{
 			"forward 1 1 1 -50 1 1",
 			"c.0.0: run 1 on side-1 from 16:00:00.000 to 16:00:01.100 (not logged), run 1 on side-2 from 16:00:01.050: forward",
