--- a/internal/runlog/history.go
+++ b/internal/runlog/history.go
@@ -159,12 +159,16 @@
 	}
 }
 
+// findRun returns the latest run with the agent and number of a line. The numbers begin anew after a loss of power.
 func (h *history) findRun(l line) *run {
-	for _, r := range h.runs[l.key()] {
-		if r.agent == l.Process && r.number == *l.Run &&
-			(l.Number == event.TaskEnded || r.ended.IsZero() || l.Time.Sub(r.ended) <= maxLogDelay) {
-			return r
+	for _, r := range slices.Backward(h.runs[l.key()]) {
+		if r.agent != l.Process || r.number != *l.Run {
+			continue
+		}
+		if l.Number == event.TaskStarted && (r.ended.IsZero() || l.Time.Sub(r.ended) > maxLogDelay) {
+			return nil
 		}
+		return r
 	}
 	return nil
 }
