Repeat no start while the agent drains

Cause: an agent that stops drains for up to 6 s. If its successor on the host is up by then, the successor lists the runs under a higher token and offers the backend server, and the entry counts the lost runs as ended. The old process answered a refusal for its token, or a start without a response, by raising its token and starting the run again: the task then ran there and on the backend server where the entry had placed it meanwhile.

Change: a draining agent reports such a start as refused, and the entry places the task elsewhere.

--- a/core/supervise/restart_world_test.go
+++ b/core/supervise/restart_world_test.go
@@ -22,6 +22,7 @@
 	restarts   bool // backend servers restart under their ID
 	lateSends  bool // calls of a frozen agent are sent when it wakes
 	overtaking bool // two hold calls at a time, whose responses overtake each other
+	overlaps   bool // agents drain for up to 6 s while the next one is up
 }
 
 // restartSimulation runs the agents of one host one after the other, its backend servers and two entries.
@@ -49,6 +50,7 @@
 
 type agentProcess struct {
 	*supervise.Supervisor
+	ended       bool
 	frozenUntil time.Time
 	sessions    map[string]int
 }
@@ -129,7 +131,7 @@
 func (sim *restartSimulation) onAgent(a *agentProcess, d time.Duration, do func()) {
 	sim.schedule(d, func() {
 		switch {
-		case sim.agent != a:
+		case a.ended:
 		case sim.now.Before(a.frozenUntil):
 			sim.onAgent(a, a.frozenUntil.Sub(sim.now)+sim.between(0, 2), do)
 		default:
@@ -244,7 +246,7 @@
 
 func (sim *restartSimulation) perform(a *agentProcess, actions []supervise.Action) {
 	for _, x := range actions {
-		if sim.agent != a {
+		if a.ended {
 			return
 		}
 		switch c := x.(type) {
@@ -408,9 +410,18 @@
 }
 
 func (sim *restartSimulation) connect(e *restartEntry) {
-	if e.agent != nil || sim.agent == nil {
+	if sim.agent == nil || e.agent == sim.agent || (e.agent != nil && !sim.faults.overlaps) {
 		return
 	}
+	if old := e.agent; old != nil {
+		session := e.session
+		sim.disconnect(e)
+		sim.onAgent(old, sim.between(0, 3), func() {
+			if old.sessions[e.name] == session {
+				sim.perform(old, old.Disconnect(sim.now, e.name))
+			}
+		})
+	}
 	a := sim.agent
 	e.agent, e.paused, e.lastReportAt, e.agentClock = a, false, sim.now, 0
 	e.session++
@@ -423,10 +434,10 @@
 }
 
 func (sim *restartSimulation) kill(a *agentProcess) {
-	if sim.agent != a {
+	if a.ended {
 		return
 	}
-	sim.agent = nil
+	a.ended = true
 	sim.kills++
 	for _, e := range sim.entries {
 		if e.agent == a && sim.random.IntN(3) > 0 {
@@ -437,7 +448,20 @@
 			})
 		}
 	}
-	sim.schedule(sim.between(20, 2500), sim.startAgent)
+	if sim.agent == a {
+		sim.agent = nil
+		sim.schedule(sim.between(20, 2500), sim.startAgent)
+	}
+}
+
+// overlap makes an agent drain while the next one starts.
+func (sim *restartSimulation) overlap(a *agentProcess) {
+	grace := sim.between(500, 6000)
+	sim.onAgent(a, 0, func() { sim.perform(a, a.Drain()) })
+	sim.onAgent(a, grace-400*time.Millisecond, func() { sim.perform(a, a.StopAll(sim.now)) })
+	sim.schedule(grace, func() { sim.kill(a) })
+	sim.agent = nil
+	sim.schedule(sim.between(0, 500), sim.startAgent)
 }
 
 func (sim *restartSimulation) startAgent() {
@@ -585,6 +609,8 @@
 	case 5:
 		if sim.faults.agents && a != nil {
 			sim.kill(a)
+		} else if sim.faults.overlaps && a != nil {
+			sim.overlap(a)
 		}
 	}
 	sim.schedule(sim.between(300, 2500), func() {
@@ -625,14 +651,16 @@
 // Guards against a run that goes on, or starts, after its entry has counted it as ended, beside restarts on its host.
 func TestRunsEndAsCountedBesideRestarts(t *testing.T) {
 	for name, faults := range map[string]restartFaults{
-		"agents":               {agents: true},
-		"agents, overtaking":   {agents: true, overtaking: true},
-		"agents, late sends":   {agents: true, lateSends: true},
-		"agents, replaced":     {agents: true, replaced: true, overtaking: true},
-		"agents, restarts":     {agents: true, restarts: true},
-		"restarts, overtaking": {restarts: true, overtaking: true},
-		"restarts, late sends": {restarts: true, lateSends: true},
-		"all":                  {true, true, true, true, true},
+		"agents":                  {agents: true},
+		"agents, overtaking":      {agents: true, overtaking: true},
+		"agents, late sends":      {agents: true, lateSends: true},
+		"agents, replaced":        {agents: true, replaced: true, overtaking: true},
+		"agents, restarts":        {agents: true, restarts: true},
+		"restarts, overtaking":    {restarts: true, overtaking: true},
+		"restarts, late sends":    {restarts: true, lateSends: true},
+		"all":                     {agents: true, replaced: true, restarts: true, lateSends: true, overtaking: true},
+		"overlapping, overtaking": {overlaps: true, overtaking: true},
+		"overlapping, late sends": {overlaps: true, lateSends: true, replaced: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			starts, kills := 0, 0
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -90,7 +90,8 @@
 func (s *Supervisor) restart(now time.Time, r *run, result StartResult, number int) {
 	r.restarts++
 	c, ok := s.sessions[r.entry]
-	if r.stopping || r.restarts > maxRestarts || s.hasOrphans(now) || !ok || !c.alive(now) || !s.capacityKnown(now) {
+	if r.stopping || r.restarts > maxRestarts || s.draining || s.hasOrphans(now) || !ok || !c.alive(now) ||
+		!s.capacityKnown(now) {
 		s.endRun(now, r, Refused, result.String())
 		return
 	}
