Call a restarted backend server at its announcement

A start without a response is carried out late by a backend server that has restarted under its ID, before its agent's first answered call there.

Cause: the agent heard of the new process by its announcement, put it aside until a call was answered, and went on waiting for up to 320 ms between calls that failed.

Change: the announcement of another process under the known ID leads to one call at once, without a renewal.

TestRestartedServerIsFencedAtItsAnnouncement failed before.

--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -18,6 +18,7 @@
 // applied once the latter no longer responds in its place.
 func (s *Supervisor) Announce(now time.Time, server Server) []Action {
 	same := s.known && server.ID == s.server.ID && server.Incarnation == s.server.Incarnation
+	restarted := s.known && !same && server.ID == s.server.ID && !s.isCandidate(server)
 	switch {
 	case server.ID == s.leftID && server.Incarnation <= s.leftIncarnation,
 		server.Incarnation < s.server.Incarnation && !s.misdirected,
@@ -25,12 +26,29 @@
 		return nil
 	case s.known && !same && !s.misdirected && s.mayRunBeside(now, server):
 		s.candidate, s.candidateAt = &server, now
-		return nil
+	default:
+		s.applyAnnouncement(now, server)
+	}
+	if restarted {
+		s.fenceRestarted(now)
 	}
-	s.applyAnnouncement(now, server)
 	return s.takeActions()
 }
 
+// isCandidate reports whether the announced process has been put aside.
+func (s *Supervisor) isCandidate(server Server) bool {
+	return s.candidate != nil && server.ID == s.candidate.ID && server.Incarnation == s.candidate.Incarnation
+}
+
+// fenceRestarted calls a backend server that seems to have restarted under its ID without waiting for the next regular
+// call, which a pause precedes. Until its first call, the new process carries out any late request. It gets no renewal,
+// because it would take the end of the lease for a time on its new clock.
+func (s *Supervisor) fenceRestarted(now time.Time) {
+	s.actions = append(s.actions, CallHold{Hold: Hold{
+		Server: s.server.ID, Token: s.token, createdAt: now, incarnation: s.server.Incarnation,
+	}})
+}
+
 // mayRunBeside reports whether the known process may still have runs although another one has been announced.
 func (s *Supervisor) mayRunBeside(now time.Time, successor Server) bool {
 	if s.left {
