--- a/core/supervise/restart_world_test.go
+++ b/core/supervise/restart_world_test.go
@@ -23,6 +23,7 @@
 	lateSends  bool // calls of a frozen agent are sent when it wakes
 	overtaking bool // two hold calls at a time, whose responses overtake each other
 	overlaps   bool // agents drain for up to 6 s while the next one is up
+	power      bool // hosts lose power, and their clock begins anew
 }
 
 // restartSimulation runs the agents of one host one after the other, its backend servers and two entries.
@@ -32,6 +33,7 @@
 	faults restartFaults
 	random *rand.Rand
 	now    time.Time
+	booted time.Time // when the clock of the host began
 	events timeline.EventQueue
 
 	agent     *agentProcess // nil while none runs
@@ -127,6 +129,11 @@
 	return time.Duration(low+sim.random.IntN(high-low+1)) * time.Millisecond
 }
 
+// hostTime is the clock of the host, by which the agent goes.
+func (sim *restartSimulation) hostTime() time.Time {
+	return time.Unix(1000, 0).Add(sim.now.Sub(sim.booted))
+}
+
 // onAgent calls do in the process of an agent, unless that has been killed by then.
 func (sim *restartSimulation) onAgent(a *agentProcess, d time.Duration, do func()) {
 	sim.schedule(d, func() {
@@ -252,11 +259,11 @@
 		switch c := x.(type) {
 		case supervise.CallStart:
 			answered := func(result supervise.StartResult, clock time.Duration) func() {
-				return func() { sim.perform(a, a.StartAnswered(sim.now, c, result, clock)) }
+				return func() { sim.perform(a, a.StartAnswered(sim.hostTime(), c, result, clock)) }
 			}
 			sim.call(a, c.Server, 60*time.Millisecond, handlers{
 				outdated: func() bool {
-					outdated := c.Age(sim.now) > 60*time.Millisecond
+					outdated := c.Age(sim.hostTime()) > 60*time.Millisecond
 					if outdated {
 						answered(supervise.Late, 0)()
 					}
@@ -273,7 +280,7 @@
 				sim.schedule(sim.between(0, 3), func() { sim.kill(a) })
 			}
 		case supervise.CallStop:
-			failed := func() { sim.perform(a, a.StopAnswered(sim.now, c, false, 0)) }
+			failed := func() { sim.perform(a, a.StopAnswered(sim.hostTime(), c, false, 0)) }
 			sim.call(a, c.Server, 100*time.Millisecond, handlers{
 				execute: func(b *hostedServer) func() {
 					ok := !b.fences(c.Token)
@@ -284,7 +291,7 @@
 						}
 					}
 					clock := b.clock(sim.now)
-					return func() { sim.perform(a, a.StopAnswered(sim.now, c, ok, clock)) }
+					return func() { sim.perform(a, a.StopAnswered(sim.hostTime(), c, ok, clock)) }
 				},
 				unanswered: failed, refused: failed, misdirected: failed,
 			})
@@ -301,7 +308,7 @@
 		execute: func(b *hostedServer) func() {
 			clock := b.clock(sim.now)
 			if b.fences(h.Token) {
-				return func() { sim.perform(a, a.HoldFenced(sim.now, h, clock)); then() }
+				return func() { sim.perform(a, a.HoldFenced(sim.hostTime(), h, clock)); then() }
 			}
 			if h.Renew {
 				b.extend(sim.now, h.Until)
@@ -312,16 +319,16 @@
 			}
 			b.ends = slices.DeleteFunc(b.ends, func(e supervise.TaskEnd) bool { return e.Sequence <= h.Seen })
 			response.Ended = slices.Clone(b.ends)
-			return func() { sim.perform(a, a.HoldAnswered(sim.now, h, response)); then() }
+			return func() { sim.perform(a, a.HoldAnswered(sim.hostTime(), h, response)); then() }
 		},
-		unanswered:  func() { sim.perform(a, a.HoldFailed(sim.now, h)); then() },
-		refused:     func() { sim.perform(a, a.HoldRefused(sim.now, h)); then() },
-		misdirected: func() { sim.perform(a, a.HoldMisdirected(sim.now, h)); then() },
+		unanswered:  func() { sim.perform(a, a.HoldFailed(sim.hostTime(), h)); then() },
+		refused:     func() { sim.perform(a, a.HoldRefused(sim.hostTime(), h)); then() },
+		misdirected: func() { sim.perform(a, a.HoldMisdirected(sim.hostTime(), h)); then() },
 	})
 }
 
 func (sim *restartSimulation) holdLoop(a *agentProcess) {
-	h, ok := a.NextHold(sim.now, supervise.HoldWait)
+	h, ok := a.NextHold(sim.hostTime(), supervise.HoldWait)
 	if !ok {
 		sim.onAgent(a, 50*time.Millisecond, func() { sim.holdLoop(a) })
 		return
@@ -330,7 +337,7 @@
 }
 
 func (sim *restartSimulation) report(a *agentProcess, name string) {
-	r := a.Report(sim.now, name)
+	r := a.Report(sim.hostTime(), name)
 	i, _ := strconv.Atoi(name)
 	e := sim.entries[i]
 	session := a.sessions[name]
@@ -418,7 +425,7 @@
 		sim.disconnect(e)
 		sim.onAgent(old, sim.between(0, 3), func() {
 			if old.sessions[e.name] == session {
-				sim.perform(old, old.Disconnect(sim.now, e.name))
+				sim.perform(old, old.Disconnect(sim.hostTime(), e.name))
 			}
 		})
 	}
@@ -428,7 +435,7 @@
 	session := e.session
 	sim.onAgent(a, 0, func() {
 		a.sessions[e.name] = session
-		sim.perform(a, a.Connect(sim.now, e.name))
+		sim.perform(a, a.Connect(sim.hostTime(), e.name))
 		sim.perform(a, a.SetHome(e.name))
 	})
 }
@@ -458,7 +465,7 @@
 func (sim *restartSimulation) overlap(a *agentProcess) {
 	grace := sim.between(500, 6000)
 	sim.onAgent(a, 0, func() { sim.perform(a, a.Drain()) })
-	sim.onAgent(a, grace-400*time.Millisecond, func() { sim.perform(a, a.StopAll(sim.now)) })
+	sim.onAgent(a, grace-400*time.Millisecond, func() { sim.perform(a, a.StopAll(sim.hostTime())) })
 	sim.schedule(grace, func() { sim.kill(a) })
 	sim.agent = nil
 	sim.schedule(sim.between(0, 500), sim.startAgent)
@@ -473,7 +480,7 @@
 	}
 	sim.tick(a)
 	if saved := sim.saved; sim.random.IntN(3) > 0 {
-		sim.onAgent(a, sim.between(2, 400), func() { sim.perform(a, a.Restore(sim.now, saved)) })
+		sim.onAgent(a, sim.between(2, 400), func() { sim.perform(a, a.Restore(sim.hostTime(), saved)) })
 	}
 	for _, e := range sim.entries {
 		sim.schedule(sim.between(5, 600), func() { sim.connect(e) })
@@ -481,7 +488,7 @@
 }
 
 func (sim *restartSimulation) tick(a *agentProcess) {
-	_, actions := a.Tick(sim.now)
+	_, actions := a.Tick(sim.hostTime())
 	sim.perform(a, actions)
 	for _, e := range sim.entries {
 		sim.report(a, e.name)
@@ -515,7 +522,7 @@
 	sim.schedule(delay, func() {
 		if a := sim.agent; a != nil {
 			sim.onAgent(a, 0, func() {
-				sim.perform(a, a.Announce(sim.now, s))
+				sim.perform(a, a.Announce(sim.hostTime(), s))
 				if known, ok := a.Server(); ok && !known.Equivalent(sim.saved) {
 					sim.saved = known
 				}
@@ -562,6 +569,23 @@
 	sim.schedule(down, func() { sim.listening = sim.startServer(b.id, sim.now.UnixMilli(), 0) })
 }
 
+// losePower ends the agent and the backend server. Either of them may be back first.
+func (sim *restartSimulation) losePower() {
+	b, a := sim.listening, sim.agent
+	if b == nil || b.leaving || a == nil {
+		return
+	}
+	sim.kill(a)
+	sim.end(b)
+	sim.booted = sim.now.Add(-sim.between(0, 5000))
+	id := b.id
+	if sim.random.IntN(2) == 0 {
+		sim.announced++
+		id = fmt.Sprintf("i-%d", sim.announced)
+	}
+	sim.schedule(sim.between(20, 3000), func() { sim.listening = sim.startServer(id, sim.now.UnixMilli(), 0) })
+}
+
 func (sim *restartSimulation) requestStart() {
 	sim.schedule(sim.between(5, 40), sim.requestStart)
 	e := sim.entries[sim.random.IntN(len(sim.entries))]
@@ -574,12 +598,12 @@
 	id := supervise.RunID{Task: task, Attempt: sim.attempts[task]}
 	e.running[id] = true
 	sim.sendToAgent(e, func(a *agentProcess) {
-		sim.perform(a, a.StartRuns(sim.now, e.name, []supervise.Start{{
+		sim.perform(a, a.StartRuns(sim.hostTime(), e.name, []supervise.Start{{
 			RunID: id, Demand: resource.Amount{Processor: 2000}, Spec: strconv.Itoa(id.Attempt),
 		}}))
 	})
 	if sim.random.IntN(8) == 0 {
-		sim.sendToAgent(e, func(a *agentProcess) { sim.perform(a, a.StopRuns(sim.now, e.name, []supervise.RunID{id})) })
+		sim.sendToAgent(e, func(a *agentProcess) { sim.perform(a, a.StopRuns(sim.hostTime(), e.name, []supervise.RunID{id})) })
 	}
 }
 
@@ -595,7 +619,7 @@
 		e.paused = true
 	case 2:
 		if e.agent != nil {
-			sim.sendToAgent(e, func(a *agentProcess) { sim.perform(a, a.Disconnect(sim.now, e.name)) })
+			sim.sendToAgent(e, func(a *agentProcess) { sim.perform(a, a.Disconnect(sim.hostTime(), e.name)) })
 			sim.disconnect(e)
 		}
 	case 3:
@@ -607,11 +631,7 @@
 			sim.replaceServer()
 		}
 	case 5:
-		if sim.faults.agents && a != nil {
-			sim.kill(a)
-		} else if sim.faults.overlaps && a != nil {
-			sim.overlap(a)
-		}
+		sim.endAgent()
 	}
 	sim.schedule(sim.between(300, 2500), func() {
 		e.paused = false
@@ -619,11 +639,23 @@
 	})
 }
 
+func (sim *restartSimulation) endAgent() {
+	switch a := sim.agent; {
+	case a == nil:
+	case sim.faults.agents:
+		sim.kill(a)
+	case sim.faults.overlaps:
+		sim.overlap(a)
+	case sim.faults.power:
+		sim.losePower()
+	}
+}
+
 func simulateRestarts(t *testing.T, seed uint64, faults restartFaults) *restartSimulation {
 	t.Helper()
 	sim := &restartSimulation{
 		t: t, seed: seed, faults: faults, random: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0),
-		lossRate: []float64{0.02, 0.1, 0.3}[seed%3], attempts: map[batch.TaskID]int{},
+		booted: time.Unix(1000, 0), lossRate: []float64{0.02, 0.1, 0.3}[seed%3], attempts: map[batch.TaskID]int{},
 		ended: map[supervise.RunID]supervise.End{},
 	}
 	for i := range 2 {
@@ -661,6 +693,7 @@
 		"all":                     {agents: true, replaced: true, restarts: true, lateSends: true, overtaking: true},
 		"overlapping, overtaking": {overlaps: true, overtaking: true},
 		"overlapping, late sends": {overlaps: true, lateSends: true, replaced: true},
+		"power":                   {power: true, restarts: true, overtaking: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			starts, kills := 0, 0
