Repeat the first call to a restarted backend server

Cause: where calls are lost, the one that follows the announcement of a restart is lost too, and the next one waited for up to 320 ms. Change: it is repeated up to four times without a pause, but not while nothing listens.

TestFenceOfRestartedServerIsRepeated failed before with one call.

--- a/core/supervise/restarted_test.go
+++ b/core/supervise/restarted_test.go
@@ -1,6 +1,7 @@
 package supervise_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -38,3 +39,36 @@
 		t.Errorf("an announcement of another backend server: got %+v", fences)
 	}
 }
+
+// Guards against a pause after the first call to a restarted backend server has got no response, and against calls without
+// a pause while nothing listens there.
+func TestFenceOfRestartedServerIsRepeated(t *testing.T) {
+	for name, x := range map[string]struct {
+		fail func(s *supervise.Supervisor, now time.Time, h supervise.Hold) []supervise.Action
+		want int
+	}{
+		"no response":   {(*supervise.Supervisor).HoldFailed, 5},
+		"not listening": {(*supervise.Supervisor).HoldRefused, 1},
+	} {
+		now := time.Unix(1000, 0)
+		s, call := startedRun(t, now)
+		s.StartAnswered(now, call, supervise.Unanswered, 0)
+		calls, token := 0, call.Token
+		for pending := s.Announce(now, announcedAs("i-1", 2, 1)); calls < 100; {
+			i := slices.IndexFunc(pending, func(a supervise.Action) bool { _, ok := a.(supervise.CallHold); return ok })
+			if i < 0 {
+				break
+			}
+			h := pending[i].(supervise.CallHold).Hold
+			if calls++; h.Token <= token || h.Renew {
+				t.Errorf("%s: call %d is %+v after one with token %d", name, calls, h, token)
+			}
+			token = h.Token
+			now = now.Add(80 * time.Millisecond)
+			pending = x.fail(s, now, h)
+		}
+		if calls != x.want {
+			t.Errorf("%s: %d calls, want %d", name, calls, x.want)
+		}
+	}
+}
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -11,6 +11,9 @@
 // clock in milliseconds, so the largest step is about 35 years.
 const maxTokenShift = 40
 
+// maxFenceRetries is how often the call after the announcement of a restart is repeated. Each takes up to 80 ms.
+const maxFenceRetries = 4
+
 // Announce processes an announcement of the backend server. It ignores announcements of an earlier incarnation and
 // those that arrive after a later one.
 //
@@ -30,7 +33,7 @@
 		s.applyAnnouncement(now, server)
 	}
 	if restarted {
-		s.fenceRestarted(now)
+		s.fenceRestarted(now, maxFenceRetries)
 	}
 	return s.takeActions()
 }
@@ -43,9 +46,9 @@
 // fenceRestarted calls a backend server that seems to have restarted under its ID without waiting for the next regular
 // call, which a pause precedes. Until its first call, the new process carries out any late request. It gets no renewal,
 // because it would take the end of the lease for a time on its new clock.
-func (s *Supervisor) fenceRestarted(now time.Time) {
+func (s *Supervisor) fenceRestarted(now time.Time, retries int) {
 	s.actions = append(s.actions, CallHold{Hold: Hold{
-		Server: s.server.ID, Token: s.token, createdAt: now, incarnation: s.server.Incarnation,
+		Server: s.server.ID, Token: s.token, createdAt: now, incarnation: s.server.Incarnation, retries: retries,
 	}})
 }
 
@@ -376,6 +379,9 @@
 	if s.unansweredHolds == maxUnansweredHolds {
 		s.reportAll()
 	}
+	if h.retries > 0 && !s.answeredAt.After(h.createdAt) {
+		s.fenceRestarted(now, h.retries-1)
+	}
 	return s.takeActions()
 }
 
@@ -407,6 +413,7 @@
 		return nil
 	}
 	s.endProcess()
+	h.retries = 0
 	return s.HoldFailed(now, h)
 }
 
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -212,6 +212,7 @@
 
 	createdAt   time.Time
 	incarnation int64
+	retries     int // how often the call is repeated at once if it gets no response
 }
 
 // AsOf returns the call as it may be sent at the given time. It drops a renewal whose lease is over: a backend server that
