--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -216,6 +216,7 @@
 	createdAt   time.Time
 	leasesEndBy time.Time // of the earlier leases
 	incarnation int64
+	retries     int // how often the call is repeated at once if it gets no response
 }
 
 // Lapsed returns how long ago every lease that the supervisor granted before the call had expired, or false if one still
