Assign no job that is cancelled while its forward is sent

A job could run without a caller, at another entry or here, until it was done; its caller submits it again after 1.3 s.

Nothing withdraws or limits the runs of a job without a call.

Change: forward withdraws what it has sent for a cancelled call, and dispatch ignores one.

Measured: TestCancelledJobNotAssignedWhenConnectionIsSwitched failed before, with 1 forward and no withdrawal (other connection open) and with 1 start (closed); it passes now.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -154,6 +154,9 @@
 // refused instead, as the caller may have submitted it elsewhere.
 func (e *Entry) dispatch(now time.Time, c *call) {
 	c.forwardedTo = ""
+	if e.calls[c.job.ID] != c {
+		return // cancelled by forward, which found that its caller had left
+	}
 	if e.mayRunElsewhere(c.job.ID, "") {
 		e.hold(c)
 		return
@@ -187,6 +190,9 @@
 	}
 	c.forwardedTo, c.forward, c.forwardedAt = to, number, e.options.Now()
 	e.logForward(c)
+	if e.calls[c.job.ID] != c {
+		e.cancelDispatch(c) // its caller was found to have left when the connection was switched
+	}
 	return true
 }
 
