Carry out the dispatcher's actions in order when a caller is found to have left

Runs could go on without a caller until they were done: their agent got the stop before the start.

Cause: the outcome of a forwarded job and the starts that its end makes room for are actions of one list. The entry takes the runs as being stopped; keep-alives do not limit them, as there is no call. Connections to callers and to other entries break at the same time when a network fails.

Change: actions that arise while others are carried out are carried out after them.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -239,38 +239,51 @@
 	}
 }
 
-// performActions carries out the actions that the dispatcher returned.
+// performActions carries out the actions that the dispatcher returned, after those that are being carried out. Sending an
+// outcome may cancel jobs, and a stop must not precede its start.
 func (e *Entry) performActions(actions []dispatch.Action) {
-	for _, action := range actions {
-		switch action := action.(type) {
-		case *dispatch.StartRuns:
-			if a, ok := e.agents[action.Agent]; ok {
-				e.logStarts(action)
-				for i, start := range action.Starts {
-					if until, limited := e.jobLimit(a, start.Task.Job); limited {
-						action.Starts[i].Until = until
-					}
+	e.actions = append(e.actions, actions...)
+	if e.performing {
+		return
+	}
+	e.performing = true
+	for len(e.actions) > 0 {
+		next := e.actions[0]
+		e.actions = e.actions[1:]
+		e.performAction(next)
+	}
+	e.performing = false
+	e.confirmWithdrawn()
+}
+
+func (e *Entry) performAction(action dispatch.Action) {
+	switch action := action.(type) {
+	case *dispatch.StartRuns:
+		if a, ok := e.agents[action.Agent]; ok {
+			e.logStarts(action)
+			for i, start := range action.Starts {
+				if until, limited := e.jobLimit(a, start.Task.Job); limited {
+					action.Starts[i].Until = until
 				}
-				a.peer.UpdateRuns(action.Starts, nil)
-			}
-		case *dispatch.StopRuns:
-			// A disconnected agent stops its runs itself when its session expires.
-			if a, ok := e.agents[action.Agent]; ok {
-				a.peer.UpdateRuns(nil, action.Runs)
-			}
-		case dispatch.CrashesBlamed:
-			e.logCrash(action)
-			e.sendCrashes(action.Blamed)
-		case dispatch.HealthChanged:
-			e.logHealthChanged(action)
-		case dispatch.Answer:
-			e.logAnswer(action)
-			if c, ok := e.calls[action.Job]; ok && c.forwardedTo == "" && !c.held {
-				e.completeCall(c, action.Outcome)
 			}
+			a.peer.UpdateRuns(action.Starts, nil)
+		}
+	case *dispatch.StopRuns:
+		// A disconnected agent stops its runs itself when its session expires.
+		if a, ok := e.agents[action.Agent]; ok {
+			a.peer.UpdateRuns(nil, action.Runs)
+		}
+	case dispatch.CrashesBlamed:
+		e.logCrash(action)
+		e.sendCrashes(action.Blamed)
+	case dispatch.HealthChanged:
+		e.logHealthChanged(action)
+	case dispatch.Answer:
+		e.logAnswer(action)
+		if c, ok := e.calls[action.Job]; ok && c.forwardedTo == "" && !c.held {
+			e.completeCall(c, action.Outcome)
 		}
 	}
-	e.confirmWithdrawn()
 }
 
 // Forward implements inner.BatchEntryHandler.
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -130,6 +130,8 @@
 	lastSession      uint64
 	lastForward      uint64                  // number of the latest forward to another entry
 	checkedAt        time.Time               // when the time limits and the callers' connections were last checked
+	actions          []dispatch.Action       // to be carried out by performActions
+	performing       bool                    // performActions is in progress
 	readsStore       bool                    // the latest call about the configuration succeeded
 	interruptPoll    context.CancelCauseFunc // ends the long poll in progress; nil if none, or if it is short
 }
