Confirm no withdrawal while another entry has the job

An entry that had withdrawn a job was told that no run of it was left, and could start it beside a run at a third entry.

Cause: confirmWithdrawn looked at the dispatcher and at withdrawn forwards, but not at a call that this entry has forwarded for its own callers.

Change: such a call delays the confirmation, unless the job is at the entry that asks.

Measured: TestWithdrawalNotConfirmedBesideForward failed before (confirmed at once); it passes now.

--- a/batchentry/withdrawal.go
+++ b/batchentry/withdrawal.go
@@ -42,6 +42,12 @@
 	return false
 }
 
+// forwardedElsewhere reports whether an entry other than the given one has a job for the callers of this one.
+func (e *Entry) forwardedElsewhere(id batch.JobID, to string) bool {
+	c, ok := e.calls[id]
+	return ok && c.forwardedTo != "" && c.forwardedTo != to
+}
+
 // hold keeps a call unassigned until its withdrawn forwards have ended.
 func (e *Entry) hold(c *call) {
 	c.forwardedTo, c.held = "", true
@@ -115,7 +121,7 @@
 		}
 		for name, number := range origins {
 			// The origin's own withdrawal is not waited for: it may wait for this confirmation.
-			if e.mayRunElsewhere(id, name) {
+			if e.mayRunElsewhere(id, name) || e.forwardedElsewhere(id, name) {
 				continue
 			}
 			delete(origins, name)
--- a/batchentry/withdrawal_test.go
+++ b/batchentry/withdrawal_test.go
@@ -215,3 +215,35 @@
 		})
 	}
 }
+
+// Guards against two runs of a task at the same time: an entry confirms a withdrawal while a third entry runs the job for a
+// caller of its own.
+func TestWithdrawalNotConfirmedBesideForward(t *testing.T) {
+	runSite(t, 1, 0, func(s *testSite) {
+		third := &peerRecorder{fakePeerEntry: newFakePeerEntry(), name: "third"}
+		q := third.connect(s)
+		defer q.Close()
+		q.Load(fakePeerLoad())
+		r := &peerRecorder{fakePeerEntry: newFakePeerEntry(), name: "other"}
+		p := r.connect(s)
+		defer p.Close()
+		p.Load(inner.EntryLoad{Session: 1})
+		time.Sleep(10 * time.Millisecond)
+		ctx, leave := context.WithCancel(s.t.Context())
+		defer leave()
+		go s.entries["entry-1"].Submit(ctx, newJob("job", 1, time.Second))
+		time.Sleep(10 * time.Millisecond)
+		p.Forward(newJob("job", 1, time.Second), 1)
+		time.Sleep(10 * time.Millisecond)
+		p.WithdrawJob("job", 1, false)
+		time.Sleep(100 * time.Millisecond)
+		r.recorded.Lock()
+		defer r.recorded.Unlock()
+		if len(third.forwarded) != 1 {
+			s.t.Fatalf("%d forwards to the third entry, want 1", len(third.forwarded))
+		}
+		if len(r.confirmed) > 0 {
+			s.t.Error("the withdrawal was confirmed while the third entry had the job")
+		}
+	})
+}
