Tell the origin when its forwards expire

A caller waited until 0.5 s after its time-out for a job that had been cancelled at the other entry.

Cause: when the clock reading that the origin echoes is older than forwardedJobLease, the jobs are cancelled, but the session goes on: messages that are late by less than connectionTimeout each way keep it alive on both sides. Only a session that ends tells the origin.

Change: the origin gets the outcome Unknown, with the number of the forward.

--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"math"
 	"net"
 	"sync"
 	"time"
@@ -302,7 +301,7 @@
 			e.log(event.EntryLost).Str("Peer", name).Dur("Silent", now.Sub(x.lastLoad)).Send()
 			e.removeEntry(now, name, x)
 		} else if now.Sub(x.lastEcho) > forwardedJobLease {
-			e.dropOrigins(name, math.MaxUint64)
+			e.expireForwards(x)
 		}
 	}
 }
--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -213,3 +213,25 @@
 		})
 	}
 }
+
+// Guards against callers that get no response before their time-out: the entry that dispatches their job cancels it because
+// the clock reading that the origin echoes is too old, and does not tell the origin, which has the same session with it.
+func TestOriginToldOfExpiredForward(t *testing.T) {
+	runSite(t, 1, 1, func(s *testSite) {
+		r := &peerRecorder{fakePeerEntry: newFakePeerEntry(), name: "other"}
+		p := r.connect(s)
+		defer p.Close()
+		keepSession(p, 100*time.Millisecond)
+		p.Forward(newJob("job", 4, 8*time.Second), 1)
+		for range 40 {
+			clock := time.Duration(time.Now().UnixNano()) // of both entries
+			p.Load(inner.EntryLoad{Session: 1, Clock: clock, Echo: clock - 850*time.Millisecond})
+			time.Sleep(50 * time.Millisecond)
+		}
+		r.recorded.Lock()
+		defer r.recorded.Unlock()
+		if n := s.liveRunCount(); n == 0 && len(r.outcomes) == 0 {
+			s.t.Error("the job was cancelled, and the origin was told nothing")
+		}
+	})
+}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -250,6 +250,22 @@
 	}
 }
 
+// expireForwards cancels the jobs that another entry forwarded. It is told, as it may have the same session all the time
+// if messages are late.
+func (e *Entry) expireForwards(x *entrySession) {
+	for id, c := range e.calls {
+		origin, ok := c.origins[x.Name]
+		if !ok {
+			continue
+		}
+		delete(c.origins, x.Name)
+		e.cancelIfUnneeded(c, "OriginLost")
+		e.sendToEntry(x, func(p *inner.Peer) bool {
+			return p.ForwardOutcome(id, origin.number, batch.Unknown{Reason: batch.PeerLost})
+		})
+	}
+}
+
 // dropOrigins removes another entry as an origin of the jobs that it forwarded in sessions before the given one. Jobs
 // that nobody else waits for are cancelled.
 func (e *Entry) dropOrigins(name string, before uint64) {
