Limit no runs to the end of a caller's time-out

Each refusal also keeps other starts from the backend server for 50 ms.

A run is refused as Expiring if the lease of the others, up to 0.6 s, outlasts its limit by more than 0.25 s, so no job was started with less than about 0.2 s left.

Change: the time-out is no limit. The entry stops the runs then, or it is silent and its session ends within 0.5 s.

TestRunsEndBeforeResubmissionAfterTimeout shows that runs of a caller that is cut off end within 1.3 s of its time-out, with stops lost and the entry silent; it passes.

--- a/batchentry/chain_test.go
+++ b/batchentry/chain_test.go
@@ -201,3 +201,43 @@
 		}
 	})
 }
+
+// Guards against runs that go on when a caller submits its job again after its time-out, because it is cut off, so that its
+// connection stays open here.
+func TestRunsEndBeforeResubmissionAfterTimeout(t *testing.T) {
+	for _, forwarded := range []bool{false, true} {
+		for _, silent := range []time.Duration{-400 * time.Millisecond, -100 * time.Millisecond, 0} {
+			for phase := range 5 {
+				runSiteInOneRegion(t, 2, 3, func(s *testSite) {
+					from, to := s.forwardingEntry()
+					entry := to
+					if forwarded {
+						entry = from
+					}
+					j := newJob("job", 4, 8*time.Second)
+					j.Timeout = time.Second + time.Duration(17*phase)*time.Millisecond
+					timedOut := time.Now().Add(j.Timeout)
+					go s.entries[entry].Submit(s.t.Context(), j)
+					time.Sleep(time.Until(timedOut) + silent)
+					if n := s.liveRunCount(); n != 4 {
+						s.t.Fatalf("%d runs in progress, want 4", n)
+					}
+					for agent, b := range s.backends {
+						b.loseStops = true
+						s.network.SetStalled(to, agent, silent < 0)
+					}
+					for s.liveRunCount() > 0 && time.Since(timedOut) < 5*time.Second {
+						time.Sleep(time.Millisecond)
+					}
+					if took := time.Since(timedOut); took >= resubmissionDelay {
+						s.t.Errorf("forwarded %v, silent %v: runs went on for %v after the time-out, want less than %v",
+							forwarded, silent, took, resubmissionDelay)
+					}
+					for agent := range s.backends {
+						s.network.SetStalled(to, agent, false)
+					}
+				})
+			}
+		}
+	}
+}
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -420,36 +420,17 @@
 // It reports false if they may continue for as long as the session.
 func (e *Entry) jobLimit(a *agentSession, id batch.JobID) (until time.Duration, limited bool) {
 	c, ok := e.calls[id]
-	if !ok {
-		return 0, false
-	}
-	end, ends := e.endOf(c)
-	if !ends {
+	if !ok || len(c.waiters) > 0 {
 		return 0, false
 	}
-	left := end.Add(runLimitSlack).Sub(a.lastReport)
-	return a.agentClock + left, left < supervise.SessionLease
-}
-
-// endOf returns when a job ends here at the latest, as far as is known now: when its caller's time-out passes, and when
-// the entries that forwarded it would be treated as lost. It reports false if neither applies.
-func (e *Entry) endOf(c *call) (end time.Time, ok bool) {
-	if c.job.Timeout > 0 {
-		end, ok = c.arrived.Add(c.job.Timeout), true
-	}
-	if len(c.waiters) > 0 {
-		return end, ok
-	}
-	var originsEnd time.Time
+	var end time.Time
 	for origin := range c.origins {
 		if x, connected := e.entries[origin]; connected {
-			originsEnd = latest(originsEnd, x.jobsEndAt())
+			end = latest(end, x.jobsEndAt())
 		}
 	}
-	if ok {
-		return earliest(end, originsEnd), true
-	}
-	return originsEnd, true
+	left := end.Add(runLimitSlack).Sub(a.lastReport)
+	return a.agentClock + left, left < supervise.SessionLease
 }
 
 // jobsEndAt returns when the jobs that another entry forwarded are cancelled here, unless it is heard from before.
