End a job that was forwarded twice when no caller in between waits for it

A task could run twice at the same time when a caller submitted its job again: runs went on for 1.341 s after the origin was last there.

Cause: an entry passes a job on for callers of its own although another entry has forwarded it, too. When its callers leave, the job goes on for the origin over two hops, and their limits add up.

Change: the entry in between then withdraws the job and tells the origin that the outcome is unknown. Crossed forwards are excepted: they have one hop.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -89,10 +89,27 @@
 	before := len(c.waiters)
 	c.waiters = slices.DeleteFunc(c.waiters, condition)
 	if len(c.waiters) < before {
+		e.endSecondForward(c)
 		e.cancelIfUnneeded(c, reason)
 	}
 }
 
+// endSecondForward ends the forwards of a job that another entry dispatches and no caller of this one waits for. The limits
+// of the two forwards would add up.
+func (e *Entry) endSecondForward(c *call) {
+	if len(c.waiters) > 0 || c.forwardedTo == "" || e.calls[c.job.ID] != c {
+		return
+	}
+	for name, origin := range c.origins {
+		if x, ok := e.entries[name]; ok && name != c.forwardedTo {
+			delete(c.origins, name)
+			e.sendToEntry(x, func(p *inner.Peer) bool {
+				return p.ForwardOutcome(c.job.ID, origin.number, batch.Unknown{Reason: batch.PeerLost})
+			})
+		}
+	}
+}
+
 // dropDepartedCallers cancels the jobs whose callers have all left. The contexts of their requests may end later.
 func (e *Entry) dropDepartedCallers() {
 	for _, c := range e.calls {
--- a/batchentry/chain_test.go
+++ b/batchentry/chain_test.go
@@ -241,3 +241,37 @@
 		}
 	}
 }
+
+// Guards against runs that go on when a caller submits its job again: the job was forwarded twice, as an earlier caller had
+// submitted it to the entry in between, and the limits of the two hops add up.
+func TestRunsOfJobForwardedTwiceEndBeforeResubmission(t *testing.T) {
+	for phase := range 10 {
+		runSite(t, 2, 1, func(s *testSite) { // the agent is in the region of entry-1
+			o := newFakePeerEntry()
+			p := o.dialTo(s, "entry-2", "first")
+			defer p.Close()
+			p.Load(inner.EntryLoad{Session: 1})
+			ctx, leave := context.WithCancel(s.t.Context())
+			go s.entries["entry-2"].Submit(ctx, newJob("job", 4, 8*time.Second))
+			time.Sleep(10 * time.Millisecond)
+			p.Forward(newJob("job", 4, 8*time.Second), 1)
+			keepSession(p, 50*time.Millisecond)
+			if n := s.liveRunCount(); n != 4 {
+				s.t.Fatalf("%d runs in progress, want 4", n)
+			}
+			leave()
+			keepSession(p, time.Second+time.Duration(11*phase)*time.Millisecond)
+			began := time.Now() // the origin is silent, and its caller has left
+			s.backends["agent-1"].loseStops = true
+			time.Sleep(450 * time.Millisecond)
+			s.network.SetStalled("entry-1", "entry-2", true)
+			for s.liveRunCount() > 0 && time.Since(began) < 5*time.Second {
+				time.Sleep(time.Millisecond)
+			}
+			if took := time.Since(began); took >= resubmissionDelay {
+				s.t.Errorf("phase %d: runs went on for %v, want less than %v", phase, took, resubmissionDelay)
+			}
+			s.network.SetStalled("entry-1", "entry-2", false)
+		})
+	}
+}
--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -58,7 +58,12 @@
 
 func (o *fakePeerEntry) dial(s *testSite, incarnation string) *inner.Peer {
 	s.t.Helper()
-	p, err := inner.Dial(s.t.Context(), s.network.Host("other").Dial, "entry-1:1", inner.Local{
+	return o.dialTo(s, "entry-1", incarnation)
+}
+
+func (o *fakePeerEntry) dialTo(s *testSite, entry, incarnation string) *inner.Peer {
+	s.t.Helper()
+	p, err := inner.Dial(s.t.Context(), s.network.Host("other").Dial, entry+":1", inner.Local{
 		Identity: inner.Identity{Role: inner.RoleEntry, Name: "other", Incarnation: incarnation, Address: "other:1"},
 		Clock:    event.NewRecorder("other", 1, time.Now), Metrics: metrics.NewRegistry(),
 	}, o)
