--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -89,10 +89,27 @@
 	before := len(c.waiters)
 	c.waiters = slices.DeleteFunc(c.waiters, condition)
 	if len(c.waiters) < before {
+		e.endSecondForward(c)
 		e.cancelIfUnneeded(c, reason)
 	}
 }
 
+// endSecondForward ends the forwards of a job that another entry dispatches and no caller of this one waits for. The limits
+// of the two forwards would add up.
+func (e *Entry) endSecondForward(c *call) {
+	if len(c.waiters) > 0 || c.forwardedTo == "" || e.calls[c.job.ID] != c {
+		return
+	}
+	for name, origin := range c.origins {
+		if x, ok := e.entries[name]; ok && name != c.forwardedTo {
+			delete(c.origins, name)
+			e.sendToEntry(x, func(p *inner.Peer) bool {
+				return p.ForwardOutcome(c.job.ID, origin.number, batch.Unknown{Reason: batch.PeerLost})
+			})
+		}
+	}
+}
+
 // dropDepartedCallers cancels the jobs whose callers have all left. The contexts of their requests may end later.
 func (e *Entry) dropDepartedCallers() {
 	for _, c := range e.calls {
@@ -154,6 +171,9 @@
 // refused instead, as the caller may have submitted it elsewhere.
 func (e *Entry) dispatch(now time.Time, c *call) {
 	c.forwardedTo = ""
+	if e.calls[c.job.ID] != c {
+		return // cancelled by forward, which found that its caller had left
+	}
 	if e.mayRunElsewhere(c.job.ID, "") {
 		e.hold(c)
 		return
@@ -187,6 +207,9 @@
 	}
 	c.forwardedTo, c.forward, c.forwardedAt = to, number, e.options.Now()
 	e.logForward(c)
+	if e.calls[c.job.ID] != c {
+		e.cancelDispatch(c) // its caller was found to have left when the connection was switched
+	}
 	return true
 }
 
@@ -233,38 +256,51 @@
 	}
 }
 
-// performActions carries out the actions that the dispatcher returned.
+// performActions carries out the actions that the dispatcher returned, after those that are being carried out. Sending an
+// outcome may cancel jobs, and a stop must not precede its start.
 func (e *Entry) performActions(actions []dispatch.Action) {
-	for _, action := range actions {
-		switch action := action.(type) {
-		case *dispatch.StartRuns:
-			if a, ok := e.agents[action.Agent]; ok {
-				e.logStarts(action)
-				for i, start := range action.Starts {
-					if until, limited := e.jobLimit(a, start.Task.Job); limited {
-						action.Starts[i].Until = until
-					}
+	e.actions = append(e.actions, actions...)
+	if e.performing {
+		return
+	}
+	e.performing = true
+	for len(e.actions) > 0 {
+		next := e.actions[0]
+		e.actions = e.actions[1:]
+		e.performAction(next)
+	}
+	e.performing = false
+	e.confirmWithdrawn()
+}
+
+func (e *Entry) performAction(action dispatch.Action) {
+	switch action := action.(type) {
+	case *dispatch.StartRuns:
+		if a, ok := e.agents[action.Agent]; ok {
+			e.logStarts(action)
+			for i, start := range action.Starts {
+				if until, limited := e.jobLimit(a, start.Task.Job); limited {
+					action.Starts[i].Until = until
 				}
-				a.peer.UpdateRuns(action.Starts, nil)
-			}
-		case *dispatch.StopRuns:
-			// A disconnected agent stops its runs itself when its session expires.
-			if a, ok := e.agents[action.Agent]; ok {
-				a.peer.UpdateRuns(nil, action.Runs)
-			}
-		case dispatch.CrashesBlamed:
-			e.logCrash(action)
-			e.sendCrashes(action.Blamed)
-		case dispatch.HealthChanged:
-			e.logHealthChanged(action)
-		case dispatch.Answer:
-			e.logAnswer(action)
-			if c, ok := e.calls[action.Job]; ok && c.forwardedTo == "" && !c.held {
-				e.completeCall(c, action.Outcome)
 			}
+			a.peer.UpdateRuns(action.Starts, nil)
+		}
+	case *dispatch.StopRuns:
+		// A disconnected agent stops its runs itself when its session expires.
+		if a, ok := e.agents[action.Agent]; ok {
+			a.peer.UpdateRuns(nil, action.Runs)
+		}
+	case dispatch.CrashesBlamed:
+		e.logCrash(action)
+		e.sendCrashes(action.Blamed)
+	case dispatch.HealthChanged:
+		e.logHealthChanged(action)
+	case dispatch.Answer:
+		e.logAnswer(action)
+		if c, ok := e.calls[action.Job]; ok && c.forwardedTo == "" && !c.held {
+			e.completeCall(c, action.Outcome)
 		}
 	}
-	e.confirmWithdrawn()
 }
 
 // Forward implements inner.BatchEntryHandler.
