Read the callers' sockets before sessions end and at an agent's first report

Cause: the loss of an agent may start tasks elsewhere, and the first keep-alive of an agent's session extends runs; both came before the check of the callers in a late entry.

--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -272,11 +272,11 @@
 	}
 }
 
-// check applies the time limits of sessions and cancels the jobs of callers that have left.
+// check cancels the jobs of callers that have left and applies the time limits of sessions.
 func (e *Entry) check(now time.Time) {
 	e.checkedAt = now
+	e.dropDepartedCallers() // first, as the loss of an agent may start tasks elsewhere
 	e.closeTimedOut(now)
-	e.dropDepartedCallers()
 }
 
 // checkIfLate checks if the periodic work is late. A process that was suspended may handle a message first, and would
@@ -482,6 +482,7 @@
 	first := a.agentClock == 0
 	a.lastReport, a.agentClock = now, r.Clock
 	if first {
+		e.dropDepartedCallers()
 		// The agent accepts starts once its session has been confirmed.
 		e.sendKeepAlive(a)
 	}
