Read the records of the other entry under its lock in tests

go test -race ./batchentry reported a race in TestWithdrawalNotConfirmedBesideOtherCaller, which read the confirmations while a connection could record one. The new tests of forwards now read through methods that lock.

--- a/batchentry/crossed_forward_test.go
+++ b/batchentry/crossed_forward_test.go
@@ -63,7 +63,7 @@
 		}
 		submit()
 		time.Sleep(10 * time.Millisecond)
-		earlier.ForwardOutcome("job", r.number(0), batch.NotRun{Reason: batch.NoServer})
+		earlier.ForwardOutcome("job", r.forwardNumbers()[0], batch.NotRun{Reason: batch.NoServer})
 		time.Sleep(10 * time.Millisecond)
 		r.recorded.Lock()
 		forwarded, withdrawn := len(r.forwarded), len(r.withdrawn)
--- a/batchentry/crossed_message_test.go
+++ b/batchentry/crossed_message_test.go
@@ -1,6 +1,7 @@
 package batchentry_test
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -56,11 +57,18 @@
 	outcome batch.Outcome
 }
 
-// number returns the number of a forward that it received.
-func (r *peerRecorder) number(i int) uint64 {
+// forwardNumbers returns the numbers of the forwards that it received.
+func (r *peerRecorder) forwardNumbers() []uint64 {
 	r.recorded.Lock()
 	defer r.recorded.Unlock()
-	return r.numbers[i]
+	return slices.Clone(r.numbers)
+}
+
+// confirmations returns the numbers of the withdrawals that were confirmed to it.
+func (r *peerRecorder) confirmations() []uint64 {
+	r.recorded.Lock()
+	defer r.recorded.Unlock()
+	return slices.Clone(r.confirmed)
 }
 
 func (r *peerRecorder) connect(s *testSite) *inner.Peer { return r.connectAs(s, "first") }
@@ -88,7 +96,7 @@
 		time.Sleep(10 * time.Millisecond)
 		go s.entries["entry-1"].Submit(s.t.Context(), newJob("job", 1, time.Second))
 		time.Sleep(10 * time.Millisecond)
-		p.ForwardOutcome("job", r.number(0), batch.Unknown{Reason: batch.PeerLost})
+		p.ForwardOutcome("job", r.forwardNumbers()[0], batch.Unknown{Reason: batch.PeerLost})
 		time.Sleep(10 * time.Millisecond)
 		r.recorded.Lock()
 		defer r.recorded.Unlock()
--- a/batchentry/earlier_forward_test.go
+++ b/batchentry/earlier_forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,7 +28,7 @@
 				s.entries["entry-1"].Submit(ctx, newJob("job", 4, time.Second))
 				go s.entries["entry-1"].Submit(s.t.Context(), newJob("job", 4, time.Second))
 				time.Sleep(10 * time.Millisecond)
-				p.ForwardOutcome("job", r.number(0), batch.NotRun{Reason: reason})
+				p.ForwardOutcome("job", r.forwardNumbers()[0], batch.NotRun{Reason: reason})
 				time.Sleep(10 * time.Millisecond)
 				r.recorded.Lock()
 				forwarded, withdrawn := len(r.forwarded), len(r.withdrawn)
@@ -75,8 +76,8 @@
 					s.entries["entry-1"].Submit(ctx, newJob("job", 1, time.Second))
 				}()
 				time.Sleep(10 * time.Millisecond)
-				if r.number(0) != 1 || r.number(1) != 2 {
-					s.t.Fatalf("got the numbers %v, want 1 and 2", r.numbers)
+				if numbers := r.forwardNumbers(); !slices.Equal(numbers, []uint64{1, 2}) {
+					s.t.Fatalf("got the numbers %v, want 1 and 2", numbers)
 				}
 				load.Session, load.Accepted, load.AcceptedNumbers = 2, []batch.JobID{"job"}, c.numbers
 				p.Load(load)
--- a/batchentry/earlier_version_test.go
+++ b/batchentry/earlier_version_test.go
@@ -68,8 +68,8 @@
 				}
 				p.Load(l)
 			}
-			if n := s.startsOf("job"); len(r.numbers) != 1 || n > 0 {
-				s.t.Errorf("withdrawn %v: %d forwards and %d starts, want one forward only", withdrawn, len(r.numbers), n)
+			if n := s.startsOf("job"); len(r.forwardNumbers()) != 1 || n > 0 {
+				s.t.Errorf("withdrawn %v: %d forwards and %d starts, want one forward only", withdrawn, len(r.forwardNumbers()), n)
 			}
 			p.ForwardOutcome("job", 0, batch.Completed{})
 			if o := <-outcome; o != (batch.Completed{}) {
--- a/batchentry/withdrawal_test.go
+++ b/batchentry/withdrawal_test.go
@@ -71,9 +71,9 @@
 						outcome <- batch.Completed{}
 					}
 					time.Sleep(10 * time.Millisecond)
-					if len(r.numbers) != 1 || s.startsOf("job") > 0 {
+					if len(r.forwardNumbers()) != 1 || s.startsOf("job") > 0 {
 						s.t.Fatalf("%d forwards and %d starts before the confirmation, want the first forward only",
-							len(r.numbers), s.startsOf("job"))
+							len(r.forwardNumbers()), s.startsOf("job"))
 					}
 					c.confirm(p)
 					time.Sleep(10 * time.Millisecond)
@@ -105,11 +105,7 @@
 		p.WithdrawJob("job", 1, false)
 		p.WithdrawJob("unknown", 2, false)
 		p.WithdrawJob("unknown", 0, false)
-		confirmed := func() bool {
-			r.recorded.Lock()
-			defer r.recorded.Unlock()
-			return slices.Contains(r.confirmed, 1)
-		}
+		confirmed := func() bool { return slices.Contains(r.confirmations(), 1) }
 		began := time.Now()
 		for !confirmed() && time.Since(began) < 5*time.Second {
 			if n := s.liveRunCount(); time.Since(began) < 10*time.Millisecond && n != 4 {
@@ -120,8 +116,8 @@
 		if n := s.liveRunCount(); n > 0 {
 			s.t.Errorf("%d runs in progress when their end was confirmed", n)
 		}
-		if !slices.Equal(r.confirmed, []uint64{2, 1}) {
-			s.t.Errorf("got the confirmations %v, want 2 at once and 1 when its runs had ended", r.confirmed)
+		if !slices.Equal(r.confirmations(), []uint64{2, 1}) {
+			s.t.Errorf("got the confirmations %v, want 2 at once and 1 when its runs had ended", r.confirmations())
 		}
 	})
 }
@@ -172,7 +168,7 @@
 		ctx, leave = context.WithTimeout(s.t.Context(), 100*time.Millisecond)
 		defer leave()
 		s.entries["entry-1"].Submit(ctx, newJob("job", 8, 100*time.Millisecond))
-		if len(r.numbers) > 0 {
+		if len(r.forwardNumbers()) > 0 {
 			s.t.Error("the job was forwarded while its earlier runs went on here")
 		}
 	})
@@ -194,7 +190,7 @@
 			time.Sleep(10 * time.Millisecond)
 			p.WithdrawJob("job", 1, false)
 			keepSession(p, 100*time.Millisecond)
-			if len(r.confirmed) > 0 {
+			if len(r.confirmations()) > 0 {
 				s.t.Error("the withdrawal was confirmed while the job went on")
 			}
 			want := []uint64{1}
@@ -209,8 +205,8 @@
 				s.t.Errorf("got %s, want Completed", batch.OutcomeName(o))
 			}
 			time.Sleep(10 * time.Millisecond)
-			if !slices.Equal(r.confirmed, want) {
-				s.t.Errorf("restarted %v: got the confirmations %v, want %v", restarted, r.confirmed, want)
+			if !slices.Equal(r.confirmations(), want) {
+				s.t.Errorf("restarted %v: got the confirmations %v, want %v", restarted, r.confirmations(), want)
 			}
 		})
 	}
