Confirm no withdrawal of a job that was passed on

Cause: an entry confirmed a withdrawal while a job went on at a third entry, to which it had passed the job on for a caller of its own. The entry that had withdrawn the job could then start it beside that run.

Change: the confirmation waits for the end of that forward, unless it went to the entry that has withdrawn the job.

Evidence: TestWithdrawalNotConfirmedBesideForward failed before with the confirmation of forward 1 beside one forward.

--- a/batchentry/withdrawal.go
+++ b/batchentry/withdrawal.go
@@ -106,16 +106,17 @@
 	e.unconfirmed[id][name] = number
 }
 
-// confirmWithdrawn confirms the withdrawals of the jobs that have no run here any more. The run of another caller counts,
-// too: the other entry must not start the job beside it.
+// confirmWithdrawn confirms the withdrawals of the jobs that have no run here any more, nor at an entry that they were
+// forwarded to. The run of another caller counts, too: the origin must not start the job beside it.
 func (e *Entry) confirmWithdrawn() {
 	for id, origins := range e.unconfirmed {
 		if open, _ := e.dispatcher.JobStatus(id); open || e.dispatcher.Stopping(id) {
 			continue
 		}
 		for name, number := range origins {
-			// The origin's own withdrawal is not waited for: it may wait for this confirmation.
-			if e.mayRunElsewhere(id, name) {
+			// A job that was forwarded to the origin is not waited for: the origin may wait for this confirmation.
+			c, open := e.calls[id]
+			if open && c.forwardedTo != "" && c.forwardedTo != name || e.mayRunElsewhere(id, name) {
 				continue
 			}
 			delete(origins, name)
--- a/batchentry/withdrawal_test.go
+++ b/batchentry/withdrawal_test.go
@@ -211,3 +211,36 @@
 		})
 	}
 }
+
+// Guards against two runs of a task at the same time: an entry confirms a withdrawal while a third one runs the job.
+func TestWithdrawalNotConfirmedBesideForward(t *testing.T) {
+	runSite(t, 1, 0, func(s *testSite) {
+		origin := &peerRecorder{fakePeerEntry: newFakePeerEntry(), name: "other-1"}
+		target := &peerRecorder{fakePeerEntry: newFakePeerEntry(), name: "other-2"}
+		p, q := origin.connect(s), target.connect(s)
+		defer p.Close()
+		defer q.Close()
+		p.Load(inner.EntryLoad{Session: 1})
+		q.Load(fakePeerLoad())
+		time.Sleep(10 * time.Millisecond)
+		outcome := make(chan batch.Outcome, 1)
+		go func() { outcome <- s.entries["entry-1"].Submit(s.t.Context(), newJob("job", 1, 100*time.Millisecond)) }()
+		time.Sleep(10 * time.Millisecond)
+		p.Forward(newJob("job", 1, 100*time.Millisecond), 1)
+		time.Sleep(10 * time.Millisecond)
+		p.WithdrawJob("job", 1, false)
+		time.Sleep(100 * time.Millisecond)
+		if len(target.forwardNumbers()) != 1 || len(origin.confirmations()) > 0 {
+			s.t.Errorf("%d forwards and the confirmations %v, want one forward and none",
+				len(target.forwardNumbers()), origin.confirmations())
+		}
+		q.ForwardOutcome("job", target.forwardNumbers()[0], batch.Completed{})
+		if o := <-outcome; o != (batch.Completed{}) {
+			s.t.Errorf("got %s, want Completed", batch.OutcomeName(o))
+		}
+		time.Sleep(100 * time.Millisecond)
+		if !slices.Equal(origin.confirmations(), []uint64{1}) {
+			s.t.Errorf("got the confirmations %v, want 1", origin.confirmations())
+		}
+	})
+}
