Use a backend server again after a late leave notice

Callers saw: less capacity for as long as the backend server lives, if the leave notice of its predecessor under the same ID arrives after it has responded. Cause: a leave notice names only the ID. It was taken as one of the present process, and every later announcement of that process was ignored. Change: announcements of the process that has left are noted. A call without a response ends the calls until the next announcement.

--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -17,6 +17,7 @@
 // An announcement may come from another writer. One that names another process than the one that responds is only
 // applied once the latter no longer responds in its place.
 func (s *Supervisor) Announce(now time.Time, server Server) []Action {
+	s.noteReturn(now, server)
 	same := s.known && server.ID == s.server.ID && server.Incarnation == s.server.Incarnation
 	switch {
 	case server.ID == s.leftID && server.Incarnation <= s.leftIncarnation,
@@ -141,20 +142,6 @@
 	s.reportAll()
 }
 
-// Leave handles a planned exit of the backend server.
-func (s *Supervisor) Leave(id string) []Action {
-	if !s.known || s.server.ID != id {
-		return nil
-	}
-	s.leftID, s.leftIncarnation = id, s.server.Incarnation
-	s.left = true
-	s.reportAll()
-	return s.takeActions()
-}
-
-// leaves reports whether the backend server has left or has announced that it will.
-func (s *Supervisor) leaves() bool { return s.left || s.server.Leaving }
-
 // endProcess records that the process of the backend server has ended. Its runs end with it, but a lease may still apply
 // to them at a process that only stopped listening, so they are reported when the lease has expired.
 func (s *Supervisor) endProcess() {
@@ -214,7 +201,7 @@
 // NextHold returns the next call that renews the lease, or false if there is no backend server. After it has left, the
 // call only shows whether its successor responds. The wait is how long the response may be delayed, at most HoldWait.
 func (s *Supervisor) NextHold(now time.Time, wait time.Duration) (Hold, bool) {
-	if !s.known || (s.left && s.candidate == nil) {
+	if !s.known || (s.left && s.candidate == nil && !s.mayReturn(now)) {
 		return Hold{}, false
 	}
 	return s.newHold(now, min(wait, HoldWait)), true
@@ -258,6 +245,7 @@
 		}
 		return s.takeActions()
 	}
+	s.returnFromLeave(now, h)
 	s.responded, s.misdirected = true, false
 	if h.createdAt.After(s.answeredAt) {
 		s.answeredAt = h.createdAt
@@ -351,6 +339,7 @@
 	if !s.known || h.Server != s.server.ID {
 		return nil
 	}
+	s.endReturn()
 	s.unansweredHolds++
 	if h.Token == s.token {
 		s.raiseToken(now)
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -343,6 +343,8 @@
 	fencedHolds          int       // consecutive Hold calls refused because of their token
 	leftID               string
 	leftIncarnation      int64
+	returning            *Server   // announced by the process that has left; nil if it has not responded to a later call
+	returningSince       time.Time // when it first announced itself after its leave notice
 	token                uint64
 	listToken            uint64        // lists of runs made under lower tokens are not conclusive
 	listClock            time.Duration // reading of the backend server's clock in the newest list
