Fail jobs only for crashes during which their task ran

Cause: every run that was there when its backend server was last heard of counted as ended by the crash. A start that had timed out, and waited to be carried out or was dropped, counted as well if there was no other one. Change: an agent marks the end of a run as uncertain if the lists of the server had not reached it until 0.1 s before it noticed the end of the process, if the start may have been answered by a process restarted under the ID, or if the start had no answer and was not cut off within 10 ms. Entries count such crashes apart. Two crashes in all still give a job up, so that no more servers crash, but it is reported as failed only if both are certain; otherwise it is abandoned and refused for ten minutes, with the reason Crashes. The refusal is not retried elsewhere.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -306,7 +306,7 @@
 		e.dispatch(e.options.Now(), c)
 		return
 	}
-	if n, ok := o.(batch.NotRun); ok && c.retries < maxRetries && e.retry(c, n.Reason) {
+	if n, ok := o.(batch.NotRun); ok && n.Reason != batch.Crashes && c.retries < maxRetries && e.retry(c, n.Reason) {
 		return
 	}
 	if _, unknown := o.(batch.Unknown); unknown {
--- a/batchentry/crash_test.go
+++ b/batchentry/crash_test.go
@@ -65,3 +65,28 @@
 		}
 	})
 }
+
+// Guards against a job that crashes one more backend server because the entry that refuses it has heard of crashes of which
+// the forwarding one has not.
+func TestJobRefusedForCrashesIsNotRetried(t *testing.T) {
+	runSite(t, 1, 1, func(s *testSite) {
+		r := &peerRecorder{fakePeerEntry: newFakePeerEntry(), name: "other"}
+		go s.entries["entry-1"].Submit(s.t.Context(), newJob("filler", 8, 150*time.Millisecond))
+		time.Sleep(10 * time.Millisecond)
+		p := r.connect(s)
+		defer p.Close()
+		p.Load(fakePeerLoad())
+		time.Sleep(10 * time.Millisecond)
+		refusal := batch.NotRun{Reason: batch.Crashes, RetryAfter: time.Minute}
+		time.AfterFunc(10*time.Millisecond, func() { p.ForwardOutcome("job", refusal) })
+		if o := s.entries["entry-1"].Submit(s.t.Context(), newJob("job", 4, time.Second)); o != refusal {
+			s.t.Errorf("got %s %+v", batch.OutcomeName(o), o)
+		}
+		b := s.backends["agent-1"]
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if len(b.starts) != 8 {
+			s.t.Errorf("%d starts, want the 8 of another job", len(b.starts))
+		}
+	})
+}
--- a/batchentry/log.go
+++ b/batchentry/log.go
@@ -30,15 +30,30 @@
 	if o, ok := a.Outcome.(batch.Failed); ok {
 		line = line.Int("Step", o.Task.Step).Int("Task", o.Task.Index).Int("Attempt", o.Attempts)
 		if o.Crashes > 0 {
-			line = line.Str("Reason", "Crashes").Int("Count", o.Crashes)
-			e.metrics.givenUp.Inc(1)
+			line = line.Str("Reason", string(batch.Crashes)).Int("Count", o.Crashes)
 		}
 	}
+	if givenUp(a.Outcome) {
+		e.metrics.givenUp.Inc(1)
+	}
 	line.Send()
 	e.metrics.recordOutcome(a.Outcome, a.Elapsed)
 	e.metrics.waited.Update(a.Waited.Microseconds())
 }
 
+// givenUp reports whether a job was given up because backend servers crashed under a task.
+func givenUp(o batch.Outcome) bool {
+	switch o := o.(type) {
+	case batch.Failed:
+		return o.Crashes > 0
+	case batch.NotRun:
+		return o.Reason == batch.Crashes
+	case batch.Unknown:
+		return o.Reason == batch.Crashes
+	}
+	return false
+}
+
 // logUnknownOutcome logs a job that is answered as Unknown. Its tasks may continue to run elsewhere for a short time.
 func (e *Entry) logUnknownOutcome(now time.Time, c *call, reason batch.Reason) {
 	o := batch.Unknown{Reason: reason}
@@ -62,7 +77,7 @@
 func (e *Entry) logCrash(c dispatch.CrashesBlamed) {
 	for _, x := range c.Blamed {
 		e.log(event.TaskBlamed).Str("Job", string(x.Task.Job)).Int("Step", x.Task.Step).Int("Task", x.Task.Index).
-			Str("Peer", c.Agent).Int("Count", x.Count).Send()
+			Str("Peer", c.Agent).Int("Count", x.Count).Int("Uncertain", x.Uncertain).Send()
 	}
 	e.metrics.crashes.Inc(1)
 }
--- a/batchentry/measure.go
+++ b/batchentry/measure.go
@@ -22,7 +22,7 @@
 	cancelled metrics.Counter
 	rejected  metrics.Counter // requests that were rejected before a job was created
 	crashes   metrics.Counter // of backend servers while tasks ran on them
-	givenUp   metrics.Counter // jobs that failed because of crashes
+	givenUp   metrics.Counter // jobs that failed or were refused because of crashes
 	waited    metrics.Histogram
 	taken     metrics.Histogram
 	queue     metrics.GaugeFloat64
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// maxCrashes is the number of crashes of backend servers under a task after which its job fails.
+	// maxCrashes is the number of crashes of backend servers under a task after which its job is given up. It fails if the
+	// task is known to have run there each time. Otherwise it is refused until crashRetention has passed.
 	maxCrashes = 2
 	// maxSuspectShare is the largest share of a pool's usable backend servers that run suspects at the same time.
 	maxSuspectShare = 0.2
@@ -25,6 +26,8 @@
 	Task  batch.TaskID
 	Count int           // 0 if it is only known that one crashed when the task was about to start
 	Age   time.Duration // since the latest crash
+	// Uncertain is the number of further ones on which the task may not have run any more, or not yet.
+	Uncertain int `json:",omitempty"`
 }
 
 // CrashesBlamed reports that a backend server has crashed, and the tasks that are blamed for it. The entry passes the
@@ -40,16 +43,20 @@
 type crashMemory map[batch.TaskID]crashRecord
 
 type crashRecord struct {
-	count    int
-	latestAt time.Time
+	count     int
+	uncertain int
+	latestAt  time.Time
 }
 
-// count returns the number of crashes under a task within the retention period.
-func (m crashMemory) count(now time.Time, t batch.TaskID) int {
+// total returns the number of crashes that the task may have caused.
+func (r crashRecord) total() int { return r.count + r.uncertain }
+
+// recent returns the crashes under a task within the retention period.
+func (m crashMemory) recent(now time.Time, t batch.TaskID) crashRecord {
 	if r, ok := m[t]; ok && now.Sub(r.latestAt) < crashRetention {
-		return r.count
+		return r
 	}
-	return 0
+	return crashRecord{}
 }
 
 // has reports whether a backend server crashed under a task, or when it was about to start, within the retention period.
@@ -58,12 +65,14 @@
 	return ok && now.Sub(r.latestAt) < crashRetention
 }
 
-// raise sets the number of crashes under a task if it is higher than the known one.
-func (m crashMemory) raise(now time.Time, t batch.TaskID, count int, latestAt time.Time) (raised bool) {
-	if (m.has(now, t) && count <= m.count(now, t)) || now.Sub(latestAt) >= crashRetention {
+// raise sets the numbers of crashes under a task that are higher than the known ones.
+func (m crashMemory) raise(now time.Time, t batch.TaskID, r crashRecord) (raised bool) {
+	known := m.recent(now, t)
+	if (m.has(now, t) && r.count <= known.count && r.uncertain <= known.uncertain) || now.Sub(r.latestAt) >= crashRetention {
 		return false
 	}
-	m[t] = crashRecord{count: count, latestAt: latestAt}
+	r.count, r.uncertain = max(r.count, known.count), max(r.uncertain, known.uncertain)
+	m[t] = r
 	return true
 }
 
@@ -75,7 +84,7 @@
 	}
 	clear(m)
 	for _, c := range list[:min(len(list), maxCrashRecords)] {
-		m[c.Task] = crashRecord{count: c.Count, latestAt: now.Add(-c.Age)}
+		m[c.Task] = crashRecord{count: c.Count, uncertain: c.Uncertain, latestAt: now.Add(-c.Age)}
 	}
 }
 
@@ -84,7 +93,7 @@
 	var list []Crash
 	for t, r := range m {
 		if age := now.Sub(r.latestAt); age < crashRetention {
-			list = append(list, Crash{Task: t, Count: r.count, Age: age})
+			list = append(list, Crash{Task: t, Count: r.count, Uncertain: r.uncertain, Age: age})
 		}
 	}
 	slices.SortFunc(list, func(a, b Crash) int { return cmp.Or(cmp.Compare(a.Age, b.Age), a.Task.Compare(b.Task)) })
@@ -97,7 +106,8 @@
 // MergeCrashes adds the crashes that another entry has recorded. Of two counts for a task, the higher one applies.
 func (d *Dispatcher) MergeCrashes(now time.Time, list []Crash) []Action {
 	for _, c := range list {
-		if !d.crashes.raise(now, c.Task, c.Count, now.Add(-max(c.Age, 0))) {
+		r := crashRecord{count: c.Count, uncertain: c.Uncertain, latestAt: now.Add(-max(c.Age, 0))}
+		if !d.crashes.raise(now, c.Task, r) {
 			continue
 		}
 		j, t := d.openTask(c.Task)
@@ -105,8 +115,8 @@
 			continue
 		}
 		d.suspectJob(j)
-		if c.Count >= maxCrashes {
-			d.finish(now, j, d.crashOutcome(now, t))
+		if d.crashes.recent(now, t.id).total() >= maxCrashes {
+			d.finish(now, j, d.crashOutcome(now, j, t))
 		}
 	}
 	d.crashes.evict(now)
@@ -129,10 +139,11 @@
 
 // blameCrash counts the crash of a backend server against the tasks that ran there. If some of them are suspects, only
 // those are blamed. Of several tasks whose start was not answered, most had not begun, so they become suspects without a
-// count. The tasks of answered jobs are blamed as well: their callers may submit them again.
+// count. A run that may not have been there is counted apart, because its job must not be reported as failed for that.
+// The tasks of answered jobs are blamed as well: their callers may submit them again.
 func (d *Dispatcher) blameCrash(now time.Time, s *server, ended []supervise.RunEnd) {
 	var tasks, suspects []*task
-	unconfirmed := map[*task]bool{}
+	unconfirmed, uncertain := map[*task]bool{}, map[*task]bool{}
 	for _, e := range ended {
 		t, ok := s.runs[e.RunID]
 		if !ok || e.End != supervise.Crashed {
@@ -142,6 +153,9 @@
 		if e.Unconfirmed {
 			unconfirmed[t] = true
 		}
+		if e.Uncertain {
+			uncertain[t] = true
+		}
 		if t.suspect {
 			suspects = append(suspects, t)
 		}
@@ -154,13 +168,17 @@
 	}
 	blamed := CrashesBlamed{Agent: s.agent}
 	for _, t := range tasks {
-		count := d.crashes.count(now, t.id)
-		if !unconfirmed[t] || len(unconfirmed) == 1 {
-			count++
+		r := d.crashes.recent(now, t.id)
+		switch r.latestAt = now; {
+		case unconfirmed[t] && len(unconfirmed) > 1:
+		case uncertain[t]:
+			r.uncertain++
+		default:
+			r.count++
 		}
-		d.crashes.raise(now, t.id, count, now)
+		d.crashes.raise(now, t.id, r)
 		d.suspectJob(d.jobs[t.id.Job])
-		blamed.Blamed = append(blamed.Blamed, Crash{Task: t.id, Count: count})
+		blamed.Blamed = append(blamed.Blamed, Crash{Task: t.id, Count: r.count, Uncertain: r.uncertain})
 	}
 	d.crashes.evict(now)
 	d.actions = append(d.actions, blamed)
@@ -233,28 +251,41 @@
 }
 
 // crashOutcome returns the outcome of a job with a task under which too many backend servers have crashed.
-func (d *Dispatcher) crashOutcome(now time.Time, t *task) batch.Failed {
-	return batch.Failed{Task: t.id, Attempts: t.failures, Crashes: d.crashes.count(now, t.id)}
+func (d *Dispatcher) crashOutcome(now time.Time, j *job, t *task) batch.Outcome {
+	r := d.crashes.recent(now, t.id)
+	switch {
+	case r.count >= maxCrashes:
+		return batch.Failed{Task: t.id, Attempts: t.failures, Crashes: r.count}
+	case j.started() || j.mayHaveRun:
+		return batch.Unknown{Reason: batch.Crashes}
+	}
+	return batch.NotRun{Reason: batch.Crashes, RetryAfter: r.latestAt.Add(crashRetention).Sub(now)}
 }
 
-// findGivenUp returns the first task of a job under which too many backend servers have crashed, or nil.
+// findGivenUp returns a task of a job under which too many backend servers have crashed, or nil. Those that are known to
+// have run there come first.
 func (d *Dispatcher) findGivenUp(now time.Time, j *job) *task {
 	if len(d.crashes) == 0 {
 		return nil
 	}
+	var suspect *task
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			if d.crashes.count(now, t.id) >= maxCrashes {
+			r := d.crashes.recent(now, t.id)
+			if r.count >= maxCrashes {
 				return t
 			}
+			if r.total() >= maxCrashes && suspect == nil {
+				suspect = t
+			}
 		}
 	}
-	return nil
+	return suspect
 }
 
-// GivenUp reports whether a job would fail at once because of earlier crashes.
+// GivenUp reports whether a job would fail or be refused at once because of earlier crashes.
 func (d *Dispatcher) GivenUp(now time.Time, b batch.Job) bool {
-	return d.anyTask(b, func(t batch.TaskID) bool { return d.crashes.count(now, t) >= maxCrashes })
+	return d.anyTask(b, func(t batch.TaskID) bool { return d.crashes.recent(now, t).total() >= maxCrashes })
 }
 
 // mayStartSuspect reports whether a suspect of a job may be started: one of a job at a time, on a share of the backend
--- a/core/dispatch/crash_test.go
+++ b/core/dispatch/crash_test.go
@@ -228,3 +228,74 @@
 		t.Errorf("%d of 43 jobs were answered", len(x.answers))
 	}
 }
+
+// endAs reports the only run of a job as crashed.
+func (x *crashRig) endAs(id batch.JobID, e supervise.RunEnd) {
+	for run, agent := range x.running {
+		if run.Task.Job == id {
+			delete(x.running, run)
+			e.RunID, e.End = run, supervise.Crashed
+			r := x.reports[agent]
+			r.Ended = []supervise.RunEnd{e}
+			x.record(x.HandleReport(x.now, agent, r))
+			return
+		}
+	}
+}
+
+// Guards against a job that is reported as failed although its task may not have run on the backend servers that crashed,
+// and against a task that crashes more of them because of that.
+func TestUncertainCrashesDoNotFailJob(t *testing.T) {
+	task := batch.TaskID{Job: "job"}
+	for name, c := range map[string]struct {
+		ends  []supervise.RunEnd
+		want  batch.Outcome
+		again batch.Outcome
+	}{
+		"end may not have been listed": {
+			ends: []supervise.RunEnd{{Uncertain: true}, {}},
+			want: batch.Unknown{Reason: batch.Crashes}, again: batch.NotRun{Reason: batch.Crashes, RetryAfter: 9 * time.Minute},
+		},
+		"starts timed out": {
+			ends: []supervise.RunEnd{{Unconfirmed: true, Uncertain: true}, {Unconfirmed: true, Uncertain: true}},
+			want: batch.Unknown{Reason: batch.Crashes}, again: batch.NotRun{Reason: batch.Crashes, RetryAfter: 9 * time.Minute},
+		},
+		"starts cut off": {
+			ends: []supervise.RunEnd{{Unconfirmed: true}, {Unconfirmed: true}},
+			want: batch.Failed{Task: task, Crashes: 2}, again: batch.Failed{Task: task, Crashes: 2},
+		},
+	} {
+		x := newCrashRig(time.Unix(1000, 0), "agent-1", "agent-2", "agent-3")
+		x.record(x.Submit(x.now, named("job", 1)))
+		for _, e := range c.ends {
+			x.endAs("job", e)
+		}
+		if len(x.running) > 0 || len(x.answers) != 1 || x.answers[0].Outcome != c.want {
+			t.Errorf("%s: running %v, answers %+v, want %+v", name, x.running, x.answers, c.want)
+			continue
+		}
+		other := newCrashRig(x.now, "agent-4")
+		other.record(other.MergeCrashes(other.now, x.Crashes(x.now)))
+		for _, d := range []*crashRig{x, other} {
+			d.now, d.answers = d.now.Add(time.Minute), nil
+			if !d.GivenUp(d.now, named("job", 1)) {
+				t.Errorf("%s: the job would be passed on", name)
+			}
+			d.record(d.Submit(d.now, named("job", 1)))
+			if len(d.running) > 0 || len(d.answers) != 1 || d.answers[0].Outcome != c.again {
+				t.Errorf("%s: submitted again: running %v, answers %+v, want %+v", name, d.running, d.answers, c.again)
+			}
+		}
+	}
+}
+
+// Guards against an open job that goes on although other entries have seen as many crashes as this one allows in all.
+func TestMergedUncertainCrashesEndOpenJob(t *testing.T) {
+	x := newCrashRig(time.Unix(1000, 0), "agent-1", "agent-2")
+	x.record(x.Submit(x.now, named("job", 1)))
+	x.endAs("job", supervise.RunEnd{})
+	x.record(x.MergeCrashes(x.now, []dispatch.Crash{{Task: batch.TaskID{Job: "job"}, Uncertain: 1}}))
+	if want := (batch.Unknown{Reason: batch.Crashes}); len(x.answers) != 1 || x.answers[0].Outcome != want {
+		t.Errorf("got %+v, want %+v", x.answers, want)
+	}
+}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -22,7 +22,7 @@
 	}
 	j := d.newJob(now, b)
 	if t := d.findGivenUp(now, j); t != nil {
-		d.answer(now, j, d.crashOutcome(now, t))
+		d.answer(now, j, d.crashOutcome(now, j, t))
 		return d.takeActions()
 	}
 	canStart := d.hasCapacity(now, b)
@@ -305,9 +305,9 @@
 		}
 	case supervise.Crashed:
 		t.failedOn = append(t.failedOn, s)
-		if d.crashes.count(now, t.id) >= maxCrashes {
+		if d.crashes.recent(now, t.id).total() >= maxCrashes {
 			j.decidingAgent = s.agent
-			d.finish(now, j, d.crashOutcome(now, t))
+			d.finish(now, j, d.crashOutcome(now, j, t))
 			return
 		}
 	case supervise.Refused:
@@ -406,7 +406,7 @@
 		return
 	}
 	if t := d.findGivenUp(now, next); t != nil {
-		d.answer(now, next, d.crashOutcome(now, t))
+		d.answer(now, next, d.crashOutcome(now, next, t))
 		return
 	}
 	if reason, ok := d.admit(now, next, d.hasCapacity(now, next.Job)); !ok {
--- a/core/supervise/crash_test.go
+++ b/core/supervise/crash_test.go
@@ -88,3 +88,65 @@
 		t.Errorf("got %+v, want a refused start and no offer", r)
 	}
 }
+
+// Guards against a crash that is blamed on a task that did not run any more, or not yet: its run had ended while the
+// responses of the backend server were lost, or its start waited to be carried out.
+func TestCrashAfterUnlistedEndIsUncertain(t *testing.T) {
+	const step = 10 * time.Millisecond
+	restarted := supervise.HoldResponse{Incarnation: 2, Clock: time.Second}
+	for name, c := range map[string]struct {
+		start      supervise.StartResult
+		answeredIn time.Duration
+		lost       int  // calls that get no response before the one that is cut off by the crash
+		cut        bool // a call is cut off
+		frozen     time.Duration
+		restart    bool // under the same ID
+		uncertain  bool
+	}{
+		"listed until the crash":              {start: supervise.Accepted, cut: true},
+		"listed until the restart":            {start: supervise.Accepted, cut: true, restart: true},
+		"responses lost":                      {start: supervise.Accepted, lost: 2, cut: true, uncertain: true},
+		"responses lost before the restart":   {start: supervise.Accepted, lost: 1, cut: true, restart: true, uncertain: true},
+		"agent frozen during the crash":       {start: supervise.Accepted, frozen: time.Second, uncertain: true},
+		"start cut off":                       {start: supervise.Unanswered, cut: true},
+		"start held up and cut off":           {start: supervise.Unanswered, answeredIn: 30 * time.Millisecond, cut: true, uncertain: true},
+		"start timed out":                     {start: supervise.Unanswered, answeredIn: 60 * time.Millisecond, cut: true, uncertain: true},
+		"start cut off long before the crash": {start: supervise.Unanswered, frozen: time.Second, uncertain: true},
+	} {
+		now := time.Unix(1000, 0)
+		s, call := startedRun(t, now)
+		now = now.Add(c.answeredIn)
+		s.StartAnswered(now, call, c.start, 0)
+		for range c.lost {
+			h, _ := s.NextHold(now, supervise.HoldWait)
+			now = now.Add(200 * time.Millisecond)
+			s.ExtendSession("entry-1", now.Add(supervise.SessionLease))
+			s.HoldFailed(now, h)
+		}
+		if c.cut {
+			h, _ := s.NextHold(now, supervise.HoldWait)
+			now = now.Add(step)
+			s.HoldFailed(now, h)
+		}
+		now = now.Add(4*step + c.frozen)
+		for range 200 {
+			s.ExtendSession("entry-1", now.Add(supervise.SessionLease))
+			if h, _ := s.NextHold(now, supervise.HoldWait); c.restart {
+				s.HoldAnswered(now, h, restarted)
+			} else {
+				s.HoldRefused(now, h)
+			}
+			now = now.Add(step)
+			s.Tick(now)
+			if ends := s.Report(now, "entry-1").Ended; len(ends) > 0 {
+				if len(ends) != 1 || ends[0].End != supervise.Crashed || ends[0].Uncertain != c.uncertain {
+					t.Errorf("%s: got %+v, want a crash, uncertain: %v", name, ends, c.uncertain)
+				}
+				break
+			}
+		}
+		if s.TotalRunCount() > 0 {
+			t.Errorf("%s: the run has not been reported", name)
+		}
+	}
+}
--- a/core/supervise/restart_world_test.go
+++ b/core/supervise/restart_world_test.go
@@ -45,6 +45,7 @@
 	ended    map[supervise.RunID]supervise.End
 	starts   int
 	kills    int
+	crashes  int // that are blamed on a run
 }
 
 type agentProcess struct {
@@ -83,15 +84,18 @@
 	ends         []supervise.TaskEnd
 	endCount     uint64
 	sequence     uint64
+	endedAt      map[supervise.RunID]time.Time
+	downAt       time.Time
 }
 
 func (b *hostedServer) clock(now time.Time) time.Duration {
 	return time.Duration(float64(now.Sub(b.started)) * b.rate)
 }
 
-func (b *hostedServer) end(task batch.TaskID, end supervise.End) {
+func (b *hostedServer) end(now time.Time, task batch.TaskID, end supervise.End) {
 	r := b.running[task]
 	delete(b.running, task)
+	b.endedAt[r.id] = now
 	b.highestEnded[task] = max(b.highestEnded[task], r.number)
 	b.endCount++
 	b.ends = append(b.ends, supervise.TaskEnd{Sequence: b.endCount, Task: task, Number: r.number, End: end})
@@ -99,8 +103,9 @@
 
 func (b *hostedServer) expire(now time.Time) {
 	if b.clock(now) > b.leaseEnd {
+		expiredAt := b.started.Add(time.Duration(float64(b.leaseEnd) / b.rate))
 		for _, task := range slices.SortedFunc(maps.Keys(b.running), batch.TaskID.Compare) {
-			b.end(task, supervise.Lost)
+			b.end(expiredAt, task, supervise.Lost)
 		}
 	}
 }
@@ -231,7 +236,7 @@
 	sim.starts++
 	sim.schedule(sim.between(20, 1500), func() {
 		if b.expire(sim.now); b.up && b.running[c.Task].id == id && b.running[c.Task].number == c.Number {
-			b.end(c.Task, supervise.Done)
+			b.end(sim.now, c.Task, supervise.Done)
 		}
 	})
 	return supervise.Accepted
@@ -278,7 +283,7 @@
 					if ok {
 						b.highestEnded[c.Task] = max(b.highestEnded[c.Task], c.Number)
 						if r, running := b.running[c.Task]; running && r.number == c.Number {
-							b.end(c.Task, supervise.Stopped)
+							b.end(sim.now, c.Task, supervise.Stopped)
 						}
 					}
 					clock := b.clock(sim.now)
@@ -342,6 +347,9 @@
 				delete(e.running, x.RunID)
 				sim.countEnd(x.RunID, x.End)
 			}
+			if x.End == supervise.Crashed && !x.Uncertain {
+				sim.checkCrash(x.RunID)
+			}
 		}
 		if r.Offered {
 			sim.endLost(e, "offered")
@@ -368,6 +376,17 @@
 	}
 }
 
+// checkCrash fails the test if a run had not been on a backend server within 100 ms before that crashed.
+func (sim *restartSimulation) checkCrash(id supervise.RunID) {
+	sim.crashes++
+	if !slices.ContainsFunc(sim.servers, func(b *hostedServer) bool {
+		endedAt, ended := b.endedAt[id]
+		return !b.up && (b.running[id.Task].id == id || (ended && b.downAt.Sub(endedAt) <= 100*time.Millisecond))
+	}) {
+		sim.fail("a crash is blamed on %v, which was not running", id)
+	}
+}
+
 func (sim *restartSimulation) sendToAgent(e *restartEntry, do func(a *agentProcess)) {
 	a, session := e.agent, e.session
 	sim.onAgent(a, sim.between(0, 3), func() {
@@ -468,7 +487,7 @@
 func (sim *restartSimulation) startServer(id string, incarnation int64, after time.Duration) *hostedServer {
 	b := &hostedServer{
 		id: id, incarnation: incarnation, started: sim.now.Add(-after), rate: 0.98 + 0.02*sim.random.Float64(), up: true,
-		running: map[batch.TaskID]hostedRun{}, highestEnded: map[batch.TaskID]int{},
+		running: map[batch.TaskID]hostedRun{}, highestEnded: map[batch.TaskID]int{}, endedAt: map[supervise.RunID]time.Time{},
 	}
 	sim.servers = append(sim.servers, b)
 	sim.announce(b)
@@ -502,7 +521,8 @@
 }
 
 func (sim *restartSimulation) end(b *hostedServer) {
-	b.up = false
+	b.expire(sim.now)
+	b.up, b.downAt = false, sim.now
 	if sim.listening == b {
 		sim.listening = nil
 	}
@@ -622,7 +642,8 @@
 	return sim
 }
 
-// Guards against a run that goes on, or starts, after its entry has counted it as ended, beside restarts on its host.
+// Guards against a run that goes on, or starts, after its entry has counted it as ended, beside restarts on its host, and
+// against a crash that is blamed on a run that had ended.
 func TestRunsEndAsCountedBesideRestarts(t *testing.T) {
 	for name, faults := range map[string]restartFaults{
 		"agents":               {agents: true},
@@ -635,15 +656,18 @@
 		"all":                  {true, true, true, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			starts, kills := 0, 0
+			starts, kills, crashes := 0, 0, 0
 			for seed := range uint64(150) {
 				sim := simulateRestarts(t, seed, faults)
-				starts, kills = starts+sim.starts, kills+sim.kills
+				starts, kills, crashes = starts+sim.starts, kills+sim.kills, crashes+sim.crashes
 			}
-			t.Logf("%d runs started, %d agents killed", starts, kills)
+			t.Logf("%d runs started, %d agents killed, %d runs blamed for a crash", starts, kills, crashes)
 			if starts < 2000 {
 				t.Errorf("%d runs started, want at least 2000", starts)
 			}
+			if faults.restarts && crashes < 100 {
+				t.Errorf("%d runs blamed for a crash, want at least 100", crashes)
+			}
 		})
 	}
 }
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -46,7 +46,7 @@
 }
 
 func (s *Supervisor) startRun(now time.Time, r *run) {
-	r.state, r.token = starting, s.token
+	r.state, r.token, r.cutAt = starting, s.token, time.Time{}
 	s.actions = append(s.actions, CallStart{
 		Server: s.server.ID, Task: r.Task, Number: r.number, Spec: r.Spec,
 		Until: s.grantLease(now), Token: s.token, Entry: r.entry,
@@ -68,6 +68,9 @@
 		s.runStarted(now, r)
 	case Unanswered:
 		r.state = unconfirmed
+		if r.restarts == 0 && c.Age(now) <= maxCutDelay {
+			r.cutAt = now
+		}
 		if r.token == s.token {
 			s.raiseToken(now)
 		}
@@ -77,7 +80,7 @@
 	case Outdated:
 		s.restart(now, r, result, r.number+runNumberStep)
 	case NotListening:
-		s.endProcess()
+		s.endProcess(now)
 		s.endRun(now, r, Refused, result.String())
 	default:
 		s.endRun(now, r, Refused, result.String())
@@ -173,7 +176,7 @@
 	s.runNumbers[r.Task] = endedRunNumber{number: r.number, endedAt: now}
 	e := RunEnd{RunID: r.RunID, End: end, Reason: reason}
 	if end == Crashed {
-		e.Unconfirmed = r.unanswered || (r.state != running && !r.crashed)
+		e = s.crashEnd(r)
 	}
 	if r.state == running {
 		e.RunTime = now.Sub(r.startedAt)
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -105,8 +105,10 @@
 // process, but requests that were sent before the agent knew of the restart may have reached the new process. They
 // are fenced, and the next Hold response shows which runs exist there.
 func (s *Supervisor) serverRestarted(now time.Time, incarnation int64, clock time.Duration) {
+	s.observeProcessEnd(now)
 	for _, r := range s.runs {
 		r.unanswered = r.state != running
+		r.mayHaveEnded = r.mayHaveEnded || r.startedAt.After(s.endsListedUntil) // the later process may have answered its start
 		r.state, r.token, r.serverRestarted, r.crashed = unconfirmed, s.token, true, !s.leaves()
 	}
 	s.server.Incarnation, s.server.Sequence = incarnation, 0
@@ -121,6 +123,7 @@
 
 // replaceServer replaces the earlier backend server. Its runs have ended with its process.
 func (s *Supervisor) replaceServer(now time.Time, server Server) {
+	s.observeProcessEnd(now)
 	end := Crashed
 	if s.leaves() {
 		end = Lost
@@ -144,7 +147,8 @@
 
 // endProcess records that the process of the backend server has ended. Its runs end with it, but a lease may still apply
 // to them at a process that only stopped listening, so they are reported when the lease has expired.
-func (s *Supervisor) endProcess() {
+func (s *Supervisor) endProcess(now time.Time) {
+	s.observeProcessEnd(now)
 	if !s.processEnded {
 		s.processEnded = true
 		s.reportAll()
@@ -253,6 +257,7 @@
 	if h.createdAt.After(s.candidateAt) && !s.left {
 		s.candidate = nil
 	}
+	s.observeList(now, h)
 	wasSilent := s.silent() || s.processEnded
 	s.processEnded = false
 	s.unansweredHolds, s.fencedHolds = 0, 0
@@ -340,6 +345,7 @@
 		return nil
 	}
 	s.endReturn()
+	s.observeCutList(now, h)
 	s.unansweredHolds++
 	if h.Token == s.token {
 		s.raiseToken(now)
@@ -364,7 +370,7 @@
 		return nil // a later call has been answered
 	}
 	s.misdirected = true
-	s.endProcess()
+	s.endProcess(now)
 	if s.candidate != nil {
 		s.applyCandidate(now)
 		return s.takeActions()
@@ -377,7 +383,7 @@
 	if !s.known || h.Server != s.server.ID {
 		return nil
 	}
-	s.endProcess()
+	s.endProcess(now)
 	return s.HoldFailed(now, h)
 }
 
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -137,6 +137,9 @@
 	Reason  string        // why the run was refused; empty unless End is Refused
 	// Unconfirmed means that the backend server crashed before it answered the start, so that the run may not have begun.
 	Unconfirmed bool `json:",omitempty"`
+	// Uncertain means that the run may not have been there when the backend server crashed: the call that started it timed
+	// out, or its end may not have been listed.
+	Uncertain bool `json:",omitempty"`
 }
 
 // Progress is the progress of a run.
@@ -285,6 +288,7 @@
 	state     runState
 	token     uint64 // of the latest start call
 	startedAt time.Time
+	cutAt     time.Time // when the connection of the start call was closed without a response; zero if it was not
 	percent   int       // in the latest list of the backend server's runs
 	listedAt  time.Time // when that list arrived
 	restarts  int
@@ -292,6 +296,7 @@
 	serverRestarted bool // the backend server restarted after the start call
 	crashed         bool // it had not announced that it would leave
 	unanswered      bool // and had not answered the start call
+	mayHaveEnded    bool // before the process of the backend server did
 	stopping        bool
 	stoppedAt       time.Time // when the first stop call was sent
 	stopSentAt      time.Time // when the latest stop call was sent
@@ -331,13 +336,15 @@
 	announcedAt          time.Time // when it was first announced or restored
 	candidate            *Server   // announced in place of server; unconfirmed
 	candidateAt          time.Time
-	known                bool // a backend server has announced itself or was restored
-	left                 bool // it has left, as announced
-	processEnded         bool // nothing listens at its address, or another process responded there
-	unansweredHolds      int  // consecutive Hold calls without a response
-	runsListed           bool // its runs were listed since this agent first saw it
-	restored             bool // known only from the state of an earlier agent; has not responded yet
-	awaitingAnnouncement bool // it restarted and has not announced its capacity and labels since
+	known                bool      // a backend server has announced itself or was restored
+	left                 bool      // it has left, as announced
+	processEnded         bool      // nothing listens at its address, or another process responded there
+	processEndedAt       time.Time // when that was noticed
+	endsListedUntil      time.Time // the ends of runs before this time have been listed
+	unansweredHolds      int       // consecutive Hold calls without a response
+	runsListed           bool      // its runs were listed since this agent first saw it
+	restored             bool      // known only from the state of an earlier agent; has not responded yet
+	awaitingAnnouncement bool      // it restarted and has not announced its capacity and labels since
 	maxCapacityAge       time.Duration
 	capacityAt           time.Time // when the capacity was that of the latest announcement; later if that is unknown
 	fencedHolds          int       // consecutive Hold calls refused because of their token
--- a/io/inner/batch_test.go
+++ b/io/inner/batch_test.go
@@ -74,7 +74,7 @@
 		}
 		job := batch.Job{ID: "job", Pool: "p", Stretch: 1.6, Steps: []batch.Step{{Count: 2, After: []int{0}, Label: "x"}}}
 		p.Forward(job)
-		crash := dispatch.Crash{Task: batch.TaskID{Job: "job", Step: 1, Index: 2}, Count: 2, Age: time.Second}
+		crash := dispatch.Crash{Task: batch.TaskID{Job: "job", Step: 1, Index: 2}, Count: 2, Uncertain: 1, Age: time.Second}
 		p.Crashes([]dispatch.Crash{crash})
 		for i := range reportCount {
 			if r := (<-entry.received).(supervise.Report); r.Clock != time.Duration(i) {
--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -32,4 +32,9 @@
 		options: options{seed: 7024, duration: 15 * time.Second, entries: 3, agents: 5},
 		cause:   "an agent started tasks within a capacity that had shrunk while the announcements were cut off",
 	},
+	{
+		options: options{seed: 42006, duration: 15 * time.Second, entries: 3, agents: 5, overlapping: true, restarts: true},
+		cause: "a job was reported as failed for two crashes, although its task had ended before one of them; the response " +
+			"that listed its end was lost",
+	},
 }
