--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -20,6 +20,7 @@
 // An announcement may come from another writer. One that names another process than the one that responds is only
 // applied once the latter no longer responds in its place.
 func (s *Supervisor) Announce(now time.Time, server Server) []Action {
+	s.noteReturn(now, server)
 	same := s.known && server.ID == s.server.ID && server.Incarnation == s.server.Incarnation
 	restarted := s.known && !same && server.ID == s.server.ID && !s.isCandidate(server)
 	switch {
@@ -125,8 +126,10 @@
 // process, but requests that were sent before the agent knew of the restart may have reached the new process. They
 // are fenced, and the next Hold response shows which runs exist there.
 func (s *Supervisor) serverRestarted(now time.Time, incarnation int64, clock time.Duration) {
+	s.observeProcessEnd(now)
 	for _, r := range s.runs {
 		r.unanswered = r.state != running
+		r.mayHaveEnded = r.mayHaveEnded || r.startedAt.After(s.endsListedUntil) // the later process may have answered its start
 		r.state, r.token, r.serverRestarted, r.crashed = unconfirmed, s.token, true, !s.leaves()
 	}
 	s.server.Incarnation, s.server.Sequence = incarnation, 0
@@ -141,6 +144,7 @@
 
 // replaceServer replaces the earlier backend server. Its runs have ended with its process.
 func (s *Supervisor) replaceServer(now time.Time, server Server) {
+	s.observeProcessEnd(now)
 	end := Crashed
 	if s.leaves() {
 		end = Lost
@@ -162,23 +166,10 @@
 	s.reportAll()
 }
 
-// Leave handles a planned exit of the backend server.
-func (s *Supervisor) Leave(id string) []Action {
-	if !s.known || s.server.ID != id {
-		return nil
-	}
-	s.leftID, s.leftIncarnation = id, s.server.Incarnation
-	s.left = true
-	s.reportAll()
-	return s.takeActions()
-}
-
-// leaves reports whether the backend server has left or has announced that it will.
-func (s *Supervisor) leaves() bool { return s.left || s.server.Leaving }
-
 // endProcess records that the process of the backend server has ended. Its runs end with it, but a lease may still apply
 // to them at a process that only stopped listening, so they are reported when the lease has expired.
-func (s *Supervisor) endProcess() {
+func (s *Supervisor) endProcess(now time.Time) {
+	s.observeProcessEnd(now)
 	if !s.processEnded {
 		s.processEnded = true
 		s.reportAll()
@@ -244,7 +235,7 @@
 // NextHold returns the next call that renews the lease, or false if there is no backend server. After it has left, the
 // call only shows whether its successor responds. The wait is how long the response may be delayed, at most HoldWait.
 func (s *Supervisor) NextHold(now time.Time, wait time.Duration) (Hold, bool) {
-	if !s.known || (s.left && s.candidate == nil) {
+	if !s.known || (s.left && s.candidate == nil && !s.mayReturn(now)) {
 		return Hold{}, false
 	}
 	return s.newHold(now, min(wait, HoldWait)), true
@@ -288,6 +279,7 @@
 		}
 		return s.takeActions()
 	}
+	s.returnFromLeave(now, h)
 	s.responded, s.misdirected = true, false
 	if h.createdAt.After(s.answeredAt) {
 		s.answeredAt = h.createdAt
@@ -295,6 +287,7 @@
 	if h.createdAt.After(s.candidateAt) && !s.left {
 		s.candidate = nil
 	}
+	s.observeList(now, h)
 	wasSilent := s.silent() || s.processEnded
 	s.processEnded = false
 	s.unansweredHolds, s.fencedHolds = 0, 0
@@ -381,6 +374,8 @@
 	if !s.known || h.Server != s.server.ID {
 		return nil
 	}
+	s.endReturn()
+	s.observeCutList(now, h)
 	s.unansweredHolds++
 	if h.Token == s.token {
 		s.raiseToken(now)
@@ -408,7 +403,7 @@
 		return nil // a later call has been answered
 	}
 	s.misdirected = true
-	s.endProcess()
+	s.endProcess(now)
 	if s.candidate != nil {
 		s.applyCandidate(now)
 		return s.takeActions()
@@ -421,7 +416,7 @@
 	if !s.known || h.Server != s.server.ID {
 		return nil
 	}
-	s.endProcess()
+	s.endProcess(now)
 	h.retries = 0
 	return s.HoldFailed(now, h)
 }
--- a/io/inner/batch_test.go
+++ b/io/inner/batch_test.go
@@ -87,7 +87,7 @@
 		p.Forward(job, 3)
 		p.WithdrawJob("job", 3, false)
 		p.JobWithdrawn("job", 3)
-		crash := dispatch.Crash{Task: batch.TaskID{Job: "job", Step: 1, Index: 2}, Count: 2, Age: time.Second}
+		crash := dispatch.Crash{Task: batch.TaskID{Job: "job", Step: 1, Index: 2}, Count: 2, Uncertain: 1, Age: time.Second}
 		p.Crashes([]dispatch.Crash{crash})
 		for i := range reportCount {
 			if r := (<-entry.received).(supervise.Report); r.Clock != time.Duration(i) {
