Do not count a crash against a run whose end another agent acknowledged

While an agent drains, its successor on the host may list and acknowledge the ends of its runs, so that the draining one never learns of them. Such a run counts as uncertain.

--- a/batchentry/crash_test.go
+++ b/batchentry/crash_test.go
@@ -78,7 +78,7 @@
 		p.Load(fakePeerLoad())
 		time.Sleep(10 * time.Millisecond)
 		refusal := batch.NotRun{Reason: batch.Crashes, RetryAfter: time.Minute}
-		time.AfterFunc(10*time.Millisecond, func() { p.ForwardOutcome("job", refusal) })
+		time.AfterFunc(10*time.Millisecond, func() { p.ForwardOutcome("job", 1, refusal) })
 		if o := s.entries["entry-1"].Submit(s.t.Context(), newJob("job", 4, time.Second)); o != refusal {
 			s.t.Errorf("got %s %+v", batch.OutcomeName(o), o)
 		}
--- a/core/supervise/crash.go
+++ b/core/supervise/crash.go
@@ -39,7 +39,7 @@
 	}
 	s.processEndedAt = now
 	for _, r := range s.runs {
-		r.mayHaveEnded = now.Sub(s.endsListedUntil) > maxListGap
+		r.mayHaveEnded = r.endMissed || now.Sub(s.endsListedUntil) > maxListGap
 	}
 }
 
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -349,6 +349,9 @@
 	wasOrphaned := s.hasOrphans(now)
 	s.unknownRuns = unknown
 	for _, r := range s.sortedRuns() {
+		if r.state == running && !present[r.Task] && h.createdAt.After(r.startedAt) {
+			r.endMissed = true // acknowledged by another agent process on the host
+		}
 		// Only a list made under a higher token than that of the unanswered start is conclusive.
 		if r.state != unconfirmed || h.Token <= r.token {
 			continue
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -307,6 +307,7 @@
 	serverRestarted bool // the backend server restarted after the start call
 	crashed         bool // it had not announced that it would leave
 	unanswered      bool // and had not answered the start call
+	endMissed       bool // a list had neither the run nor its end
 	mayHaveEnded    bool // before the process of the backend server did
 	stopping        bool
 	stoppedAt       time.Time // when the first stop call was sent
