Hold resubmitted jobs for as long as their runs can last

Cause: an entry that has lost another one held jobs that were submitted again for the longest lease after the limit of their runs.

--- a/batchentry/withdrawal.go
+++ b/batchentry/withdrawal.go
@@ -12,8 +12,7 @@
 // maxWithdrawnRun is how long the runs of a withdrawn forward may continue after the latest load that this entry received
 // from the other one, whatever that one receives. Before the withdrawal, this entry cannot have echoed a later clock
 // reading, so the limit of the runs is at most forwardedJobLease and runLimitSlack after it.
-const maxWithdrawnRun = forwardedJobLease + runLimitSlack +
-	supervise.ServerLease + supervise.ServerLease*3/100 + supervise.StopTime
+const maxWithdrawnRun = forwardedJobLease + runLimitSlack + supervise.MaxRunAfterLimit
 
 // withdrawal is a forward that this entry has withdrawn, and whose runs may still exist.
 type withdrawal struct {
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -82,6 +82,9 @@
 // lease cover maxClockDrift.
 const MaxRunAfterAgentExit = maxServerLease + maxServerLease*3/100 + StopTime + clockSlack
 
+// MaxRunAfterLimit is how long a run may continue after its limit, whichever stops are lost. The 3 % cover maxClockDrift.
+const MaxRunAfterLimit = stopWindow + stopWindow*3/100 + StopTime
+
 // MaxRunAfterAgentLoss is how long the runs of an agent may continue after its last message, if the agent cannot be
 // reached.
 const MaxRunAfterAgentLoss = SessionLease + MaxRunAfterAgentExit
