--- a/batchentry/chain_test.go
+++ b/batchentry/chain_test.go
@@ -74,7 +74,7 @@
 							s.t.Fatalf("%d runs in progress, want 4", n)
 						}
 						for _, b := range s.backends {
-							b.loseStops = loseStops
+							b.loseStops.Store(loseStops)
 						}
 						began := time.Now()
 						c.fail(s, from, to, leave)
@@ -110,7 +110,7 @@
 					o.exchangeLoads(s, p, 1, true)
 					time.Sleep(time.Duration(7*phase) * time.Millisecond)
 					latest := <-o.loads
-					s.backends["agent-1"].loseStops = loseStops
+					s.backends["agent-1"].loseStops.Store(loseStops)
 					// The origin answers its callers once it has received nothing for connectionTimeout and a tick.
 					told := time.Now().Add(500 * time.Millisecond)
 					for s.liveRunCount() > 0 && time.Since(told) < 5*time.Second {
@@ -142,7 +142,7 @@
 				latest := <-o.loads
 				left := time.Now() // the entry that took the job has just looked whether its caller is there
 				l := inner.EntryLoad{Session: 1, Clock: time.Duration(left.UnixNano()), Echo: latest.Clock}
-				s.backends["agent-1"].loseStops = true
+				s.backends["agent-1"].loseStops.Store(true)
 				time.Sleep(late)
 				p.Load(l)
 				for s.liveRunCount() > 0 && time.Since(left) < 5*time.Second {
@@ -165,7 +165,7 @@
 		var closed atomic.Bool
 		go s.entries["entry-1"].Entry.Submit(ctx, newJob("job", 4, 8*time.Second), func() bool { return !closed.Load() })
 		time.Sleep(time.Second)
-		s.backends["agent-1"].loseStops = true
+		s.backends["agent-1"].loseStops.Store(true)
 		left := time.Now()
 		closed.Store(true)
 		time.Sleep(450 * time.Millisecond)
@@ -223,7 +223,7 @@
 						s.t.Fatalf("%d runs in progress, want 4", n)
 					}
 					for agent, b := range s.backends {
-						b.loseStops = true
+						b.loseStops.Store(true)
 						s.network.SetStalled(to, agent, silent < 0)
 					}
 					for s.liveRunCount() > 0 && time.Since(timedOut) < 5*time.Second {
@@ -262,7 +262,7 @@
 			leave()
 			keepSession(p, time.Second+time.Duration(11*phase)*time.Millisecond)
 			began := time.Now() // the origin is silent, and its caller has left
-			s.backends["agent-1"].loseStops = true
+			s.backends["agent-1"].loseStops.Store(true)
 			time.Sleep(450 * time.Millisecond)
 			s.network.SetStalled("entry-1", "entry-2", true)
 			for s.liveRunCount() > 0 && time.Since(began) < 5*time.Second {
--- a/batchentry/new_process_test.go
+++ b/batchentry/new_process_test.go
@@ -63,7 +63,7 @@
 	} {
 		runSite(t, c.entries, c.entries, func(s *testSite) {
 			for _, b := range s.backends {
-				b.loseStops = true
+				b.loseStops.Store(true)
 			}
 			ctx, leave := context.WithCancel(s.t.Context())
 			defer leave()
--- a/batchentry/resubmission_test.go
+++ b/batchentry/resubmission_test.go
@@ -103,7 +103,7 @@
 func TestResubmissionWhileStopsAreLost(t *testing.T) {
 	runSite(t, 2, 4, func(s *testSite) {
 		for _, b := range s.backends {
-			b.loseStops = true
+			b.loseStops.Store(true)
 		}
 		ctx, leave := context.WithTimeout(s.t.Context(), 200*time.Millisecond)
 		defer leave()
@@ -121,7 +121,7 @@
 func TestResubmissionIsNotForwardedBesideRuns(t *testing.T) {
 	runSite(t, 2, 2, func(s *testSite) {
 		for _, b := range s.backends {
-			b.loseStops = true
+			b.loseStops.Store(true)
 		}
 		ctx, leave := context.WithTimeout(s.t.Context(), 200*time.Millisecond)
 		defer leave()
@@ -142,7 +142,7 @@
 		p.Load(fakePeerLoad())
 		p.Forward(newJob("job", 4, 8*time.Second), 1)
 		time.Sleep(50 * time.Millisecond)
-		s.backends["agent-1"].loseStops = true
+		s.backends["agent-1"].loseStops.Store(true)
 		p.WithdrawJob("job", 1, false)
 		go s.entries["entry-1"].Stop(s.t.Context())
 		time.Sleep(10 * time.Millisecond)
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -164,7 +164,7 @@
 	down      bool
 	announce  func()
 	loseHolds int // one in so many Hold calls gets no response; none if 0
-	loseStops bool
+	loseStops atomic.Bool
 	holds     int
 	endSignal chan struct{}
 	overlaps  *overlapRecorder
@@ -265,7 +265,7 @@
 
 func (b *backend) Stop(ctx context.Context, c supervise.CallStop) (bool, time.Duration) {
 	b.mu.Lock()
-	if b.loseStops {
+	if b.loseStops.Load() {
 		b.mu.Unlock()
 		<-ctx.Done()
 		b.mu.Lock()
--- a/batchentry/withdrawal_test.go
+++ b/batchentry/withdrawal_test.go
@@ -101,7 +101,7 @@
 		keepSession(p, time.Second)
 		p.Forward(newJob("job", 4, 8*time.Second), 1)
 		keepSession(p, time.Second)
-		s.backends["agent-1"].loseStops = true
+		s.backends["agent-1"].loseStops.Store(true)
 		p.WithdrawJob("job", 1, false)
 		p.WithdrawJob("unknown", 2, false)
 		p.WithdrawJob("unknown", 0, false)
@@ -161,7 +161,7 @@
 		p.Load(inner.EntryLoad{Session: 1})
 		ctx, leave := context.WithTimeout(s.t.Context(), 100*time.Millisecond)
 		defer leave()
-		s.backends["agent-1"].loseStops = true
+		s.backends["agent-1"].loseStops.Store(true)
 		s.entries["entry-1"].Submit(ctx, newJob("job", 8, 8*time.Second))
 		p.Load(fakePeerLoad())
 		time.Sleep(10 * time.Millisecond)
