--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -12,8 +12,9 @@
 
 // cases are the scripted cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(*site) (broken bool, err error){
-	"cancel":  cancelCase,
-	"suspend": suspendCase,
+	"suspend":  suspendCase,
+	"reborn":   rebornCase,
+	"capacity": capacityCase,
 }
 
 func main() {
@@ -51,8 +52,5 @@
 	return broken, err
 }
 
-// Reasons why a case could not run.
-var (
-	errNoAck   = errors.New("the cancelling was not acknowledged")
-	errNoOrder = errors.New("no task was started on the minion")
-)
+// errNoOrder is the reason why a case could not run.
+var errNoOrder = errors.New("no task was started on the minion")
--- a/review/_stand2/minion.go
+++ b/review/_stand2/minion.go
@@ -65,6 +65,22 @@
 	// later. It is called with mu held.
 	delayStart func(task string) time.Duration
 	closed     bool
+	capacity   int
+	ignores    bool // it starts whatever it is told to, also beyond its capacity
+	mute       bool // its heartbeats do not reach the control address
+	crashed    bool
+	address    string
+	server     *http.Server
+	over       []overload
+	shrunkAt   time.Time
+	beatSoon   chan time.Duration // the next heartbeat is sent so much later
+}
+
+// overload is a start beyond the capacity.
+type overload struct {
+	at   time.Time
+	task string
+	used int
 }
 
 type minionRun struct {
@@ -86,18 +102,12 @@
 	m := &minion{
 		name: fmt.Sprintf("minion-%d", number), id: fmt.Sprintf("i-%08x", 0x7f3a91c0+number),
 		control: s.address(sideHosts, number, controlPort), record: s.record, born: time.Now(),
-		runs: map[string]*minionRun{}, highest: map[string]int{}, changed: make(chan struct{}),
+		runs: map[string]*minionRun{}, highest: map[string]int{}, changed: make(chan struct{}), capacity: minionCPU,
+		address: s.address(sideHosts, number, appPort), beatSoon: make(chan time.Duration, 1),
 	}
-	listener, err := net.Listen("tcp", s.address(sideHosts, number, appPort))
-	if err != nil {
+	if err := m.listen(); err != nil {
 		return nil, err
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /api/run-start", m.handle(m.start))
-	mux.HandleFunc("POST /api/run-stop", m.handle(m.stop))
-	mux.HandleFunc("POST /api/hold", m.hold)
-	server := &http.Server{Handler: mux}
-	go func() { _ = server.Serve(listener) }()
 	done := make(chan struct{})
 	go m.tick(done)
 	go m.beats(done)
@@ -106,11 +116,81 @@
 		m.closed = true
 		m.mu.Unlock()
 		close(done)
-		_ = server.Close()
+		_ = m.server.Close()
 	})
 	return m, nil
 }
 
+func (m *minion) listen() error {
+	listener, err := net.Listen("tcp", m.address)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /api/run-start", m.handle(m.start))
+	mux.HandleFunc("POST /api/run-stop", m.handle(m.stop))
+	mux.HandleFunc("POST /api/hold", m.hold)
+	server := &http.Server{Handler: mux}
+	m.server = server
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// crash ends the minion and all its runs. It is dark then: calls get no answer, and no connection is reset.
+func (m *minion) crash() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.record.add("%s: crashes, and is dark", m.name)
+	for task := range m.runs {
+		m.end(task, "crashed")
+	}
+	m.crashed = true
+}
+
+// restart starts the minion again under the ID that it had. It knows nothing of before, and its counts start anew. Its
+// first heartbeat is sent after the given time.
+func (m *minion) restart(firstBeat time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.crashed, m.born, m.lost, m.seq, m.token, m.leaseEnd, m.sequence = false, time.Now(), 0, 0, 0, 0, 0
+	m.highest, m.ended = map[string]int{}, nil
+	m.record.add("%s: starts again as %s", m.name, m.id)
+	m.beatSoon <- firstBeat
+}
+
+// shrink changes the capacity. The heartbeats show it.
+func (m *minion) shrink(cpu int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.capacity, m.shrunkAt = cpu, time.Now()
+	m.record.add("%s: its capacity is %d from now on", m.name, cpu)
+}
+
+// awaitBeat waits until the minion has just sent a heartbeat.
+func (m *minion) awaitBeat() {
+	m.mu.Lock()
+	seq := m.seq
+	m.mu.Unlock()
+	for {
+		m.mu.Lock()
+		sent := m.seq > seq
+		m.mu.Unlock()
+		if sent {
+			time.Sleep(50 * time.Millisecond)
+			return
+		}
+		time.Sleep(resolution)
+	}
+}
+
+// setMute sets whether the heartbeats get lost.
+func (m *minion) setMute(mute bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mute = mute
+	m.record.add("%s: cut off from its control address: %v", m.name, mute)
+}
+
 // clock is the reading of the steady clock. It is called with mu held.
 func (m *minion) clock() time.Duration {
 	now := time.Now()
@@ -192,20 +272,27 @@
 		m.seq++
 		body, _ := json.Marshal(map[string]any{
 			"service": service, "address": "minion", "zone": zones[0], "version": "v1", "slots": 8, "state": "ready",
-			"cold_remaining_ms": 0, "capacity": map[string]int{"cpu": minionCPU, "mem_mb": minionMemory, "gpu": 0},
+			"cold_remaining_ms": 0, "capacity": map[string]int{"cpu": m.capacity, "mem_mb": minionMemory, "gpu": 0},
 			"labels": []string{"a", "r1-1"}, "clock_ms": m.clock().Milliseconds(), "seq_no": m.seq, "born": m.born.UnixMilli(),
 		})
+		silent, wait, shown := m.mute || m.crashed, beat, m.capacity
 		m.mu.Unlock()
-		request, _ := http.NewRequest(http.MethodPut, "http://"+m.control+"/api/instances/"+m.id, bytes.NewReader(body))
-		wait := beat
-		if response, err := client.Do(request); err != nil {
-			wait = 300 * time.Millisecond
-		} else {
-			_ = response.Body.Close()
+		if !silent {
+			request, _ := http.NewRequest(http.MethodPut, "http://"+m.control+"/api/instances/"+m.id, bytes.NewReader(body))
+			if response, err := client.Do(request); err != nil {
+				wait = 300 * time.Millisecond
+			} else {
+				_ = response.Body.Close()
+				if shown != minionCPU {
+					m.record.add("%s: a heartbeat with the capacity %d is acknowledged with %d", m.name, shown, response.StatusCode)
+				}
+			}
 		}
 		select {
 		case <-done:
 			return
+		case soon := <-m.beatSoon:
+			time.Sleep(soon)
 		case <-time.After(wait):
 		}
 	}
@@ -248,6 +335,11 @@
 			return
 		}
 		m.await()
+		if m.crashed {
+			m.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
 		if id := r.Header.Get("X-Dogwoodglade-Expect-Instance"); id != "" && id != m.id {
 			m.mu.Unlock()
 			w.WriteHeader(http.StatusMisdirectedRequest)
@@ -261,6 +353,10 @@
 				time.AfterFunc(delay, func() {
 					m.await()
 					defer m.mu.Unlock()
+					if m.crashed {
+						m.record.add("%s: the late order for %s run %d finds no process", m.name, o.Task, o.Run)
+						return
+					}
 					status, a := do(o, true)
 					m.record.add("%s: the late order for %s run %d is carried out at %d ms: %d %s", m.name, o.Task, o.Run,
 						m.clock().Milliseconds(), status, a.Reason)
@@ -310,8 +406,11 @@
 	for _, r := range m.runs {
 		used += r.cpu
 	}
-	if used+w.CPU > minionCPU {
-		return http.StatusConflict, m.reply("room")
+	if used+w.CPU > m.capacity {
+		if !m.ignores {
+			return http.StatusConflict, m.reply("room")
+		}
+		m.over = append(m.over, overload{time.Now(), o.Task, used + w.CPU})
 	}
 	x := &span{minion: m.name, task: o.Task, number: o.Run, start: time.Now(), late: late}
 	m.spans = append(m.spans, x)
@@ -350,6 +449,12 @@
 		return
 	}
 	m.await()
+	if m.crashed {
+		m.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
+	born := m.born
 	if id := r.Header.Get("X-Dogwoodglade-Expect-Instance"); id != "" && id != m.id {
 		m.mu.Unlock()
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -368,7 +473,7 @@
 		m.ended = m.ended[1:]
 	}
 	end := time.Now().Add(time.Duration(o.WaitMS) * time.Millisecond)
-	for len(m.ended) == 0 && time.Now().Before(end) && !m.closed {
+	for len(m.ended) == 0 && time.Now().Before(end) && !m.closed && !m.crashed {
 		changed := m.changed
 		m.mu.Unlock()
 		select {
@@ -379,6 +484,11 @@
 		}
 		m.await()
 	}
+	if m.crashed || m.born != born {
+		m.mu.Unlock()
+		<-r.Context().Done() // the process that got the call has ended
+		return
+	}
 	a := m.reply("")
 	a.Running, a.Ended = [][]any{}, [][]any{}
 	for task, x := range m.runs {
--- a/review/_stand2/site.go
+++ b/review/_stand2/site.go
@@ -43,8 +43,7 @@
 
 // Bounds of the small deployments (SYSTEM.md).
 const (
-	contact  = 3 * time.Second
-	cancelMS = 3 * time.Second
+	contact = 3 * time.Second
 )
 
 // job limits of the route, far above what the cases need.
