Add review case 9: the first announcement of a new minion has no age

Cause: the age of an announcement counts from the agent's estimate of the minion's clock, and the first announcement sets that estimate.

--- a/review/_stand2/capacity.go
+++ b/review/_stand2/capacity.go
@@ -17,7 +17,6 @@
 		shrunk = 8000
 		cut    = 5 * time.Second
 		killAt = 4300 * time.Millisecond
-		slack  = 250 * time.Millisecond // so that the result does not hang on a few milliseconds
 	)
 	for number := 1; number <= 2; number++ {
 		if _, err := s.startFront(number); err != nil {
@@ -42,17 +41,8 @@
 	if err := s.awaitServing(1, 2); err != nil {
 		return false, err
 	}
-	ctx, stop := context.WithCancel(context.Background())
+	stop := s.load()
 	defer stop()
-	go func() { // about four fifths of what the minions can do, before one of them shrinks
-		w := workload{MS: []int{800}, CPU: 3100}
-		for n := 0; ctx.Err() == nil; n++ {
-			s.submit(ctx, s.front(1+n%2), fmt.Sprintf("%08x%08x", 0xc0000000, n), 10*time.Second, job{
-				Spec: w.spec(), BestEffort: true, Steps: []step{{Count: 4, CPU: 3100, MemMB: 64, EstimateMS: 800}},
-			})
-			time.Sleep(80 * time.Millisecond)
-		}
-	}()
 	time.Sleep(2 * time.Second)
 	m, agent, trouble := minions[0], agents[0], os.Getenv("TROUBLE")
 	if s.trouble {
@@ -78,6 +68,28 @@
 		m.setMute(false)
 	}
 	time.Sleep(4 * time.Second)
+	return s.judgeCapacity(m, shrunk), nil
+}
+
+// load hands in jobs until the returned function is called: about four fifths of what five minions can do.
+func (s *site) load() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		w := workload{MS: []int{800}, CPU: 3100}
+		for n := 0; ctx.Err() == nil; n++ {
+			s.submit(ctx, s.front(1+n%2), fmt.Sprintf("%08x%08x", 0xc0000000, n), 10*time.Second, job{
+				Spec: w.spec(), BestEffort: true, Steps: []step{{Count: 4, CPU: 3100, MemMB: 64, EstimateMS: 800}},
+			})
+			time.Sleep(80 * time.Millisecond)
+		}
+	}()
+	return cancel
+}
+
+// judgeCapacity reports whether a start brought a minion over its capacity when the shrunk one counted. A quarter of a
+// second is added, so that the result does not hang on a few milliseconds.
+func (s *site) judgeCapacity(m *minion, shrunk int) bool {
+	const slack = 250 * time.Millisecond
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	counts := m.shrunkAt.Add(contact + beat + slack)
@@ -90,5 +102,55 @@
 		}
 	}
 	s.record.add("%d starts beyond the capacity later than %v after the shrinking", broken, contact+beat+slack)
-	return broken > 0, nil
+	return broken > 0
+}
+
+// firstBeatCase: a machine with a minion is added. The minion is cut off from its agent for 5 s right after it has sent
+// its first heartbeat, and its capacity shrinks at the beginning of the cut. LIMIT: contact_ms and one heartbeat interval
+// after the shrinking no start brings the minion over its capacity.
+func firstBeatCase(s *site) (bool, error) {
+	const (
+		sides  = 5
+		shrunk = 8000
+		cut    = 5 * time.Second
+	)
+	for number := 1; number <= 2; number++ {
+		if _, err := s.startFront(number); err != nil {
+			return false, err
+		}
+	}
+	for number := 1; number <= sides; number++ {
+		if number < sides {
+			m, err := newMinion(s, number)
+			if err != nil {
+				return false, err
+			}
+			m.ignores = true
+		}
+		if _, err := s.startSide(number, number%2); err != nil {
+			return false, err
+		}
+	}
+	if err := s.awaitServing(1, 2); err != nil {
+		return false, err
+	}
+	stop := s.load()
+	defer stop()
+	time.Sleep(2 * time.Second)
+	held := time.Duration(0)
+	if s.trouble {
+		held = cut
+	}
+	s.record.add("minion-%d is added", sides)
+	m, err := newCutMinion(s, sides, held)
+	if err != nil {
+		return false, err
+	}
+	m.mu.Lock()
+	m.ignores = true
+	m.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	m.shrink(shrunk)
+	time.Sleep(cut + 4*time.Second)
+	return s.judgeCapacity(m, shrunk), nil
 }
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -15,6 +15,7 @@
 	"suspend":  suspendCase,
 	"reborn":   rebornCase,
 	"capacity": capacityCase,
+	"first":    firstBeatCase,
 }
 
 func main() {
--- a/review/_stand2/minion.go
+++ b/review/_stand2/minion.go
@@ -66,8 +66,9 @@
 	delayStart func(task string) time.Duration
 	closed     bool
 	capacity   int
-	ignores    bool // it starts whatever it is told to, also beyond its capacity
-	mute       bool // its heartbeats do not reach the control address
+	ignores    bool      // it starts whatever it is told to, also beyond its capacity
+	mute       bool      // its heartbeats do not reach the control address
+	heldUntil  time.Time // its first heartbeat is held up by a cut until then, and the next ones until then are lost
 	crashed    bool
 	address    string
 	server     *http.Server
@@ -98,13 +99,19 @@
 	how  string
 }
 
-func newMinion(s *site, number int) (*minion, error) {
+func newMinion(s *site, number int) (*minion, error) { return newCutMinion(s, number, 0) }
+
+// newCutMinion starts a minion that is cut off from its control address right after it has sent its first heartbeat.
+func newCutMinion(s *site, number int, cut time.Duration) (*minion, error) {
 	m := &minion{
 		name: fmt.Sprintf("minion-%d", number), id: fmt.Sprintf("i-%08x", 0x7f3a91c0+number),
 		control: s.address(sideHosts, number, controlPort), record: s.record, born: time.Now(),
 		runs: map[string]*minionRun{}, highest: map[string]int{}, changed: make(chan struct{}), capacity: minionCPU,
 		address: s.address(sideHosts, number, appPort), beatSoon: make(chan time.Duration, 1),
 	}
+	if cut > 0 {
+		m.heldUntil = m.born.Add(cut)
+	}
 	if err := m.listen(); err != nil {
 		return nil, err
 	}
@@ -276,16 +283,17 @@
 			"labels": []string{"a", "r1-1"}, "clock_ms": m.clock().Milliseconds(), "seq_no": m.seq, "born": m.born.UnixMilli(),
 		})
 		silent, wait, shown := m.mute || m.crashed, beat, m.capacity
+		if time.Now().Before(m.heldUntil) {
+			silent = true
+			if m.seq == 1 {
+				m.record.add("%s: the first heartbeat, with the capacity %d, is held up", m.name, shown)
+				time.AfterFunc(time.Until(m.heldUntil), func() { m.deliver(client, body, shown) })
+			}
+		}
 		m.mu.Unlock()
 		if !silent {
-			request, _ := http.NewRequest(http.MethodPut, "http://"+m.control+"/api/instances/"+m.id, bytes.NewReader(body))
-			if response, err := client.Do(request); err != nil {
+			if !m.deliver(client, body, shown) {
 				wait = 300 * time.Millisecond
-			} else {
-				_ = response.Body.Close()
-				if shown != minionCPU {
-					m.record.add("%s: a heartbeat with the capacity %d is acknowledged with %d", m.name, shown, response.StatusCode)
-				}
 			}
 		}
 		select {
@@ -298,6 +306,20 @@
 	}
 }
 
+// deliver sends a heartbeat. It reports whether there was an answer.
+func (m *minion) deliver(client *http.Client, body []byte, shown int) bool {
+	request, _ := http.NewRequest(http.MethodPut, "http://"+m.control+"/api/instances/"+m.id, bytes.NewReader(body))
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	if shown != minionCPU || !m.heldUntil.IsZero() {
+		m.record.add("%s: a heartbeat with the capacity %d is answered with %d", m.name, shown, response.StatusCode)
+	}
+	return true
+}
+
 type order struct {
 	Task         string `json:"task"`
 	Run          int    `json:"run"`
