--- a/review/_stand2/client.go
+++ b/review/_stand2/client.go
@@ -89,7 +89,8 @@
 			return fmt.Errorf("front %d does not serve", number)
 		}
 	}
-	time.Sleep(contact) // all machines are in touch
+	// All machines are in touch then, and the agents have settled: in the first seconds some change their entry.
+	time.Sleep(2 * contact)
 	return nil
 }
 
