Bound the age of saved and first capacities, and correct clock estimates that are ahead

Change: the clock reading of each response gives the least age of the capacity. The estimate counts at most 100 ms of a pause between two events, and a response whose reading is below what the estimate allows replaces it. Where the configuration says that the backend servers refuse what does not fit, the age is ignored, so that a restarted agent does not wait for an announcement; the home tells the agent in its keep-alives.

--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -12,6 +12,7 @@
 	"context"
 	"crypto/rand"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -139,6 +140,7 @@
 	peer            *inner.Peer
 	lastReport      time.Time
 	agentClock      time.Duration // the agent's clock in its latest report; 0 before the first one
+	pool            string        // of its backend server
 	sentListVersion int           // version of the list of entries that was last sent
 }
 
@@ -398,7 +400,9 @@
 // sendKeepAlive extends the session of an agent. The expiry is relative to the agent's clock in its latest report, so
 // that a delayed message does not extend the session.
 func (e *Entry) sendKeepAlive(a *agentSession) {
-	k := inner.KeepAlive{Draining: e.releasingAgents}
+	k := inner.KeepAlive{
+		Draining: e.releasingAgents, RefusesOverload: slices.Contains(e.config.RefusingPools, a.pool),
+	}
 	if a.agentClock > 0 {
 		k.Until = a.agentClock + supervise.SessionLease
 		for _, id := range e.dispatcher.JobsOn(a.peer.Name) {
@@ -480,7 +484,7 @@
 	}
 	now := e.options.Now()
 	first := a.agentClock == 0
-	a.lastReport, a.agentClock = now, r.Clock
+	a.lastReport, a.agentClock, a.pool = now, r.Clock, r.Server.Pool
 	if first {
 		e.dropDepartedCallers()
 		// The agent accepts starts once its session has been confirmed.
--- a/core/site/site.go
+++ b/core/site/site.go
@@ -32,8 +32,10 @@
 	Version uint64
 	Routes  []Route
 	Pools   []pool.Pool
-	Skipped int // number of routes and pools that could not be decoded
-	Limits  Limits
+	// RefusingPools names the pools whose backend servers refuse runs beyond their capacity.
+	RefusingPools []string
+	Skipped       int // number of routes and pools that could not be decoded
+	Limits        Limits
 }
 
 // Newer returns the candidate and true if it has a higher version than c, and c and false otherwise.
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -60,7 +60,7 @@
 // StartAnswered processes the result of a CallStart. The clock is the reading in the response, or zero if it had none.
 func (s *Supervisor) StartAnswered(now time.Time, c CallStart, result StartResult, clock time.Duration) []Action {
 	if clock > 0 && s.isFor(c.Server, c.incarnation) {
-		s.observeClock(now, clock)
+		s.observeAnswer(now, c.createdAt, clock)
 	}
 	r := c.run
 	if s.runs[r.Task] != r || r.number != c.Number || r.token != c.Token || r.state != starting {
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -136,7 +136,7 @@
 	s.responded, s.misdirected, s.announcedAt = false, false, now
 	s.left, s.processEnded, s.runsListed, s.awaitingAnnouncement = false, false, false, true
 	s.unansweredHolds, s.lastEndSequence, s.listClock = 0, 0, 0
-	s.clock, s.clockAt = clock, now
+	s.clock, s.clockAt, s.activeAt = clock, now, now
 	s.raiseToken(now)
 	s.listToken = s.token
 	s.reportAll()
@@ -158,7 +158,7 @@
 	s.responded, s.misdirected, s.announcedAt, s.capacityAt, s.candidate = false, false, now, now, nil
 	s.known, s.left, s.processEnded, s.runsListed = true, false, false, false
 	s.unansweredHolds, s.lastEndSequence, s.listClock = 0, 0, 0
-	s.clock, s.clockAt = server.Clock, now
+	s.clock, s.clockAt, s.activeAt = server.Clock, now, now
 	s.leasesEndBy, s.leaseUntil = now, now
 	// The token need not be stored: an earlier agent on the host used none above its clock.
 	s.token = hostToken(now)
@@ -191,17 +191,49 @@
 // observeClock updates the estimate of the backend server's clock with a reading. The clock has advanced since the
 // reading was taken, so the estimate is never ahead of the clock by more than its error from clock drift.
 func (s *Supervisor) observeClock(now time.Time, reading time.Duration) {
+	s.noteTime(now)
 	if reading > s.serverClock(now) {
 		s.clock, s.clockAt = reading, now
 	}
+	if s.awaitingAnnouncement {
+		return
+	}
+	// An announcement that was delayed or restored is older than its arrival.
+	if at := now.Add(s.server.Clock - reading); at.Before(s.capacityAt) {
+		s.capacityAt = at
+	}
 }
 
+// observeAnswer updates the estimate with the reading in the response to a call. It also corrects an estimate that is
+// ahead: the clock cannot have advanced by more than the time since the call was made.
+func (s *Supervisor) observeAnswer(now, calledAt time.Time, reading time.Duration) {
+	s.noteTime(now)
+	if latest := reading + withDrift(now.Sub(calledAt)); s.serverClock(now) > latest {
+		s.clock, s.clockAt = reading, now
+	}
+	s.observeClock(now, reading)
+}
+
+// noteTime records that the supervisor is at work. The clock of the backend server stops while the host is suspended, and
+// the agent's does not, so only maxStep of a longer pause counts for the estimate. After a pause of the agent alone, the
+// estimate is too low until the next response.
+func (s *Supervisor) noteTime(now time.Time) {
+	s.clockAt = s.clockAt.Add(s.pause(now))
+	s.activeAt = now
+}
+
+// pause returns by how much the time since the supervisor was last at work exceeds maxStep.
+func (s *Supervisor) pause(now time.Time) time.Duration { return max(now.Sub(s.activeAt)-maxStep, 0) }
+
 // serverClock estimates the backend server's clock from below.
 func (s *Supervisor) serverClock(now time.Time) time.Duration {
-	elapsed := now.Sub(s.clockAt)
+	elapsed := now.Sub(s.clockAt) - s.pause(now)
 	return s.clock + elapsed - time.Duration(float64(elapsed)*maxClockDrift)
 }
 
+// withDrift returns by how much the clock of a backend server advances at most in a time on the agent's clock.
+func withDrift(d time.Duration) time.Duration { return d + time.Duration(float64(d)*maxClockDrift) }
+
 // grantLease returns the end of a lease granted now, on the backend server's clock. A run outlives its limit by at most
 // stopWindow, even if no stop reaches the backend server.
 func (s *Supervisor) grantLease(now time.Time) time.Duration {
@@ -291,7 +323,7 @@
 	wasSilent := s.silent() || s.processEnded
 	s.processEnded = false
 	s.unansweredHolds, s.fencedHolds = 0, 0
-	s.observeClock(now, response.Clock)
+	s.observeAnswer(now, h.createdAt, response.Clock)
 	for _, e := range response.Ended {
 		s.taskEnded(now, e)
 	}
@@ -436,7 +468,7 @@
 	if !s.known || !s.isFor(h.Server, h.incarnation) {
 		return nil
 	}
-	s.observeClock(now, clock)
+	s.observeAnswer(now, h.createdAt, clock)
 	if h.Token == s.token {
 		// The response does not include the higher token. Agents of earlier versions took it from the clock of the backend
 		// server; after a restart of the server it may be far ahead of that too.
--- a/core/supervise/session.go
+++ b/core/supervise/session.go
@@ -99,6 +99,7 @@
 
 // Tick ends expired sessions and repeats stops. It returns the entries whose sessions ended.
 func (s *Supervisor) Tick(now time.Time) (ended []string, actions []Action) {
+	s.noteTime(now)
 	for _, entry := range s.sortedEntries() {
 		if now.After(s.sessions[entry].expiresAt) {
 			ended = append(ended, entry)
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -60,7 +60,10 @@
 	// maxUnansweredHolds is the number of consecutive Hold calls without a response after which the backend server gets
 	// no starts and no renewals until it responds.
 	maxUnansweredHolds = 2
-	maxRestarts        = 6 // restarts of a run after which its start is reported as refused
+	// maxStep is the longest time between two events that counts for the estimate of the backend server's clock. Tick is
+	// called every 50 ms.
+	maxStep     = 100 * time.Millisecond
+	maxRestarts = 6 // restarts of a run after which its start is reported as refused
 )
 
 // maxClockDrift is by how much the clock of a backend server may run slower or faster than the agent's.
@@ -361,6 +364,7 @@
 	restored             bool      // known only from the state of an earlier agent; has not responded yet
 	awaitingAnnouncement bool      // it restarted and has not announced its capacity and labels since
 	maxCapacityAge       time.Duration
+	refusesOverload      bool      // it refuses runs beyond its capacity
 	capacityAt           time.Time // when the capacity was that of the latest announcement; later if that is unknown
 	fencedHolds          int       // consecutive Hold calls refused because of their token
 	leftID               string
@@ -373,6 +377,7 @@
 	lastEndSequence      uint64
 	clock                time.Duration // reading of the backend server's clock on which serverClock is based
 	clockAt              time.Time     // when the reading was received, on the agent's clock
+	activeAt             time.Time     // when the supervisor last handled an event that advances the estimate
 	leasesEndBy          time.Time     // when every lease on the backend server has expired, on the agent's clock
 	leaseUntil           time.Time     // end of the latest lease, on the agent's clock
 
@@ -463,9 +468,22 @@
 	return false
 }
 
-// capacityKnown reports whether the backend server has announced its capacity, and not too long ago.
+// capacityKnown reports whether the backend server has announced its capacity, and not too long ago if it does not refuse
+// runs beyond it.
 func (s *Supervisor) capacityKnown(now time.Time) bool {
-	return !s.awaitingAnnouncement && (s.maxCapacityAge == 0 || now.Sub(s.capacityAt) < s.maxCapacityAge-clockSlack)
+	return !s.awaitingAnnouncement &&
+		(s.maxCapacityAge == 0 || s.refusesOverload || now.Sub(s.capacityAt) < s.maxCapacityAge-clockSlack)
+}
+
+// SetRefusesOverload records what the home knows from the configuration: whether the backend server refuses runs beyond
+// its capacity. If so, the age of the capacity does not matter, and a restarted agent need not wait for an announcement.
+func (s *Supervisor) SetRefusesOverload(entry string, refuses bool) []Action {
+	if entry != s.home || s.refusesOverload == refuses {
+		return nil
+	}
+	s.refusesOverload = refuses
+	s.reportAll()
+	return s.takeActions()
 }
 
 // acceptsStarts reports whether the backend server can start runs.
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -94,6 +94,8 @@
 	// Jobs has the time limit of each job whose runs may continue for less time than the session, on the agent's clock.
 	Jobs     map[batch.JobID]time.Duration `cbor:",omitempty"`
 	Complete bool                          // whether Entries has all entries that can be reached; false while the sender is starting
+	// RefusesOverload reports whether the backend server refuses runs beyond its capacity, according to the configuration.
+	RefusesOverload bool `cbor:",omitempty"`
 }
 
 // runGroup holds the starts of tasks that belong to the same step.
