Start nothing in data centres that operators have evacuated

Change: the readers of the operators' table also return the evacuations, as a state that is complete up to a position in the store (core/evacuation). Entries adopt only later states, spread them with their loads and keep-alive messages, and use no backend server there. Agents refuse starts in their own data centre, repeat none, and read the store themselves when no entry has known it for 2 s.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/evacuation"
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/home"
 	"dogwoodglade/core/supervise"
@@ -89,6 +90,8 @@
 	SaveServer(ctx context.Context, agent string, s supervise.Server) error
 	// Server returns the saved state. Its ID is empty if none was saved.
 	Server(ctx context.Context, agent string) (supervise.Server, error)
+	// Evacuations returns the data centres that operators have evacuated.
+	Evacuations(ctx context.Context) (evacuation.State, error)
 }
 
 // NotListeningError reports that the connection was refused because nothing listens at the address of the backend server.
@@ -128,6 +131,7 @@
 	serverKnown     chan struct{} // buffered signal that a backend server was announced or restored
 	saving          chan struct{} // holds an element during a save
 	calls           sync.WaitGroup
+	startedAt       time.Time
 
 	mu             sync.Mutex // guards the fields below
 	supervisor     *supervise.Supervisor
@@ -142,6 +146,7 @@
 	saved          supervise.Server     // the state that this process last saved
 	hasSaved       bool
 	stopping       bool
+	evacuations    evacuation.Knowledge
 }
 
 // New starts an agent. Stop drains it; the returned function stops it immediately.
@@ -164,6 +169,7 @@
 		homeCheckNeeded: make(chan struct{}, 1),
 		serverKnown:     make(chan struct{}, 1),
 		saving:          make(chan struct{}, 1),
+		startedAt:       options.Now(),
 		supervisor:      supervise.New(options.MaxCapacityAge),
 		peers:           map[string]*inner.Peer{},
 		known:           map[string]knownEntry{},
@@ -183,6 +189,7 @@
 	running.Go(func() { a.holdLoop(ctx, a.losesHolds) })
 	running.Go(func() { a.maintainHome(ctx) })
 	running.Go(func() { a.restore(ctx) })
+	running.Go(func() { a.watchEvacuations(ctx) })
 	a.log(event.ProcessStarted).Str("Incarnation", incarnation).Send()
 	return a, func() {
 		stop()
--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -253,6 +253,7 @@
 	a.peers[p.Name], a.usedAt[p.Name] = p, a.options.Now()
 	a.log(event.EntryConnected).Str("Peer", p.Name).Str("Incarnation", p.Incarnation).Send()
 	a.performActions(a.supervisor.Connect(a.options.Now(), p.Name))
+	p.Evacuations(a.evacuations.State()) // the entry may have started while the store was away
 }
 
 // Disconnected implements inner.Handler.
@@ -284,6 +285,7 @@
 // KeepAlive implements inner.BatchAgentHandler.
 func (a *Agent) KeepAlive(p *inner.Peer, k inner.KeepAlive) {
 	a.mu.Lock()
+	a.learnFromKeepAlive(p, k)
 	if a.peers[p.Name] == p {
 		a.supervisor.ExtendSession(p.Name, supervise.ClockTime(k.Until))
 		a.supervisor.LimitRuns(p.Name, k.Jobs)
--- a/batchagent/measure.go
+++ b/batchagent/measure.go
@@ -12,14 +12,20 @@
 	stopped     metrics.Counter
 	holdsFailed metrics.Counter
 	running     metrics.Gauge
+
+	evacuations     metrics.Gauge   // evacuated data centres that the agent knows
+	evacuationReads metrics.Counter // of the store, for want of an entry with fresh knowledge
 }
 
 func newAgentMetrics(r metrics.Registry) agentMetrics {
+	evacuations, evacuationReads := evacuationMetrics(r)
 	return agentMetrics{
 		registry:    r,
 		stopped:     metrics.GetOrRegisterCounter("Run.Stopped", r),
 		holdsFailed: metrics.GetOrRegisterCounter("Run.HoldsFailed", r),
 		running:     metrics.GetOrRegisterGauge("Run.Running", r),
+
+		evacuations: evacuations, evacuationReads: evacuationReads,
 	}
 }
 
--- a/batchagent/save_test.go
+++ b/batchagent/save_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"dogwoodglade/batchagent"
+	"dogwoodglade/core/evacuation"
 	"dogwoodglade/core/home"
 	"dogwoodglade/core/resource"
 	"dogwoodglade/core/supervise"
@@ -41,6 +42,10 @@
 	return nil
 }
 
+func (d *directory) Evacuations(context.Context) (evacuation.State, error) {
+	return evacuation.State{}, nil
+}
+
 func (d *directory) Server(context.Context, string) (supervise.Server, error) { return d.saved, nil }
 
 // silentServer is a backend server that does not respond.
--- a/batchentry/configuration.go
+++ b/batchentry/configuration.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"dogwoodglade/core/evacuation"
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/home"
 	"dogwoodglade/core/site"
@@ -39,13 +40,20 @@
 	}
 }
 
-// configurationReader is the state of reading the configuration from the store.
+// configurationReader is the state of reading the operators' edits from the store: the configuration and the evacuations.
 type configurationReader struct {
-	position    uint64 // changes up to it have been read
+	state       evacuation.State // as read here; edits up to its position have been read
 	hasPosition bool
 	failed      bool // the latest call failed
 }
 
+// operatorEdits is what a call to the store returned.
+type operatorEdits struct {
+	configuration site.Configuration
+	evacuations   evacuation.State
+	confirmedAt   time.Time // the store had no later edits at this time
+}
+
 // errBecameWatcher cancels a poll that is longer than that of a watcher.
 var errBecameWatcher = errors.New("the entry has become a watcher of the configuration")
 
@@ -57,7 +65,11 @@
 		e.mu.Lock()
 		plan := e.watchPlan()
 		e.mu.Unlock()
-		c, next, err := e.readConfiguration(ctx, r, plan)
+		edits, err := e.readConfiguration(ctx, r, plan)
+		e.mu.Lock()
+		// They are valid even if the configuration cannot be decoded.
+		e.learnEvacuations(e.options.Now(), edits.evacuations, edits.confirmedAt, "store")
+		e.mu.Unlock()
 		var lost *HistoryLostError
 		switch {
 		case errors.Is(err, errBecameWatcher):
@@ -73,7 +85,7 @@
 			b.pause(ctx, plan.MaxRetryDelay)
 			continue
 		default:
-			r.hasPosition, r.position = true, next
+			r.hasPosition, r.state = true, edits.evacuations
 		}
 		if r.failed {
 			r.failed = false
@@ -81,8 +93,8 @@
 		}
 		b = backoff{}
 		e.setReadsStore(true)
-		if err == nil && c.Version > 0 {
-			e.applyIfNewer(c, "store")
+		if err == nil && edits.configuration.Version > 0 {
+			e.applyIfNewer(edits.configuration, "store")
 		}
 	}
 }
@@ -91,11 +103,13 @@
 // a failure it does not wait, so that a lost response is noticed soon.
 func (e *Entry) readConfiguration(
 	ctx context.Context, r configurationReader, plan watch.Plan,
-) (site.Configuration, uint64, error) {
+) (operatorEdits, error) {
+	askedAt := e.options.Now()
 	if !r.hasPosition {
 		ctx, cancel := context.WithTimeout(ctx, plan.Timeout)
 		defer cancel()
-		return e.options.Directory.Configuration(ctx)
+		c, evacuations, err := e.options.Directory.Configuration(ctx)
+		return operatorEdits{configuration: c, evacuations: evacuations, confirmedAt: askedAt}.valid(), err
 	}
 	if r.failed {
 		plan.Wait = 0
@@ -106,11 +120,23 @@
 	defer e.setPollInterrupt(plan, nil)
 	timeoutCtx, cancel := context.WithTimeout(ctx, plan.Wait+plan.Timeout)
 	defer cancel()
-	c, next, err := e.options.Directory.WaitForChange(timeoutCtx, r.position, plan.Wait)
+	c, evacuations, err := e.options.Directory.WaitForChange(timeoutCtx, r.state, plan.Wait)
 	if err != nil && errors.Is(context.Cause(ctx), errBecameWatcher) {
 		err = errBecameWatcher
 	}
-	return c, next, err
+	edits := operatorEdits{configuration: c, evacuations: evacuations, confirmedAt: askedAt}
+	if end := askedAt.Add(plan.Wait); c.Version == 0 && evacuations.SameEvacuations(r.state) && !e.options.Now().Before(end) {
+		edits.confirmedAt = end // the store has waited until then for an edit
+	}
+	return edits.valid(), err
+}
+
+// valid returns the edits, or none if the call returned no state.
+func (o operatorEdits) valid() operatorEdits {
+	if o.evacuations.Position() == 0 {
+		return operatorEdits{}
+	}
+	return o
 }
 
 // watchPlan returns how this entry polls the store at present.
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -21,6 +21,7 @@
 
 	"dogwoodglade/core/batch"
 	"dogwoodglade/core/dispatch"
+	"dogwoodglade/core/evacuation"
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/home"
 	"dogwoodglade/core/overflow"
@@ -64,11 +65,15 @@
 
 // Directory is the data that entries share through the platform's store.
 type Directory interface {
-	// Configuration returns the newest configuration and the position to pass to WaitForChange.
-	Configuration(ctx context.Context) (site.Configuration, uint64, error)
-	// WaitForChange waits for at most the given time for a configuration that is written after the position. It returns
-	// version 0 if there is none, and a HistoryLostError if the position is too old.
-	WaitForChange(ctx context.Context, after uint64, wait time.Duration) (site.Configuration, uint64, error)
+	// Configuration returns the newest configuration and the evacuations, whose position is where WaitForChange begins. The
+	// evacuations are also valid if the configuration cannot be decoded.
+	Configuration(ctx context.Context) (site.Configuration, evacuation.State, error)
+	// WaitForChange waits for at most the given time for an edit of the operators after a state. It returns the newest
+	// configuration among the edits, or version 0 if there is none, and the state after the edits. It returns a
+	// HistoryLostError if the position of the state is too old.
+	WaitForChange(
+		ctx context.Context, after evacuation.State, wait time.Duration,
+	) (site.Configuration, evacuation.State, error)
 	// Register writes the entry to the directory.
 	Register(ctx context.Context, e home.Entry) error
 	// Entries returns the registered entries.
@@ -119,13 +124,15 @@
 	withdrawn        map[batch.JobID]map[string]withdrawal // by the entry that the job was forwarded to
 	unconfirmed      map[batch.JobID]map[string]uint64     // number of the latest withdrawal, by origin
 	config           site.Configuration
-	stopping         bool    // Ready reports false
-	closing          bool    // callers should use another entry for their next request
-	stopped          bool    // new jobs are refused
-	releasingAgents  bool    // agents are told to choose another entry
-	entryListVersion int     // version of the list of entries that is sent to agents
-	listComplete     bool    // the list has all entries that can be reached
-	sentCores        float64 // cores of usable backend servers in the load that was last sent
+	evacuations      evacuation.Knowledge
+	loadEvacuations  sentEvacuations // what the latest load told the other entries
+	stopping         bool            // Ready reports false
+	closing          bool            // callers should use another entry for their next request
+	stopped          bool            // new jobs are refused
+	releasingAgents  bool            // agents are told to choose another entry
+	entryListVersion int             // version of the list of entries that is sent to agents
+	listComplete     bool            // the list has all entries that can be reached
+	sentCores        float64         // cores of usable backend servers in the load that was last sent
 	lastSession      uint64
 	lastForward      uint64                  // number of the latest forward to another entry
 	checkedAt        time.Time               // when the time limits and the callers' connections were last checked
@@ -140,6 +147,7 @@
 	lastReport      time.Time
 	agentClock      time.Duration // the agent's clock in its latest report; 0 before the first one
 	sentListVersion int           // version of the list of entries that was last sent
+	evacuations     sentEvacuations
 }
 
 // entrySession is the state that this entry keeps about another one. It ends when the other entry is treated as lost.
@@ -317,7 +325,9 @@
 			e.removeAgent(now, p.Name, old)
 		}
 		e.agents[p.Name] = &agentSession{peer: p, lastReport: now}
-		e.performActions(e.dispatcher.Connect(now, p.Name))
+		actions := e.dispatcher.Connect(now, p.Name)
+		e.dispatcher.SetDataCentre(p.Name, p.DataCentre)
+		e.performActions(actions)
 		e.log(event.AgentConnected).Str("Peer", p.Name).Str("Incarnation", p.Incarnation).Send()
 		return
 	}
@@ -413,6 +423,7 @@
 	if a.sentListVersion != e.entryListVersion {
 		a.sentListVersion, k.Entries, k.Complete = e.entryListVersion, e.entryList(), e.listComplete
 	}
+	e.addEvacuations(e.options.Now(), a, &k)
 	a.peer.KeepAlive(k)
 }
 
--- /dev/null
+++ b/batchentry/evacuation.go
@@ -0,0 +1,117 @@
+package batchentry
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/core/evacuation"
+	"dogwoodglade/core/event"
+	"dogwoodglade/io/inner"
+)
+
+// evacuationsInterval is how often the evacuations are sent although they have not changed. How fresh they are is sent
+// with every message.
+const evacuationsInterval = time.Second
+
+// sentEvacuations is what a receiver was last sent about the evacuations.
+type sentEvacuations struct {
+	state evacuation.State
+	at    time.Time // zero if nothing was sent
+}
+
+// next returns the evacuations to send now: nil if nothing is known, or if the receiver has them.
+func (s *sentEvacuations) next(now time.Time, state evacuation.State) *inner.Evacuations {
+	if s.state.SameEvacuations(state) && !s.at.IsZero() && now.Sub(s.at) < evacuationsInterval {
+		return nil
+	}
+	s.state, s.at = state, now
+	return inner.EvacuationsOf(state)
+}
+
+// learnEvacuations processes what the store or another process tells about the evacuations. The state was complete in
+// the store at confirmedAt or later; zero means that this is not known.
+func (e *Entry) learnEvacuations(now time.Time, s evacuation.State, confirmedAt time.Time, source string) {
+	next, changes := e.evacuations.With(now, s, confirmedAt, source)
+	e.evacuations = next
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		e.logEvacuation(now, c)
+	}
+	e.performActions(e.dispatcher.SetEvacuations(now, next.State()))
+	e.reassignStranded(now)
+	e.sendKeepAlives()
+	e.sendLoad()
+}
+
+func (e *Entry) logEvacuation(now time.Time, c evacuation.Change) {
+	number := event.DataCentreEvacuated
+	if c.TakenBack {
+		number = event.EvacuationTakenBack
+	}
+	line := e.log(number).Str("DataCentre", c.DataCentre).Uint64("Version", c.Version).Str("Peer", c.Source)
+	if c.TakenBack {
+		line = line.Dur("Taken", now.Sub(c.Since))
+	}
+	line.Send()
+}
+
+// Evacuations implements inner.BatchEntryHandler.
+func (e *Entry) Evacuations(p *inner.Peer, s evacuation.State) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a, ok := e.agents[p.Name]; ok && a.peer == p {
+		e.learnEvacuations(e.options.Now(), s, time.Time{}, p.Name)
+	}
+}
+
+// learnFromLoad processes what the load of another entry tells about the evacuations. The load was sent after this entry's
+// clock reading that it echoes, so that the message may have been delayed.
+func (e *Entry) learnFromLoad(now time.Time, p *inner.Peer, l inner.EntryLoad) {
+	var confirmedAt time.Time
+	if l.StoreAge > 0 && l.Echo > 0 {
+		confirmedAt = time.Unix(0, int64(l.Echo)).Add(-l.StoreAge)
+	}
+	e.learnEvacuations(now, l.Evacuations.State(), confirmedAt, p.Name)
+}
+
+// addEvacuations adds the evacuations to a message that extends the session of an agent.
+func (e *Entry) addEvacuations(now time.Time, a *agentSession, k *inner.KeepAlive) {
+	k.Evacuations = a.evacuations.next(now, e.evacuations.State())
+	if age, known := e.evacuations.Age(now); known && a.agentClock > 0 {
+		k.StoreSeen = a.agentClock - age
+	}
+}
+
+// storeAge returns how old the knowledge about the store is for messages; 0 if that is not known.
+func (e *Entry) storeAge(now time.Time) time.Duration {
+	age, known := e.evacuations.Age(now)
+	if !known {
+		return 0
+	}
+	return max(age, time.Nanosecond)
+}
+
+// evacuationMetrics are the gauges about evacuations.
+type evacuationMetrics struct {
+	known metrics.Gauge // evacuated data centres
+	age   metrics.Gauge // of the knowledge about the store, in milliseconds; -1 if there is none
+}
+
+func newEvacuationMetrics(r metrics.Registry) evacuationMetrics {
+	return evacuationMetrics{
+		known: metrics.GetOrRegisterGauge("Evacuation.Known", r),
+		age:   metrics.GetOrRegisterGauge("Evacuation.AgeMilliseconds", r),
+	}
+}
+
+func (m evacuationMetrics) update(now time.Time, k evacuation.Knowledge) {
+	m.known.Update(int64(len(k.State().DataCentres())))
+	if age, known := k.Age(now); known {
+		m.age.Update(age.Milliseconds())
+	} else {
+		m.age.Update(-1)
+	}
+}
--- /dev/null
+++ b/batchentry/evacuation_test.go
@@ -0,0 +1,299 @@
+package batchentry_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/evacuation"
+	"dogwoodglade/core/site"
+)
+
+// evacuationBound is how long after the operators' edit tasks may be started in the data centre, or after the end of an
+// outage of the store if that is later.
+const evacuationBound = 4 * time.Second
+
+// processStore is the store as one process reaches it.
+type processStore struct {
+	*fakeStore
+	turnedAway *atomic.Bool
+	reads      *atomic.Int64 // of evacuations, by an agent
+}
+
+func (s *testSite) storeFor(process string) processStore {
+	if s.turnedAway[process] == nil {
+		s.turnedAway[process] = &atomic.Bool{}
+	}
+	return processStore{fakeStore: s.store, turnedAway: s.turnedAway[process], reads: &s.evacuationReads}
+}
+
+func (d processStore) Configuration(ctx context.Context) (site.Configuration, evacuation.State, error) {
+	if d.turnedAway.Load() {
+		return site.Configuration{}, evacuation.State{}, storeDownError{}
+	}
+	return d.fakeStore.Configuration(ctx)
+}
+
+func (d processStore) WaitForChange(
+	ctx context.Context, after evacuation.State, wait time.Duration,
+) (site.Configuration, evacuation.State, error) {
+	c, state, err := d.fakeStore.WaitForChange(ctx, after, wait)
+	if d.turnedAway.Load() {
+		return site.Configuration{}, evacuation.State{}, storeDownError{}
+	}
+	return c, state, err
+}
+
+func (d processStore) Evacuations(ctx context.Context) (evacuation.State, error) {
+	d.reads.Add(1)
+	if d.turnedAway.Load() {
+		return evacuation.State{}, storeDownError{}
+	}
+	return d.fakeStore.Evacuations(ctx)
+}
+
+func (d *fakeStore) Evacuations(context.Context) (evacuation.State, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state, d.check()
+}
+
+// evacuate writes the operators' rows.
+func (d *fakeStore) evacuate(dataCentres ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	state := d.state
+	for _, name := range dataCentres {
+		state = state.With(name, state.Position()+1)
+	}
+	d.change(state)
+}
+
+// takeBack removes an operators' row.
+func (d *fakeStore) takeBack(dataCentre string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.change(d.state.Without(dataCentre))
+}
+
+// dropHistory drops the changes up to now.
+func (d *fakeStore) dropHistory() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.history = d.state.Position()
+}
+
+func (d *fakeStore) setDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+}
+
+// runSiteWithDataCentres runs a site with two agents in each of two data centres, a and b.
+func runSiteWithDataCentres(t *testing.T, entries int, test func(s *testSite)) {
+	t.Helper()
+	runSiteInOneRegion(t, entries, 0, func(s *testSite) {
+		for _, name := range []string{"a-1", "a-2", "b-1", "b-2"} {
+			s.dataCentres[name] = name[:1]
+			s.addAgent(name)
+		}
+		time.Sleep(3 * time.Second)
+		test(s)
+	})
+}
+
+// starts returns how many tasks were started in a data centre.
+func (s *testSite) starts(dataCentre string) int {
+	n := 0
+	for name, b := range s.backends {
+		if s.dataCentres[name] == dataCentre {
+			b.mu.Lock()
+			n += len(b.starts)
+			b.mu.Unlock()
+		}
+	}
+	return n
+}
+
+// submitTo submits jobs of 24 tasks, more than one data centre runs at a time, to an entry.
+func (s *testSite) submitTo(entry, prefix string, jobs int) {
+	s.t.Helper()
+	for i := range jobs {
+		o := s.entries[entry].Submit(s.t.Context(), newJob(fmt.Sprint(prefix, i), 24, 50*time.Millisecond))
+		if _, ok := o.(batch.Completed); !ok {
+			s.t.Errorf("job %s%d at %s: got %s", prefix, i, entry, batch.OutcomeName(o))
+		}
+	}
+}
+
+// checkNoStarts checks that no task is started in a data centre while jobs are submitted to all entries.
+func (s *testSite) checkNoStarts(dataCentre, prefix string) {
+	s.t.Helper()
+	before := s.starts(dataCentre)
+	for entry := range s.entries {
+		s.submitTo(entry, prefix+entry, 5)
+	}
+	if n := s.starts(dataCentre) - before; n > 0 {
+		s.t.Errorf("%s: %d tasks were started in data centre %s", prefix, n, dataCentre)
+	}
+}
+
+// checkStarts checks that tasks are started in a data centre while jobs are submitted to all entries.
+func (s *testSite) checkStarts(dataCentre, prefix string) {
+	s.t.Helper()
+	before := s.starts(dataCentre)
+	for entry := range s.entries {
+		s.submitTo(entry, prefix+entry, 5)
+	}
+	if s.starts(dataCentre) == before {
+		s.t.Errorf("%s: no task was started in data centre %s", prefix, dataCentre)
+	}
+}
+
+// Guards against starts in a data centre that operators have evacuated, against runs that are stopped by an evacuation,
+// and against a data centre that stays unused after it was taken back.
+func TestEvacuation(t *testing.T) {
+	for _, entries := range []int{1, 3} {
+		runSiteWithDataCentres(t, entries, func(s *testSite) {
+			s.checkStarts("a", "before")
+			long := make(chan batch.Outcome, 1)
+			go func() { long <- s.entries["entry-1"].Submit(s.t.Context(), newJob("long", 30, time.Second)) }()
+			time.Sleep(100 * time.Millisecond)
+			s.store.evacuate("a")
+			time.Sleep(time.Second)
+			s.checkNoStarts("a", "evacuated")
+			if o := <-long; o != (batch.Completed{}) {
+				s.t.Errorf("a job with runs in the data centre: got %s", batch.OutcomeName(o))
+			}
+			s.store.takeBack("a")
+			time.Sleep(evacuationBound)
+			s.checkStarts("a", "taken back")
+		})
+	}
+}
+
+// Guards against callers that wait until their time-outs when no data centre is left.
+func TestAllDataCentresEvacuated(t *testing.T) {
+	runSiteWithDataCentres(t, 2, func(s *testSite) {
+		s.store.evacuate("a", "b")
+		time.Sleep(time.Second) // an entry without agents holds jobs for half a second after there were any
+		before, begun := s.starts("a")+s.starts("b"), time.Now()
+		for i := range 5 {
+			o := s.entries["entry-1"].Submit(s.t.Context(), newJob(fmt.Sprint("job-", i), 2, 50*time.Millisecond))
+			if _, ok := o.(batch.NotRun); !ok {
+				s.t.Errorf("got %s", batch.OutcomeName(o))
+			}
+		}
+		if taken := time.Since(begun); taken > 100*time.Millisecond {
+			s.t.Errorf("five refusals took %v", taken)
+		}
+		if s.starts("a")+s.starts("b") != before {
+			s.t.Error("tasks were started in an evacuated data centre")
+		}
+		s.store.takeBack("b")
+		time.Sleep(evacuationBound)
+		s.checkNoStarts("a", "b taken back")
+	})
+}
+
+// Guards against an entry that starts tasks in an evacuated data centre because the store was away when it started.
+func TestEvacuationWhileStoreIsAwayAtStart(t *testing.T) {
+	runSiteWithDataCentres(t, 2, func(s *testSite) {
+		s.store.evacuate("a")
+		time.Sleep(time.Second)
+		s.store.setDown(true)
+		s.killEntry("entry-1")
+		s.startEntry("entry-1")
+		time.Sleep(time.Second)
+		s.killEntry("entry-2")
+		s.startEntry("entry-2")
+		time.Sleep(evacuationBound)
+		s.checkNoStarts("a", "away")
+		s.store.setDown(false)
+		time.Sleep(evacuationBound)
+	})
+}
+
+// Guards against evacuations that are missed, or not taken back, because they were edited while the store was away and
+// its history was lost.
+func TestEvacuationEditedDuringOutage(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		runSiteWithDataCentres(t, 3, func(s *testSite) {
+			s.store.evacuate("a")
+			time.Sleep(time.Second)
+			s.store.setDown(true)
+			time.Sleep(5 * time.Second)
+			s.store.takeBack("a")
+			s.store.evacuate("b")
+			if lost {
+				s.store.dropHistory()
+			}
+			time.Sleep(3 * time.Second)
+			s.store.setDown(false)
+			time.Sleep(evacuationBound)
+			s.checkNoStarts("b", "after the outage")
+			s.checkStarts("a", "after the outage")
+		})
+	}
+}
+
+// entryWithAgents returns an entry that is the home of agents.
+func (s *testSite) entryWithAgents() string {
+	for name := range s.agentCounts() {
+		return name
+	}
+	s.t.Fatal("no entry has agents")
+	return ""
+}
+
+// Guards against starts in an evacuated data centre by an entry that is cut off from the store and from the other
+// entries, while the agents there reach the store.
+func TestEvacuationUnknownToHome(t *testing.T) {
+	runSiteWithDataCentres(t, 2, func(s *testSite) {
+		home := s.entryWithAgents()
+		s.turnedAway[home].Store(true)
+		s.network.SetCut("entry-1", "entry-2", true)
+		time.Sleep(3 * time.Second)
+		s.store.evacuate("a")
+		time.Sleep(evacuationBound)
+		before := s.starts("a")
+		s.submitTo(home, "cut", 5)
+		if n := s.starts("a") - before; n > 0 {
+			s.t.Errorf("%d tasks were started", n)
+		}
+		s.turnedAway[home].Store(false)
+		s.network.SetCut("entry-1", "entry-2", false)
+		time.Sleep(evacuationBound)
+		s.checkNoStarts("a", "connected again")
+	})
+}
+
+// Guards against agents that read the store although their entries do, and against a store that all agents of a site
+// call at a high rate while it is away.
+func TestEvacuationReadRate(t *testing.T) {
+	runSiteWithDataCentres(t, 3, func(s *testSite) {
+		time.Sleep(30 * time.Second)
+		if n := s.evacuationReads.Load(); n > 0 {
+			s.t.Errorf("the agents read the store %d times although their entries did", n)
+		}
+		const outage = 30 * time.Second
+		s.store.setDown(true)
+		time.Sleep(outage)
+		rate := float64(s.evacuationReads.Load()) / 4 / outage.Seconds()
+		s.t.Logf("%.2f reads a second of each agent", rate)
+		if rate > 0.7 {
+			s.t.Errorf("each agent read the store %.2f times a second during an outage", rate)
+		}
+		s.store.setDown(false)
+		time.Sleep(5 * time.Second)
+		known := metrics.GetOrRegisterGauge("Evacuation.AgeMilliseconds", s.metrics["entry-1"]).Value()
+		if known < 0 || known > 2000 {
+			s.t.Errorf("the knowledge of an entry is %d ms old", known)
+		}
+	})
+}
--- a/batchentry/measure.go
+++ b/batchentry/measure.go
@@ -36,6 +36,8 @@
 	agentAge metrics.Gauge
 	entryAge metrics.Gauge
 	version  metrics.Gauge
+
+	evacuations evacuationMetrics
 }
 
 func newEntryMetrics(r metrics.Registry) entryMetrics {
@@ -62,6 +64,8 @@
 		agentAge:  metrics.GetOrRegisterGauge("Batch.OldestAgentMilliseconds", r),
 		entryAge:  metrics.GetOrRegisterGauge("Batch.OldestEntryMilliseconds", r),
 		version:   metrics.GetOrRegisterGauge("Batch.ConfigurationVersion", r),
+
+		evacuations: newEvacuationMetrics(r),
 	}
 }
 
@@ -82,6 +86,7 @@
 	m.agents.Update(int64(len(e.agents)))
 	m.entries.Update(int64(len(e.entries)))
 	m.version.Update(int64(e.config.Version))
+	m.evacuations.update(now, e.evacuations)
 	var agentAge, entryAge time.Duration
 	for _, a := range e.agents {
 		agentAge = max(agentAge, now.Sub(a.lastReport))
--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -9,6 +9,7 @@
 
 	"dogwoodglade/core/batch"
 	"dogwoodglade/core/dispatch"
+	"dogwoodglade/core/evacuation"
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/site"
 	"dogwoodglade/core/supervise"
@@ -47,6 +48,7 @@
 func (o *fakePeerEntry) ForwardOutcome(*inner.Peer, batch.JobID, uint64, batch.Outcome) {}
 func (o *fakePeerEntry) WithdrawJob(*inner.Peer, batch.JobID, uint64, bool)             {}
 func (o *fakePeerEntry) JobWithdrawn(*inner.Peer, batch.JobID, uint64)                  {}
+func (o *fakePeerEntry) Evacuations(*inner.Peer, evacuation.State)                      {}
 func (o *fakePeerEntry) Configuration() site.Configuration                              { return site.Configuration{} }
 
 // Crashes implements inner.BatchEntryHandler.
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -24,6 +24,7 @@
 		Load: e.dispatcher.Load(), Version: e.config.Version, Weight: e.options.Weight, ReadsStore: e.readsStore,
 	}
 	l.Load.Draining = l.Load.Draining || e.releasingAgents
+	l.StoreAge = e.storeAge(e.options.Now())
 	return l
 }
 
@@ -31,6 +32,7 @@
 // two has forwarded to the other.
 func (e *Entry) firstLoad(x *entrySession) inner.EntryLoad {
 	l := x.withSessionFields(e.load(), e.options.Now())
+	l.Evacuations = inner.EvacuationsOf(e.evacuations.State())
 	l.ForwardedNumbers, l.AcceptedNumbers = map[batch.JobID]uint64{}, map[batch.JobID]uint64{}
 	for id, c := range e.calls {
 		if c.forwardedTo == x.Name {
@@ -48,7 +50,7 @@
 // unusedLoad returns the load message for a connection that this entry does not send on.
 func (e *Entry) unusedLoad(x *entrySession) inner.EntryLoad {
 	l := x.withSessionFields(e.load(), e.options.Now())
-	l.Session = 0
+	l.Session, l.Evacuations = 0, inner.EvacuationsOf(e.evacuations.State())
 	return l
 }
 
@@ -71,6 +73,7 @@
 func (e *Entry) sendLoad() {
 	e.dropDepartedCallers()
 	l, now := e.load(), e.options.Now()
+	l.Evacuations = e.loadEvacuations.next(now, e.evacuations.State())
 	e.sentCores = l.Load.Total().Cores
 	for _, x := range e.entries {
 		e.sendToEntry(x, func(p *inner.Peer) bool { return p.Load(x.withSessionFields(l, now)) })
@@ -148,6 +151,7 @@
 			e.dispatcher.NoteServed(now, name)
 		}
 	}
+	e.learnFromLoad(now, p, l)
 	e.reassignStranded(now)
 	if l.Version > e.config.Version && !x.pulling {
 		x.pulling = true
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -19,6 +19,7 @@
 	"dogwoodglade/batchagent"
 	"dogwoodglade/batchentry"
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/evacuation"
 	"dogwoodglade/core/home"
 	"dogwoodglade/core/resource"
 	"dogwoodglade/core/site"
@@ -30,6 +31,8 @@
 type fakeStore struct {
 	mu           sync.Mutex
 	config       site.Configuration
+	state        evacuation.State // its position rises with each change
+	history      uint64           // changes up to this position were dropped
 	entries      []home.Entry
 	servers      map[string]supervise.Server
 	down         bool
@@ -42,7 +45,7 @@
 func newFakeStore() *fakeStore {
 	return &fakeStore{
 		config: site.Configuration{Version: 1}, servers: map[string]supervise.Server{}, changed: make(chan struct{}),
-		silenced: make(chan struct{}),
+		silenced: make(chan struct{}), state: evacuation.NewState(1, nil),
 	}
 }
 
@@ -71,32 +74,32 @@
 	return nil
 }
 
-func (d *fakeStore) Configuration(ctx context.Context) (site.Configuration, uint64, error) {
+func (d *fakeStore) Configuration(ctx context.Context) (site.Configuration, evacuation.State, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.unresponsive {
 		d.mu.Unlock()
 		<-ctx.Done()
 		d.mu.Lock()
-		return site.Configuration{}, 0, ctx.Err()
+		return site.Configuration{}, evacuation.State{}, ctx.Err()
 	}
-	return d.config, d.config.Version, d.check()
+	return d.read(evacuation.State{})
 }
 
 func (d *fakeStore) WaitForChange(
-	ctx context.Context, after uint64, wait time.Duration,
-) (site.Configuration, uint64, error) {
+	ctx context.Context, after evacuation.State, wait time.Duration,
+) (site.Configuration, evacuation.State, error) {
 	d.mu.Lock()
 	d.polls++
 	changed, silenced := d.changed, d.silenced
 	if d.unresponsive {
 		d.mu.Unlock()
 		<-ctx.Done()
-		return site.Configuration{}, 0, ctx.Err()
+		return site.Configuration{}, evacuation.State{}, ctx.Err()
 	}
-	if d.config.Version > after || d.down {
+	if d.state.Position() > after.Position() || d.down {
 		defer d.mu.Unlock()
-		return d.config, d.config.Version, d.check()
+		return d.read(after)
 	}
 	d.mu.Unlock()
 	timeout := time.After(wait)
@@ -108,17 +111,36 @@
 	case <-ctx.Done():
 	}
 	if ctx.Err() != nil {
-		return site.Configuration{}, 0, ctx.Err()
+		return site.Configuration{}, evacuation.State{}, ctx.Err()
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.config, d.config.Version, d.check()
+	return d.read(after)
+}
+
+// read returns what was changed after a state.
+func (d *fakeStore) read(after evacuation.State) (site.Configuration, evacuation.State, error) {
+	switch {
+	case d.down:
+		return site.Configuration{}, evacuation.State{}, d.check()
+	case after.Position() > 0 && after.Position() < d.history:
+		return site.Configuration{}, evacuation.State{}, &batchentry.HistoryLostError{}
+	case after.Position() == d.state.Position():
+		return site.Configuration{}, d.state, nil
+	}
+	return d.config, d.state, nil
 }
 
 func (d *fakeStore) set(version uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.config.Version = version
+	d.change(d.state)
+}
+
+// change sets the evacuations and wakes those that wait for a change.
+func (d *fakeStore) change(state evacuation.State) {
+	d.state = state.WithPosition(d.state.Position() + 1)
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
@@ -361,13 +383,18 @@
 	logs     *logRecorder
 	// suspended is how long the entries have been suspended. Their timers did not advance meanwhile.
 	suspended atomic.Int64
-	region    string // of all processes; if empty, each entry has a region of its own, with some of the agents
+	// dataCentres are those of the agents, by name, and turnedAway the processes that the store does not answer.
+	dataCentres     map[string]string
+	turnedAway      map[string]*atomic.Bool
+	evacuationReads atomic.Int64
+	region          string // of all processes; if empty, each entry has a region of its own, with some of the agents
 }
 
 func newSite(t *testing.T, region string, entries, agents int) *testSite {
 	s := &testSite{
 		region: region, metrics: map[string]metrics.Registry{}, logs: &logRecorder{},
 		t: t, network: memnet.New(), store: newFakeStore(), overlaps: &overlapRecorder{running: map[batch.TaskID]string{}},
+		dataCentres: map[string]string{}, turnedAway: map[string]*atomic.Bool{},
 		entries: map[string]testEntry{}, backends: map[string]*backend{}, stops: map[string]func(){},
 	}
 	for i := range entries {
@@ -392,9 +419,9 @@
 func (s *testSite) startEntry(name string) {
 	s.t.Helper()
 	host := s.network.Host(name)
-	s.metrics[name] = metrics.NewRegistry()
+	s.registry(name)
 	e, stop, err := batchentry.New(batchentry.Options{
-		Name: name, Region: cmp.Or(s.region, "of-"+name), Address: name + ":1", Weight: 1, Directory: s.store,
+		Name: name, Region: cmp.Or(s.region, "of-"+name), Address: name + ":1", Weight: 1, Directory: s.storeFor(name),
 		Logger: s.logs.logger(name), Metrics: s.metrics[name], Dial: host.Dial, Listen: host.Listen,
 		Now: func() time.Time { return time.Now().Add(time.Duration(s.suspended.Load())) },
 	})
@@ -409,7 +436,8 @@
 	// Agents are assigned to the regions of the entries in turn.
 	region := fmt.Sprintf("of-entry-%d", (len(s.stops)-len(s.entries))%max(len(s.entries), 1)+1)
 	a, stop := batchagent.New(batchagent.Options{
-		Name: name, Region: cmp.Or(s.region, region), Directory: s.store, Server: b, Logger: s.logs.logger(name),
+		Name: name, Region: cmp.Or(s.region, region), DataCentre: s.dataCentres[name], Directory: s.storeFor(name), Server: b,
+		Logger: s.logs.logger(name), Metrics: s.registry(name),
 		Dial: s.network.Host(name).Dial, Now: time.Now,
 	})
 	s.stops[name] = stop
@@ -843,3 +871,9 @@
 		}
 	})
 }
+
+// registry returns new metrics for a process that is being started.
+func (s *testSite) registry(process string) metrics.Registry {
+	s.metrics[process] = metrics.NewRegistry()
+	return s.metrics[process]
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/evacuation"
 	"dogwoodglade/core/resource"
 	"dogwoodglade/core/supervise"
 )
@@ -140,6 +141,7 @@
 	sortedPools   []*poolState // sorted by name
 	routes        map[string]*routeState
 	crashes       crashMemory
+	evacuations   evacuation.State
 	sequence      uint64
 	draining      bool
 	startedAt     time.Time // time of the first call
@@ -176,6 +178,9 @@
 // expectsServer reports whether a pool without a backend server is likely to get one soon.
 func (d *Dispatcher) expectsServer(now time.Time, p *poolState) bool {
 	d.noteStart(now)
+	if d.evacuatedPool(p) {
+		return false
+	}
 	return now.Sub(d.startedAt) < serverGrace || (!p.servedAt.IsZero() && now.Sub(p.servedAt) < serverGrace)
 }
 
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -422,6 +422,7 @@
 // long.
 func (d *Dispatcher) Tick(now time.Time) []Action {
 	d.noteStart(now)
+	d.readmit(now)
 	for _, p := range d.sortedPools {
 		if p.served() {
 			p.servedAt = now
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -94,6 +94,9 @@
 	runs          map[supervise.RunID]*task
 	suspects      int  // among the tasks of runs
 	processEnded  bool // it has crashed, and its runs have not been reported as ended
+	dataCentre    string
+	evacuated     bool      // gets no starts: its data centre is evacuated, or was until readmitAt has not come yet
+	readmitAt     time.Time // zero if its data centre is still evacuated
 
 	backoffUntil time.Time // no start requests are sent before this time, after a refusal
 
@@ -112,12 +115,12 @@
 	nextProbe           time.Time
 }
 
-func (s *server) usable() bool { return s.connected && s.offered }
+func (s *server) usable() bool { return s.connected && s.offered && !s.evacuated }
 
 // usableFor reports whether tasks of a job may be started on the backend server. If its agent has chosen another home,
 // only jobs that cannot continue elsewhere are: those that have started, and those of an entry that is draining.
 func (d *Dispatcher) usableFor(s *server, j *job) bool {
-	return s.usable() || (s.connected && s.released && (j.started() || d.draining))
+	return s.usable() || (s.connected && s.released && !s.evacuated && (j.started() || d.draining))
 }
 
 func (s *server) free() resource.Amount { return s.capacity.Minus(s.used).Minus(s.usedByOthers) }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -91,6 +91,9 @@
 	TablesAdopted    Number = 6003
 	PlatformFailed   Number = 6004
 	PlatformRestored Number = 6005
+
+	DataCentreEvacuated Number = 6006
+	EvacuationTakenBack Number = 6007
 )
 
 // Event is one event of the timeline. Fields that do not apply are zero, except that Task is -1.
--- a/core/event/name.go
+++ b/core/event/name.go
@@ -27,6 +27,7 @@
 
 	EditAccepted: "EditAccepted", EditRefused: "EditRefused", TablesAdopted: "TablesAdopted",
 	PlatformFailed: "PlatformFailed", PlatformRestored: "PlatformRestored",
+	DataCentreEvacuated: "DataCentreEvacuated", EvacuationTakenBack: "EvacuationTakenBack",
 }
 
 // String returns the name of the kind of event, or the number in decimal if it is unknown.
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -26,6 +26,8 @@
 			refusal = "Expired"
 		case !s.known || s.left || !s.runsListed || !s.capacityKnown(now) || s.server.Leaving || s.draining:
 			refusal = "NoServer"
+		case s.evacuated:
+			refusal = refusalEvacuated
 		case s.hasOrphans(now):
 			refusal = "Orphans"
 		case s.leaseUntil.After(until.Add(stopWindow)):
@@ -96,7 +98,7 @@
 func (s *Supervisor) restart(now time.Time, r *run, result StartResult, number int) {
 	r.restarts++
 	c, ok := s.sessions[r.entry]
-	if r.stopping || r.restarts > maxRestarts || s.draining || s.hasOrphans(now) || !ok || !c.alive(now) ||
+	if r.stopping || r.restarts > maxRestarts || s.draining || s.evacuated || s.hasOrphans(now) || !ok || !c.alive(now) ||
 		!s.capacityKnown(now) {
 		s.endRun(now, r, Refused, result.String())
 		return
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -382,6 +382,7 @@
 	unknownRuns map[batch.TaskID]unknownRun
 	runNumbers  map[batch.TaskID]endedRunNumber
 	draining    bool
+	evacuated   bool // operators have evacuated its data centre
 
 	actions []Action
 }
@@ -471,7 +472,7 @@
 // acceptsStarts reports whether the backend server can start runs.
 func (s *Supervisor) acceptsStarts(now time.Time) bool {
 	return s.known && !s.left && s.runsListed && s.capacityKnown(now) && !s.server.Leaving && !s.draining &&
-		!s.silent() && !s.processEnded && !s.hasOrphans(now)
+		!s.evacuated && !s.silent() && !s.processEnded && !s.hasOrphans(now)
 }
 
 // Report returns the report for an entry, and drops the ends of runs that it contains.
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -11,6 +11,7 @@
 
 	"dogwoodglade/core/batch"
 	"dogwoodglade/core/dispatch"
+	"dogwoodglade/core/evacuation"
 	"dogwoodglade/core/home"
 	"dogwoodglade/core/resource"
 	"dogwoodglade/core/site"
@@ -29,6 +30,7 @@
 	methodConfiguration  = "Configuration"
 	methodJobWithdrawn   = "JobWithdrawn"
 	methodCrashes        = "Crashes"
+	methodEvacuations    = "Evacuations"
 	methodCombined       = "Combined"
 )
 
@@ -53,6 +55,8 @@
 	JobWithdrawn(p *Peer, id batch.JobID, number uint64)
 	// Crashes receives the crashes of backend servers that another entry has recorded.
 	Crashes(p *Peer, list []dispatch.Crash)
+	// Evacuations receives the evacuations that an agent knows.
+	Evacuations(p *Peer, s evacuation.State)
 	// Configuration returns the configuration in use.
 	Configuration() site.Configuration
 }
@@ -84,6 +88,10 @@
 	AcceptedNumbers  map[batch.JobID]uint64 `cbor:",omitempty"`
 	Clock            time.Duration          // time on the sender's clock
 	Echo             time.Duration          // latest Clock value that the sender received from the receiver; 0 if none
+	// Evacuations are absent if the sender has sent them lately, or knows nothing about them.
+	Evacuations *Evacuations `cbor:",omitempty"`
+	// StoreAge is the age of the sender's knowledge about the evacuations; 0 if it has none.
+	StoreAge time.Duration `cbor:",omitempty"`
 }
 
 // KeepAlive is sent periodically from an entry to its agents.
@@ -94,6 +102,10 @@
 	// Jobs has the time limit of each job whose runs may continue for less time than the session, on the agent's clock.
 	Jobs     map[batch.JobID]time.Duration `cbor:",omitempty"`
 	Complete bool                          // whether Entries has all entries that can be reached; false while the sender is starting
+	// Evacuations are absent if the sender has sent them lately, or knows nothing about them.
+	Evacuations *Evacuations `cbor:",omitempty"`
+	// StoreSeen is a time on the agent's clock at which the evacuations were still as sent; 0 if that is not known.
+	StoreSeen time.Duration `cbor:",omitempty"`
 }
 
 // runGroup holds the starts of tasks that belong to the same step.
@@ -356,7 +368,8 @@
 		methodJobWithdrawn: cborNotificationMethod(func(p *Peer, m jobWithdrawnParams) {
 			h.JobWithdrawn(p, m.Job, m.Number)
 		}),
-		methodCrashes: cborNotificationMethod(func(p *Peer, m crashesParams) { h.Crashes(p, m.Crashes) }),
+		methodCrashes:     cborNotificationMethod(func(p *Peer, m crashesParams) { h.Crashes(p, m.Crashes) }),
+		methodEvacuations: cborNotificationMethod(func(p *Peer, x Evacuations) { h.Evacuations(p, x.State()) }),
 		methodConfiguration: callMethod(func(context.Context, *Peer, json.RawMessage) (any, error) {
 			return configurationResult{Configuration: h.Configuration()}, nil
 		}),
