Pass on a job that an entry has refused, and report changed loads at once

Cause: two dispatchers with queues of their own took turns in refusing jobs. Loads were up to 100 ms old, and the origin of a refused job tried one more entry only if that one had no queue by such a load.

Change: an entry sends its load as soon as jobs begin or cease to wait or the predicted wait changes much, at most once in 25 ms, and before it refuses a forwarded job. The origin offers a refused job to up to three entries, none twice. A job of its own caller that the dispatcher refuses is passed on, too.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -8,6 +8,7 @@
 	"dogwoodglade/core/batch"
 	"dogwoodglade/core/dispatch"
 	"dogwoodglade/core/event"
+	"dogwoodglade/core/overflow"
 	"dogwoodglade/core/site"
 	"dogwoodglade/io/inner"
 )
@@ -16,8 +17,8 @@
 // that dispatches the job can report its own time-out first.
 const forwardMargin = 500 * time.Millisecond
 
-// maxRetries limits how often a job is reassigned after refusals. Entries that stop one after the other may each hand it
-// back.
+// maxRetries limits how often a job is reassigned after refusals for other reasons than overload. Entries that stop one
+// after the other may each hand it back.
 const maxRetries = 3
 
 // call is an open job, with the callers and entries that wait for its outcome.
@@ -31,6 +32,7 @@
 	forwardedAt time.Time         // when it was sent
 	held        bool              // it waits for the end of a withdrawn forward
 	retries     int               // how often it was reassigned after another entry had refused it
+	refusals    overflow.Refusals // as Overloaded
 }
 
 // waiter is a caller of this entry that waits for the outcome of a job.
@@ -249,8 +251,12 @@
 	for _, w := range c.waiters {
 		w.outcome <- o
 	}
+	n, notRun := o.(batch.NotRun)
 	for name, origin := range c.origins {
 		if x, ok := e.entries[name]; ok {
+			if notRun && n.Reason == batch.Overloaded {
+				e.sendFreshLoad(x)
+			}
 			e.sendToEntry(x, func(p *inner.Peer) bool { return p.ForwardOutcome(c.job.ID, origin.number, o) })
 		}
 	}
@@ -296,8 +302,13 @@
 	case dispatch.HealthChanged:
 		e.logHealthChanged(action)
 	case dispatch.Answer:
+		c, ok := e.calls[action.Job]
+		open := ok && c.forwardedTo == "" && !c.held
+		if open && e.passOnOwn(c, action) {
+			return
+		}
 		e.logAnswer(action)
-		if c, ok := e.calls[action.Job]; ok && c.forwardedTo == "" && !c.held {
+		if open {
 			e.completeCall(c, action.Outcome)
 		}
 	}
@@ -421,7 +432,7 @@
 		e.dispatch(e.options.Now(), c)
 		return
 	}
-	if n, ok := o.(batch.NotRun); ok && n.Reason != batch.Crashes && c.retries < maxRetries && e.retry(c, n.Reason) {
+	if n, ok := o.(batch.NotRun); ok && n.Reason != batch.Crashes && e.retry(c, n.Reason) {
 		return
 	}
 	if _, unknown := o.(batch.Unknown); unknown {
@@ -433,31 +444,51 @@
 	e.completeCall(c, o)
 }
 
-// retry reassigns a job that another entry refused, which happens when the load report that led to the choice was out
-// of date. A job refused as Overloaded is only moved to an entry with free capacity, so that a full site refuses jobs
-// at once. It reports whether the job was reassigned.
+// retry reassigns a job that another entry refused. It reports whether the job was reassigned.
 func (e *Entry) retry(c *call, reason batch.Reason) bool {
 	peer := c.forwardedTo
-	c.retries++
 	if reason != batch.Overloaded {
+		if c.retries >= maxRetries {
+			return false
+		}
+		c.retries++
 		e.logRefusedByPeer(c, reason)
 		e.peers.Remove(peer)
 		e.assignCall(c)
 		return true
 	}
-	c.retries = maxRetries // one more try, as waiting for room takes longer than the job can
 	e.peers.MarkFull(peer, c.job.Pool)
+	c.refusals = c.refusals.With(peer)
 	now := e.options.Now()
 	if e.dispatcher.CanStartNow(now, c.job) {
 		e.logRefusedByPeer(c, reason)
 		e.dispatch(now, c)
 		return true
 	}
-	if to, ok := e.peers.ChooseWithCapacity(now, c.job); ok && to != peer {
-		e.logRefusedByPeer(c, reason)
-		return e.forward(c, to)
+	return e.passOn(now, c)
+}
+
+// passOnOwn offers a job of a caller of this entry that the dispatcher has refused as Overloaded to another entry. It
+// reports whether one takes it.
+func (e *Entry) passOnOwn(c *call, a dispatch.Answer) bool {
+	o, refused := a.Outcome.(batch.NotRun)
+	if !refused || o.Reason != batch.Overloaded || len(c.origins) > 0 || e.dispatcher.Stopping(c.job.ID) {
+		return false
+	}
+	c.refusals = c.refusals.With(e.options.Name)
+	return e.passOn(e.options.Now(), c)
+}
+
+// passOn forwards a job that was refused as Overloaded to an entry that has not refused it and where nothing waits. Under
+// a general overload there is none, and the caller is told at once. It reports whether the job was forwarded.
+func (e *Entry) passOn(now time.Time, c *call) bool {
+	to, ok := e.peers.ChooseAfterRefusal(now, c.job, c.refusals)
+	if !ok {
+		return false
 	}
-	return false
+	e.logRefusedByPeer(c, batch.Overloaded)
+	e.metrics.passedOn.Inc(1)
+	return e.forward(c, to)
 }
 
 // WithdrawJob implements inner.BatchEntryHandler.
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -126,6 +126,8 @@
 	entryListVersion int     // version of the list of entries that is sent to agents
 	listComplete     bool    // the list has all entries that can be reached
 	sentCores        float64 // cores of usable backend servers in the load that was last sent
+	sentLoad         dispatch.Load
+	loadSentAt       time.Time // when a load was last sent to all entries
 	lastSession      uint64
 	lastForward      uint64                  // number of the latest forward to another entry
 	checkedAt        time.Time               // when the time limits and the callers' connections were last checked
@@ -155,6 +157,7 @@
 	draining    bool // it releases its agents
 	pulling     bool // a newer configuration is being read from the peer
 	readsStore  bool // its latest call to the store succeeded
+	loadSentAt  time.Time
 
 	session     uint64        // this entry's session number
 	peerSession uint64        // the peer's highest session number so far
@@ -237,7 +240,7 @@
 func (e *Entry) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	var lastKeepAlive, lastLoadSent, lastExpiry time.Time
+	var lastKeepAlive, lastExpiry time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -258,8 +261,7 @@
 		}
 		e.expireWithdrawn(now)
 		e.reassignStranded(now)
-		if now.Sub(lastLoadSent) >= loadInterval-tickInterval/2 || e.coresChanged() {
-			lastLoadSent = now
+		if now.Sub(e.loadSentAt) >= loadInterval-tickInterval/2 || e.coresChanged() {
 			e.sendLoad()
 		}
 		if now.Sub(lastExpiry) >= expiryInterval {
@@ -490,4 +492,5 @@
 		e.logRunEnd(p.Name, x)
 	}
 	e.performActions(e.dispatcher.HandleReport(now, p.Name, r))
+	e.sendChangedLoad(now)
 }
--- a/batchentry/measure.go
+++ b/batchentry/measure.go
@@ -19,6 +19,7 @@
 	registry  metrics.Registry
 	submitted metrics.Counter
 	forwarded metrics.Counter
+	passedOn  metrics.Counter // forwarded again, or first forwarded, after a refusal as Overloaded
 	cancelled metrics.Counter
 	rejected  metrics.Counter // requests that were rejected before a job was created
 	crashes   metrics.Counter // of backend servers while tasks ran on them
@@ -46,6 +47,7 @@
 		registry:  r,
 		submitted: metrics.GetOrRegisterCounter("Batch.Submitted", r),
 		forwarded: metrics.GetOrRegisterCounter("Batch.Forwarded", r),
+		passedOn:  metrics.GetOrRegisterCounter("Batch.PassedOn", r),
 		cancelled: metrics.GetOrRegisterCounter("Batch.Cancelled", r),
 		rejected:  metrics.GetOrRegisterCounter("Batch.Rejected", r),
 		crashes:   metrics.GetOrRegisterCounter("Batch.Crashes", r),
--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -23,6 +23,8 @@
 	mu      sync.Mutex
 	count   map[*inner.Peer]int // received loads by connection
 	crashes []dispatch.Crash
+	queued  float64   // core-seconds that wait, by the latest load
+	refused []float64 // value of queued at each refusal
 }
 
 func newFakePeerEntry() *fakePeerEntry {
@@ -36,18 +38,25 @@
 func (o *fakePeerEntry) Load(p *inner.Peer, l inner.EntryLoad) {
 	o.mu.Lock()
 	o.count[p]++
+	o.queued = l.Load.Total().Queued
 	o.mu.Unlock()
 	select {
 	case o.loads <- l:
 	default:
 	}
 }
-func (o *fakePeerEntry) Report(*inner.Peer, supervise.Report)                           {}
-func (o *fakePeerEntry) Forward(_ *inner.Peer, j batch.Job, _ uint64)                   { o.forwarded <- j }
-func (o *fakePeerEntry) ForwardOutcome(*inner.Peer, batch.JobID, uint64, batch.Outcome) {}
-func (o *fakePeerEntry) WithdrawJob(*inner.Peer, batch.JobID, uint64, bool)             {}
-func (o *fakePeerEntry) JobWithdrawn(*inner.Peer, batch.JobID, uint64)                  {}
-func (o *fakePeerEntry) Configuration() site.Configuration                              { return site.Configuration{} }
+func (o *fakePeerEntry) Report(*inner.Peer, supervise.Report)         {}
+func (o *fakePeerEntry) Forward(_ *inner.Peer, j batch.Job, _ uint64) { o.forwarded <- j }
+func (o *fakePeerEntry) ForwardOutcome(_ *inner.Peer, _ batch.JobID, _ uint64, outcome batch.Outcome) {
+	if _, ok := outcome.(batch.NotRun); ok {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.refused = append(o.refused, o.queued)
+	}
+}
+func (o *fakePeerEntry) WithdrawJob(*inner.Peer, batch.JobID, uint64, bool) {}
+func (o *fakePeerEntry) JobWithdrawn(*inner.Peer, batch.JobID, uint64)      {}
+func (o *fakePeerEntry) Configuration() site.Configuration                  { return site.Configuration{} }
 
 // Crashes implements inner.BatchEntryHandler.
 func (o *fakePeerEntry) Crashes(_ *inner.Peer, list []dispatch.Crash) {
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -9,6 +9,7 @@
 	"dogwoodglade/core/batch"
 	"dogwoodglade/core/dispatch"
 	"dogwoodglade/core/event"
+	"dogwoodglade/core/overflow"
 	"dogwoodglade/io/inner"
 )
 
@@ -17,6 +18,8 @@
 	pullTimeout = time.Second
 	// promptLoadChange is the relative change of an entry's cores after which it sends its load at the next tick.
 	promptLoadChange = 0.25
+	// minLoadInterval is the least time between two loads to the same entry, other than the first of a session.
+	minLoadInterval = 25 * time.Millisecond
 )
 
 func (e *Entry) load() inner.EntryLoad {
@@ -71,12 +74,31 @@
 func (e *Entry) sendLoad() {
 	e.dropDepartedCallers()
 	l, now := e.load(), e.options.Now()
-	e.sentCores = l.Load.Total().Cores
+	e.sentCores, e.sentLoad, e.loadSentAt = l.Load.Total().Cores, l.Load, now
 	for _, x := range e.entries {
+		x.loadSentAt = now
 		e.sendToEntry(x, func(p *inner.Peer) bool { return p.Load(x.withSessionFields(l, now)) })
 	}
 }
 
+// sendChangedLoad sends the load before the next interval if the other entries would choose differently by it.
+func (e *Entry) sendChangedLoad(now time.Time) {
+	if now.Sub(e.loadSentAt) >= minLoadInterval && overflow.Differs(e.sentLoad, e.dispatcher.Load()) {
+		e.sendLoad()
+	}
+}
+
+// sendFreshLoad sends the load to an entry whose job is refused, so that it chooses again by the present load. Its clock
+// reading is that of the latest check, because callers may have left since.
+func (e *Entry) sendFreshLoad(x *entrySession) {
+	now := e.options.Now()
+	if now.Sub(x.loadSentAt) < minLoadInterval {
+		return
+	}
+	x.loadSentAt = now
+	e.sendToEntry(x, func(p *inner.Peer) bool { return p.Load(x.withSessionFields(e.load(), e.checkedAt)) })
+}
+
 // switchConnection replaces the current connection to an entry after it has closed. Messages sent on it may be lost, so a
 // new session begins. It reports false if no other connection is open.
 func (e *Entry) switchConnection(x *entrySession) bool {
--- /dev/null
+++ b/core/overflow/refusal_test.go
@@ -0,0 +1,78 @@
+package overflow_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/dispatch"
+	"dogwoodglade/core/overflow"
+)
+
+// Guards against a job that is refused while an entry has room, against one that is offered to the same entry twice, and
+// against one that moves on to a queue.
+func TestChooseAfterRefusal(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name    string
+		peers   map[string]dispatch.Load
+		refused []string
+		want    string
+	}{
+		{"room for all tasks", map[string]dispatch.Load{"b": load(100, 24, 0), "c": load(100, 0, 5)}, []string{"c"}, "b"},
+		{"room for some tasks", map[string]dispatch.Load{"b": load(100, 9, 0), "c": load(100, 0, 5)}, []string{"c"}, "b"},
+		{"the peer has refused it", map[string]dispatch.Load{"b": load(100, 24, 0)}, []string{"b"}, ""},
+		{"short queue", map[string]dispatch.Load{"b": load(100, 24, 0.1)}, []string{"a"}, ""},
+		{"too many offers", map[string]dispatch.Load{"b": load(100, 24, 0)}, []string{"a", "c", "d"}, ""},
+	} {
+		p := overflow.New()
+		for name, l := range c.peers {
+			p.RecordReport(now, name, l)
+		}
+		var refused overflow.Refusals
+		for _, name := range c.refused {
+			refused = refused.With(name)
+		}
+		if got, _ := p.ChooseAfterRefusal(now, job, refused); got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against many refused jobs that all move to the same peer between two of its reports.
+func TestChooseAfterRefusalCountsForwardedJobs(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := overflow.New()
+	p.RecordReport(now, "b", load(100, 50, 0)) // two of the jobs start at once, and the third one waits
+	passedOn := 0
+	for i := range 10 {
+		j := job
+		j.ID = batch.JobID(fmt.Sprint(i))
+		if _, ok := p.ChooseAfterRefusal(now, j, overflow.Refusals{}.With("a")); ok {
+			passedOn++
+		}
+	}
+	if passedOn != 3 {
+		t.Errorf("passed on %d jobs, want 3", passedOn)
+	}
+}
+
+// Guards against entries that choose by a load of before a queue emptied or grew, and against a message for each run.
+func TestDiffers(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		reported, current dispatch.Load
+		want              bool
+	}{
+		{"free capacity changes", load(100, 50, 0), load(100, 20, 0), false},
+		{"the queue changes little", load(100, 0, 10), load(100, 0, 13), false},
+		{"the queue empties", load(100, 0, 1), load(100, 10, 0), true},
+		{"jobs begin to wait", load(100, 5, 0), load(100, 0, 1), true},
+		{"the queue grows much", load(100, 0, 5), load(100, 0, 11), true},
+	} {
+		if got := overflow.Differs(c.reported, c.current); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/batchplay/batchplay.go
+++ b/internal/batchplay/batchplay.go
@@ -25,6 +25,8 @@
 	// agents, in ticks.
 	loadTicks   = 2
 	reportTicks = 3
+	// minLoadInterval is the least time between two loads that an entry sends.
+	minLoadInterval = 25 * time.Millisecond
 	// minProgressAge is the age of a run from which agents report its progress.
 	minProgressAge = 80 * time.Millisecond
 	// settleTime is how long a simulation continues after the last job was submitted.
@@ -90,6 +92,8 @@
 	Entry
 	dispatcher *dispatch.Dispatcher
 	peers      *overflow.Peers
+	reported   dispatch.Load // to the other entries
+	reportedAt time.Time
 }
 
 // New returns a simulation at its start. The home of each agent is the one that home.Rank gives it.
@@ -182,15 +186,27 @@
 
 func (sim *Simulation) sendLoads() {
 	for _, e := range sim.entries {
-		l := e.dispatcher.Load()
-		for _, other := range sim.entries {
-			if other != e {
-				sim.after(sim.delay(e.DataCentre, other.DataCentre), func() { other.peers.RecordReport(sim.now, e.Name, l) })
-			}
+		sim.sendLoad(e)
+	}
+}
+
+func (sim *Simulation) sendLoad(e *entry) {
+	e.reported, e.reportedAt = e.dispatcher.Load(), sim.now
+	for _, other := range sim.entries {
+		if other != e {
+			l := e.reported
+			sim.after(sim.delay(e.DataCentre, other.DataCentre), func() { other.peers.RecordReport(sim.now, e.Name, l) })
 		}
 	}
 }
 
+// sendChangedLoad sends the load of an entry before the next interval if the other entries would choose differently.
+func (sim *Simulation) sendChangedLoad(e *entry) {
+	if sim.now.Sub(e.reportedAt) >= minLoadInterval && overflow.Differs(e.reported, e.dispatcher.Load()) {
+		sim.sendLoad(e)
+	}
+}
+
 func (sim *Simulation) scheduleArrival(k Kind, dataCentre string, end time.Time) {
 	seconds := sim.now.Sub(sim.startedAt).Seconds()
 	rate := k.Rate * sim.options.Load(seconds, k.Name, dataCentre) / float64(len(sim.dataCentres))
@@ -256,23 +272,29 @@
 	sim.after(sim.delay(j.entry.DataCentre, sim.entries[i].DataCentre), func() { sim.dispatch(sim.entries[i], j) })
 }
 
-// retry assigns a job again that another entry has refused. It reports false if no entry can start it.
-func (sim *Simulation) retry(j *Job) bool {
-	if j.retried {
+// retry assigns a job again that an entry has refused. It reports false if no other entry has room.
+func (sim *Simulation) retry(j *Job, a dispatch.Answer) bool {
+	if o, ok := a.Outcome.(batch.NotRun); !ok || o.Reason != batch.Overloaded {
 		return false
 	}
-	j.retried = true
 	e, refusedBy := j.entry, j.dispatchedBy.Name
-	e.peers.MarkFull(refusedBy, j.job.Pool)
-	if e.dispatcher.CanStartNow(sim.now, j.job) {
-		sim.dispatch(e, j)
-		return true
+	if e.Name == refusedBy {
+		j.refusals = j.refusals.With(refusedBy)
+	} else {
+		// The load of the other entry precedes its refusal.
+		e.peers.RecordReport(sim.now, refusedBy, j.dispatchedBy.dispatcher.Load())
+		e.peers.MarkFull(refusedBy, j.job.Pool)
+		j.refusals = j.refusals.With(refusedBy)
+		if e.dispatcher.CanStartNow(sim.now, j.job) {
+			sim.dispatch(e, j)
+			return true
+		}
 	}
-	if to, ok := e.peers.ChooseWithCapacity(sim.now, j.job); ok && to != refusedBy {
+	to, ok := e.peers.ChooseAfterRefusal(sim.now, j.job, j.refusals)
+	if ok {
 		sim.forward(j, to)
-		return true
 	}
-	return false
+	return ok
 }
 
 func (sim *Simulation) perform(e *entry, actions []dispatch.Action) {
@@ -297,11 +319,14 @@
 func (sim *Simulation) answered(e *entry, a dispatch.Answer) {
 	j := sim.Jobs[a.Job]
 	if e == j.entry {
+		if sim.retry(j, a) {
+			return
+		}
 		sim.after(sim.options.CallerDelay, func() { sim.record(j, a.Outcome) })
 		return
 	}
 	sim.after(sim.delay(e.DataCentre, j.entry.DataCentre), func() {
-		if _, ok := a.Outcome.(batch.NotRun); ok && sim.retry(j) {
+		if sim.retry(j, a) {
 			return
 		}
 		sim.after(sim.options.CallerDelay, func() { sim.record(j, a.Outcome) })
--- a/internal/batchplay/job.go
+++ b/internal/batchplay/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/overflow"
 	"dogwoodglade/core/resource"
 )
 
@@ -48,7 +49,7 @@
 	earned       float64
 	entry        *entry // the one that received it from its caller
 	dispatchedBy *entry
-	retried      bool
+	refusals     overflow.Refusals
 }
 
 // Results counts the outcomes that the callers of one kind of job got, and the value of their jobs.
--- a/internal/batchplay/server.go
+++ b/internal/batchplay/server.go
@@ -71,6 +71,9 @@
 		Offered: !s.gone, Ended: ended, Progress: progress,
 		Server: supervise.Server{ID: agent, Pool: cmp.Or(s.Pool, "pool"), Incarnation: 1 + s.restarts, Capacity: s.Capacity},
 	}))
+	if len(sim.entries) > 1 {
+		sim.sendChangedLoad(s.home)
+	}
 }
 
 func (sim *Simulation) startRun(e *entry, agent string, x supervise.Start) {
