Move runs off backend servers that leave before they can end

Cause: the time that a draining backend server has left (remaining_ms) was not read. Runs that could not end went on until it left, and their tasks started again only 1.1 s after that, when the last lease had expired.

Change: the announcement's time becomes Server.LeavesAt on the backend server's clock, and the agent's reports say how much is left; neither a delayed announcement nor a delayed report extends it. The home entry stops the runs that cannot end by the most favourable reading of their progress, if the answer is still of use and there is room elsewhere when the stop has taken effect. Event 2012 RunsMoved, counter Batch.Moved.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -293,6 +293,8 @@
 	case dispatch.CrashesBlamed:
 		e.logCrash(action)
 		e.sendCrashes(action.Blamed)
+	case dispatch.RunsMoved:
+		e.logRunsMoved(action)
 	case dispatch.HealthChanged:
 		e.logHealthChanged(action)
 	case dispatch.Answer:
--- a/batchentry/log.go
+++ b/batchentry/log.go
@@ -73,6 +73,12 @@
 		Int("InARow", h.ConsecutiveFailures).Send()
 }
 
+// logRunsMoved logs the runs that are stopped because their backend server leaves before they can end.
+func (e *Entry) logRunsMoved(m dispatch.RunsMoved) {
+	e.log(event.RunsMoved).Str("Peer", m.Agent).Dur("Left", m.LeavesIn).Int("Count", m.Moved).Int("Kept", m.Kept).Send()
+	e.metrics.moved.Inc(int64(m.Moved))
+}
+
 // logCrash logs the tasks that are blamed for the crash of a backend server.
 func (e *Entry) logCrash(c dispatch.CrashesBlamed) {
 	for _, x := range c.Blamed {
--- a/batchentry/measure.go
+++ b/batchentry/measure.go
@@ -22,6 +22,7 @@
 	cancelled metrics.Counter
 	rejected  metrics.Counter // requests that were rejected before a job was created
 	crashes   metrics.Counter // of backend servers while tasks ran on them
+	moved     metrics.Counter // runs that were stopped because their backend server left
 	givenUp   metrics.Counter // jobs that failed or were refused because of crashes
 	waited    metrics.Histogram
 	taken     metrics.Histogram
@@ -49,6 +50,7 @@
 		cancelled: metrics.GetOrRegisterCounter("Batch.Cancelled", r),
 		rejected:  metrics.GetOrRegisterCounter("Batch.Rejected", r),
 		crashes:   metrics.GetOrRegisterCounter("Batch.Crashes", r),
+		moved:     metrics.GetOrRegisterCounter("Batch.Moved", r),
 		givenUp:   metrics.GetOrRegisterCounter("Batch.GivenUp", r),
 		waited:    histogram("Batch.WaitedMicroseconds"),
 		taken:     histogram("Batch.TakenMicroseconds"),
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -26,7 +26,7 @@
 	"dogwoodglade/core/supervise"
 )
 
-// Action is an action for the entry to carry out: StartRuns, StopRuns, Answer, HealthChanged or CrashesBlamed.
+// Action is an action for the entry to carry out: StartRuns, StopRuns, Answer, HealthChanged, CrashesBlamed or RunsMoved.
 type Action interface{ action() }
 
 // StartRuns sends an agent the start requests for tasks of one or more jobs.
@@ -90,6 +90,7 @@
 	waitingWork coreTime      // predicted when the task began to wait; 0 if it is not waiting
 	percent     int           // progress of its run
 	progressAge time.Duration // age of the run at which its progress reached percent
+	startedAt   time.Time     // when its latest start request was sent
 }
 
 type step struct {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -244,7 +244,7 @@
 
 func (d *Dispatcher) startTask(now time.Time, j *job, st *step, t *task, s *server) {
 	t.state, t.server, t.stopping = placed, s, false
-	t.percent, t.progressAge = 0, 0
+	t.percent, t.progressAge, t.startedAt = 0, 0, now
 	t.attempt++
 	j.lastServer = s
 	if j.firstStart.IsZero() {
@@ -436,6 +436,7 @@
 	}
 	d.expireJobs(now)
 	d.place(now)
+	d.moveLeaving(now)
 	return d.takeActions()
 }
 
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -92,8 +92,11 @@
 	usedByOthers  resource.Amount // by runs of other entries
 	lostRunsEndBy time.Time       // when lost runs cannot exist any more
 	runs          map[supervise.RunID]*task
-	suspects      int  // among the tasks of runs
-	processEnded  bool // it has crashed, and its runs have not been reported as ended
+	suspects      int           // among the tasks of runs
+	processEnded  bool          // it has crashed, and its runs have not been reported as ended
+	leavesAt      time.Time     // when it leaves at the earliest, as announced; zero if it does not or that is not known
+	leastDelay    time.Duration // least difference between this clock and the agent's in its reports
+	delayKnown    bool
 
 	backoffUntil time.Time // no start requests are sent before this time, after a refusal
 
@@ -145,6 +148,7 @@
 	}
 	d.markLost(s, now.Add(supervise.MaxRunAfterAgentLoss))
 	s.connected, s.offered, s.released, s.processEnded = true, false, false, false
+	s.leavesAt, s.delayKnown = time.Time{}, false
 	return d.takeActions()
 }
 
@@ -180,6 +184,7 @@
 		d.runEnded(now, s, e)
 	}
 	if s.info.ID != r.Server.ID || s.info.Incarnation != r.Server.Incarnation {
+		s.leavesAt = time.Time{}
 		s.logSlowdown, s.failureShare, s.consecutiveFailures, s.consecutiveSlowRuns = 0, 0, 0, 0
 		s.quarantined, s.hangs, s.probeDelay = false, false, 0
 	}
@@ -188,6 +193,7 @@
 	s.offered, s.released, s.info = r.Offered, r.Released, r.Server
 	s.processEnded = r.ProcessEnded
 	s.capacity, s.usedByOthers = r.Server.Capacity, r.UsedByOthers
+	s.observeLeaving(now, r)
 	if changed {
 		d.updatePoolCapacity()
 	}
@@ -196,6 +202,7 @@
 		d.endLostRuns(now, s)
 	}
 	d.place(now)
+	d.moveLeaving(now)
 	return d.takeActions()
 }
 
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -40,6 +40,7 @@
 	OutcomeDiscarded Number = 2009
 	TaskStopped      Number = 2010
 	TaskBlamed       Number = 2011
+	RunsMoved        Number = 2012
 )
 
 // Events of slots and admission.
--- a/core/event/name.go
+++ b/core/event/name.go
@@ -10,6 +10,7 @@
 	TaskAsked: "TaskAsked", TaskSent: "TaskSent", TaskStarted: "TaskStarted", TaskRefused: "TaskRefused",
 	TaskEnded: "TaskEnded", TaskLost: "TaskLost", TaskRetried: "TaskRetried", OutcomeReceived: "OutcomeReceived",
 	OutcomeDiscarded: "OutcomeDiscarded", TaskStopped: "TaskStopped", TaskBlamed: "TaskBlamed",
+	RunsMoved: "RunsMoved",
 
 	SlotGranted: "SlotGranted", SlotReturned: "SlotReturned", SlotReleased: "SlotReleased",
 	AskRefused: "AskRefused", BackendEjected: "BackendEjected", BackendProbed: "BackendProbed",
--- a/core/supervise/leave.go
+++ b/core/supervise/leave.go
@@ -22,6 +22,15 @@
 // leaves reports whether the backend server has left or has announced that it will.
 func (s *Supervisor) leaves() bool { return s.left || s.server.Leaving }
 
+// leavesIn returns how much longer a leaving backend server certainly runs, or 0 if that is not known. It counts from the
+// clock reading in the announcement, so that an announcement that was delayed extends nothing.
+func (s *Supervisor) leavesIn(now time.Time) time.Duration {
+	if s.left || !s.server.Leaving || s.server.LeavesAt == 0 || s.awaitingAnnouncement {
+		return 0
+	}
+	return max(s.server.LeavesAt-s.serverClock(now), 0)
+}
+
 // noteReturn records an announcement of the process that has left. It may have been delayed, so the process is not used
 // before it has also responded.
 func (s *Supervisor) noteReturn(now time.Time, server Server) {
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -103,6 +103,8 @@
 	Capacity    resource.Amount
 	Labels      []string
 	Clock       time.Duration // monotonic clock of the backend server
+	// LeavesAt is when a leaving backend server leaves at the earliest, on its own clock; 0 if that is not known.
+	LeavesAt time.Duration `json:",omitempty"`
 }
 
 // Equivalent reports whether two announcements are equal apart from their sequence numbers and clock readings.
@@ -165,7 +167,8 @@
 	Released     bool          `json:",omitempty"` // whether another entry is the home, but jobs of this one may be finished
 	ProcessEnded bool          `json:",omitempty"` // whether the backend server has crashed; its runs are reported later
 	Server       Server
-	UsedByOthers resource.Amount `json:"Others"` // capacity in use by runs of other entries
+	LeavesIn     time.Duration   `json:",omitempty"` // how much longer a leaving backend server certainly runs; 0 if not known
+	UsedByOthers resource.Amount `json:"Others"`     // capacity in use by runs of other entries
 	Ended        []RunEnd
 	Progress     []Progress
 }
@@ -497,7 +500,7 @@
 	accepts := s.acceptsStarts(now)
 	r := Report{
 		Clock: sinceEpoch(now), Offered: accepts && entry == s.home, Released: accepts && entry != s.home,
-		Server: s.server, UsedByOthers: s.inUse(entry), ProcessEnded: s.processEnded && !s.leaves(),
+		Server: s.server, LeavesIn: s.leavesIn(now), UsedByOthers: s.inUse(entry), ProcessEnded: s.processEnded && !s.leaves(),
 	}
 	c, ok := s.sessions[entry]
 	if !ok {
--- a/internal/batchplay/server.go
+++ b/internal/batchplay/server.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"dogwoodglade/core/batch"
 	"dogwoodglade/core/resource"
 	"dogwoodglade/core/supervise"
 )
@@ -23,7 +24,9 @@
 // Server is a backend server with its agent. The fields of ServerOptions may be changed during a simulation.
 type Server struct {
 	ServerOptions
-	FailureShare float64 // share of its runs that fail
+	FailureShare float64       // share of its runs that fail
+	Lost         []batch.JobID // jobs of the runs that ended with it
+	Wasted       float64       // core-seconds of runs that were stopped or ended with it
 
 	home    *entry
 	used    resource.Amount
@@ -32,6 +35,8 @@
 	down    bool // it has crashed and has not restarted yet
 	runs    map[supervise.RunID]*run
 
+	leavesAt time.Time // when it leaves, as its agent reports it; zero if it does not or reports nothing
+
 	restarts int64
 }
 
@@ -67,10 +72,14 @@
 			}
 		}
 	}
-	sim.perform(s.home, s.home.dispatcher.HandleReport(sim.now, agent, supervise.Report{
-		Offered: !s.gone, Ended: ended, Progress: progress,
+	r := supervise.Report{
+		Clock: time.Duration(sim.now.UnixNano()), Offered: !s.gone, Ended: ended, Progress: progress,
 		Server: supervise.Server{ID: agent, Pool: cmp.Or(s.Pool, "pool"), Incarnation: 1 + s.restarts, Capacity: s.Capacity},
-	}))
+	}
+	if !s.leavesAt.IsZero() {
+		r.Server.Leaving, r.LeavesIn = true, max(s.leavesAt.Sub(sim.now), 0)
+	}
+	sim.perform(s.home, s.home.dispatcher.HandleReport(sim.now, agent, r))
 }
 
 func (sim *Simulation) startRun(e *entry, agent string, x supervise.Start) {
@@ -114,7 +123,10 @@
 		return
 	}
 	delete(s.runs, id)
-	s.used = s.used.Minus(sim.Jobs[id.Task.Job].job.Steps[id.Task.Step].Demand)
+	s.used = s.used.Minus(sim.demand(id.Task))
+	if end == supervise.Stopped {
+		s.Wasted += sim.processorTime(id, r)
+	}
 	sim.report(agent, []supervise.RunEnd{{RunID: id, End: end, RunTime: r.runTime}})
 }
 
