--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -36,6 +36,8 @@
 		s.applyToProcess(d)
 	case slices.Contains(linkKinds, d.Kind):
 		s.applyToLink(ctx, d)
+	case d.Kind == evacuateDataCentre:
+		s.evacuate(ctx, d)
 	case d.Kind == resetEntry:
 		for _, suffix := range []string{"/callers", "/inner"} {
 			s.links[d.Target+suffix].ResetConnections(d.Intensity)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -53,6 +53,8 @@
 	usedResources  map[string]resource.Amount  // by instance of a backend server
 	capacities     map[string][]capacityRecord // by backend server, in order
 	leavingSince   map[string]time.Time        // by instance of a backend server
+	dataCentres    map[string]string           // by backend server
+	evacuatedSince map[string]time.Time        // by data centre
 	shownVersions  map[string]shownVersion     // by entry
 	violations     []string
 	violationCount int
@@ -104,6 +106,7 @@
 		disturbances: disturbances, jobs: map[batch.JobID]*jobRecord{},
 		activeRuns: map[batch.TaskID]standin.Run{}, usedResources: map[string]resource.Amount{},
 		capacities: map[string][]capacityRecord{}, leavingSince: map[string]time.Time{},
+		dataCentres: map[string]string{}, evacuatedSince: map[string]time.Time{},
 		shownVersions: map[string]shownVersion{}, eventCounts: map[string]int{}, effects: newEffects(),
 		traced: map[batch.JobID]bool{},
 	}
@@ -340,6 +343,7 @@
 		c.reportViolation("task %v: started on %s %v after its leave notice was acknowledged",
 			r.Task, r.Backend, r.At.Sub(since))
 	}
+	c.checkEvacuation(r)
 	if until, ended := record.awaitedUntil(); ended && r.At.Sub(until) > cancelTimeout {
 		c.reportViolation("task %v: started on %s %v after its job had ended", r.Task, r.Backend, r.At.Sub(until))
 	}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -182,6 +182,25 @@
 			s.RunEnded(s.newRun(1), "done")
 			recordOutcome(standin.Completed, "", false)
 		}, "after its leave notice was acknowledged"},
+		{"started in an evacuated data centre", func(s scenario) {
+			recordOutcome := s.submit()
+			s.RecordDataCentre("agent-1", "dc-1")
+			s.RecordEvacuation("dc-1", true, time.Now())
+			time.Sleep(evacuateTimeout + pause)
+			s.runStarted(s.newRun(1))
+			s.RunEnded(s.newRun(1), "done")
+			recordOutcome(standin.Completed, "", false)
+		}, "after its data centre was evacuated"},
+		{"started after an evacuation was taken back", func(s scenario) {
+			recordOutcome := s.submit()
+			s.RecordDataCentre("agent-1", "dc-1")
+			s.RecordEvacuation("dc-1", true, time.Now())
+			time.Sleep(evacuateTimeout + pause)
+			s.RecordEvacuation("dc-1", false, time.Now())
+			s.runStarted(s.newRun(1))
+			s.RunEnded(s.newRun(1), "done")
+			recordOutcome(standin.Completed, "", false)
+		}, ""},
 		{"beyond shrunk capacity", func(s scenario) {
 			recordOutcome := s.submit()
 			s.RecordCapacity("agent-1", resource.Amount{Processor: 500}, time.Now())
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -103,7 +103,7 @@
 func (k kind) planned() bool { return slices.Contains(plannedKinds, k) }
 
 // targets lists what a plan may disturb.
-type targets struct{ processes, entries, links, backends []string }
+type targets struct{ processes, entries, links, backends, dataCentres []string }
 
 const (
 	// meanGap is the mean time between the starts of independent disturbances. Most last longer, so they overlap.
@@ -163,6 +163,8 @@
 		// These have generators of their own, so that the other disturbances of a seed are those of earlier violations.
 		plan = append(plan, drawGroup(rand.New(rand.NewPCG(seed, 8)), duration, meanShrinkGap, shrinkBackend, t.backends)...)
 		plan = append(plan, drawGroup(rand.New(rand.NewPCG(seed, 9)), duration, meanEntryGap, resetEntry, t.entries)...)
+		plan = append(plan,
+			drawGroup(rand.New(rand.NewPCG(seed, 12)), duration, meanEvacuationGap, evacuateDataCentre, t.dataCentres)...)
 	}
 	plan = slices.DeleteFunc(plan, func(d disturbance) bool { return d.Start > duration })
 	slices.SortStableFunc(plan, func(a, b disturbance) int { return cmp.Compare(a.Start, b.Start) })
@@ -216,6 +218,8 @@
 		d.Intensity = 2 + 8*r.Float64()
 	case failBackend, loseResponses, delayRequests, storeLoseResponses, storeDelayWrites:
 		d.Intensity = 0.05 + 0.6*r.Float64()
+	case evacuateDataCentre:
+		d.Duration *= evacuateStretch
 	case shrinkBackend:
 		d.Intensity = 0.05 + 0.9*r.Float64() // share of the capacity that remains
 		d.Duration *= shrinkStretch
--- a/soak/site.go
+++ b/soak/site.go
@@ -84,6 +84,7 @@
 	version        uint64
 	versionAckedAt time.Time // when the store acknowledged the version
 	missedChecks   map[string]int
+	evacuations    map[string]int // of a data centre that last
 	storeFaults    map[kind]standin.StoreFault
 	backendFaults  map[string]map[kind]standin.BackendFault
 	linkFaults     map[string]map[kind]linkFault
@@ -101,7 +102,7 @@
 	s := &testSite{
 		options: o, disturbances: disturbances, checker: newChecker(disturbances),
 		processes: map[string]*process{}, links: map[string]*link{},
-		backends: map[string]*standin.Backend{}, missedChecks: map[string]int{}, storeFaults: map[kind]standin.StoreFault{},
+		backends: map[string]*standin.Backend{}, missedChecks: map[string]int{}, evacuations: map[string]int{}, storeFaults: map[kind]standin.StoreFault{},
 		backendFaults: map[string]map[kind]standin.BackendFault{}, linkFaults: map[string]map[kind]linkFault{},
 		capacityShares: map[string]map[kind]float64{},
 		behaviour:      callerBehaviour{rateFactor: 1},
@@ -221,6 +222,7 @@
 	}
 	enforces := r.Float64() < enforcingShare
 	s.checker.RecordCapacity(name, fullCapacity, time.Now())
+	s.checker.RecordDataCentre(name, s.dataCentre(i))
 	b, cleanUp, err := standin.NewBackend(standin.BackendOptions{
 		Name: name, Pool: poolName, Address: s.address(backendHosts, i, backendPort),
 		AnnounceAddress: s.address(announceLinks, i, announcePort), Capacity: fullCapacity, Labels: []string{"a", "r1-1"},
@@ -278,7 +280,7 @@
 
 // targets returns all targets that a plan may disturb.
 func (s *testSite) targets() targets {
-	t := targets{entries: s.entries, backends: s.agents}
+	t := targets{entries: s.entries, backends: s.agents, dataCentres: s.dataCentres()}
 	t.processes = append(append(t.processes, s.entries...), s.agents...)
 	for _, name := range s.entries {
 		t.links = append(t.links, name+"/callers", name+"/inner", storeLinkOf(name))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -70,7 +70,7 @@
 func TestRestartsKeepPlan(t *testing.T) {
 	all := targets{
 		processes: []string{"entry-1", "agent-1"}, entries: []string{"entry-1"}, links: []string{"entry-1/inner"},
-		backends: []string{"agent-1", "agent-2"},
+		backends: []string{"agent-1", "agent-2"}, dataCentres: []string{"dc-1"},
 	}
 	for seed := range uint64(20) {
 		plan := newOverlappingPlan(seed, 20*time.Second, all)
@@ -99,7 +99,7 @@
 func TestPlans(t *testing.T) {
 	all := targets{
 		processes: []string{"entry-1", "agent-1"}, entries: []string{"entry-1"}, links: []string{"entry-1/inner"},
-		backends: []string{"agent-1"},
+		backends: []string{"agent-1"}, dataCentres: []string{"dc-1"},
 	}
 	seen := map[kind]bool{}
 	for seed := range uint64(60) {
@@ -115,7 +115,7 @@
 	}
 	for _, kinds := range [][]kind{
 		plannedKinds, processKinds, linkKinds, backendKinds, storeKinds, callerKinds, capacityKinds, entryKinds, jobKinds,
-		{throttleProcess, callerReturns},
+		{throttleProcess, callerReturns, evacuateDataCentre},
 	} {
 		for _, k := range kinds {
 			if !seen[k] {
