Decide waiting and refusals by priority, deadline and work in core/overload

Cause: jobs were ordered by latest start alone, and priority counted only where it was 0. Nothing kept a route or a size of jobs from being refused more than others, and refusal shares above 1 were carried over to later waves.

Change: core/overload decides about each arriving job (Admit, Wait, Refuse, Displace); core/dispatch carries it out. The most urgent priority of a pool gets a third of the refusals, a job that would be refused may displace less urgent ones that have just arrived and not started, and routes and sizes that are served less than others are refused less. Refusals say why, and which job displaced them, in event 1004 and in Batch.Refused counters.

--- a/batchentry/log.go
+++ b/batchentry/log.go
@@ -27,6 +27,13 @@
 	if a.Agent != "" {
 		line = line.Str("Peer", a.Agent)
 	}
+	if a.Cause != "" {
+		line = line.Str("Reason", string(a.Cause)).Int("Priority", a.Priority)
+		e.metrics.recordRefusal(a.Cause, a.Priority)
+	}
+	if a.InFavourOf != "" {
+		line = line.Str("InFavourOf", string(a.InFavourOf))
+	}
 	if o, ok := a.Outcome.(batch.Failed); ok {
 		line = line.Int("Step", o.Task.Step).Int("Task", o.Task.Index).Int("Attempt", o.Attempts)
 		if o.Crashes > 0 {
--- a/batchentry/measure.go
+++ b/batchentry/measure.go
@@ -1,11 +1,13 @@
 package batchentry
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/overload"
 )
 
 // sampleSize limits the memory of a histogram. The samples are from about the last five minutes.
@@ -92,3 +94,8 @@
 	m.agentAge.Update(agentAge.Milliseconds())
 	m.entryAge.Update(entryAge.Milliseconds())
 }
+
+// recordRefusal counts a refusal for overload by cause and priority.
+func (m entryMetrics) recordRefusal(cause overload.Cause, priority int) {
+	metrics.GetOrRegisterCounter(fmt.Sprintf("Batch.Refused.%s.%d", cause, priority), m.registry).Inc(1)
+}
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/overload"
 	"dogwoodglade/core/resource"
 	"dogwoodglade/core/supervise"
 )
@@ -46,10 +47,13 @@
 	Job           batch.JobID
 	Route         string
 	Outcome       batch.Outcome
-	Waited        time.Duration // from the submission to the first start; the whole time if nothing started
-	Elapsed       time.Duration // from the submission to the answer
-	PredictedWait time.Duration // predicted wait for a job that arrives at the time of the answer
-	Agent         string        // agent of the run that decided the outcome, if there was one
+	Waited        time.Duration  // from the submission to the first start; the whole time if nothing started
+	Elapsed       time.Duration  // from the submission to the answer
+	PredictedWait time.Duration  // predicted wait for a job that arrives at the time of the answer
+	Agent         string         // agent of the run that decided the outcome, if there was one
+	Cause         overload.Cause // why the job was refused as Overloaded on arrival, or displaced
+	Priority      int
+	InFavourOf    batch.JobID // job for which it was displaced, if it was
 }
 
 // HealthChanged reports that a backend server has become degraded or has recovered.
@@ -114,12 +118,14 @@
 	waiting        []*task
 	waitingWork    coreTime // of its waiting tasks
 	answered       bool
+	late           bool // it can no longer meet its target
 	queued         bool
 	sequence       uint64
 	decidingAgent  string     // agent of the run that decided the outcome; empty if none did
 	lastServer     *server    // backend server of the latest start
 	resubmission   *batch.Job // the job as submitted again while its runs are being stopped
 	resubmittedAt  time.Time
+	refusal        refusalCause
 	tooLargeSince  time.Time // when a waiting job ceased to fit on any backend server; zero if it fits
 }
 
@@ -252,15 +258,7 @@
 }
 
 // PredictedWait predicts how long a job that arrives now waits for a backend server.
-func (l PoolLoad) PredictedWait() time.Duration { return drainTime(l.Queued, l.Cores) }
-
-// drainTime returns how long the given cores need for the given work.
-func drainTime(coreSeconds, cores float64) time.Duration {
-	if cores <= 0 {
-		return NoServerWait
-	}
-	return time.Duration(coreSeconds / cores * float64(time.Second))
-}
+func (l PoolLoad) PredictedWait() time.Duration { return overload.DrainTime(l.Queued, l.Cores) }
 
 // Total returns the cores, queued work and free capacity summed over all pools. Its other fields are not set.
 func (l Load) Total() PoolLoad {
@@ -274,7 +272,7 @@
 }
 
 // NoServerWait is the predicted wait at an entry without backend servers.
-const NoServerWait = time.Hour
+const NoServerWait = overload.NoServerWait
 
 // Load returns the current load. It includes the pools that have backend servers or waiting jobs.
 func (d *Dispatcher) Load() Load {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/overload"
 	"dogwoodglade/core/supervise"
 )
 
@@ -141,22 +142,7 @@
 		}
 		return reason, false
 	}
-	if canStart {
-		return "", true
-	}
-	wait := d.PredictedWait(j.Pool)
-	if now.Add(wait).After(j.startDeadline) {
-		return batch.Overloaded, false
-	}
-	r := d.route(j.Route)
-	weight := r.shedWeight(j.Priority, j.waitingWork.seconds())
-	if share := shedShare(wait) * weight; share > 0 && r.shouldShed(share) {
-		return batch.Overloaded, false
-	}
-	if wait > shedMinWait && d.predictWait(j) > time.Duration(slackShare*float64(j.targetStart.Sub(now))) {
-		return batch.Overloaded, false
-	}
-	return "", true
+	return d.decide(now, j, canStart)
 }
 
 // hasCapacity reports whether all tasks of the steps without dependencies fit on the backend servers now. Waiting
@@ -194,18 +180,6 @@
 	return false
 }
 
-// predictWait predicts how long a job waits for the work queued ahead of it.
-func (d *Dispatcher) predictWait(j *job) time.Duration {
-	var ahead coreTime
-	p := d.pool(j.Pool)
-	for _, other := range p.queue.jobs {
-		if !other.answered && !other.targetStart.After(j.targetStart) {
-			ahead += other.waitingWork
-		}
-	}
-	return drainTime(ahead.seconds(), p.cores)
-}
-
 // checkFits reports whether each task of the job fits on some empty backend server, and otherwise the reason.
 func (d *Dispatcher) checkFits(j *job) (batch.Reason, bool) {
 	hasServer := false
@@ -233,8 +207,8 @@
 
 func (d *Dispatcher) notRunOutcome(now time.Time, j *job, reason batch.Reason) batch.Outcome {
 	p := d.pool(j.Pool)
-	busy := min(drainTime(j.waitingWork.seconds(), p.cores), time.Second)
-	return batch.NotRun{Reason: reason, RetryAfter: p.retry.reserve(now, min(p.wait(), maxRetryAfter), busy)}
+	busy := min(overload.DrainTime(j.waitingWork.seconds(), p.cores), time.Second)
+	return batch.NotRun{Reason: reason, RetryAfter: p.retries.Reserve(now, p.wait(), busy)}
 }
 
 // refuse ends a waiting job with the outcome NotRun.
@@ -378,6 +352,7 @@
 	a := Answer{
 		Job: j.ID, Route: j.Route, Outcome: o, Elapsed: now.Sub(j.submittedAt),
 		PredictedWait: d.PredictedWait(j.Pool), Agent: j.decidingAgent,
+		Cause: j.refusal.cause, Priority: j.Priority, InFavourOf: j.refusal.inFavourOf,
 	}
 	a.Waited = a.Elapsed
 	if j.started() {
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/overload"
 	"dogwoodglade/core/resource"
 )
 
@@ -18,14 +19,15 @@
 	anyIncluded   bool     // at least one usable backend server is not excluded
 	queued        coreTime // predicted processor time of the waiting tasks
 	typicalDemand int      // thousandths of a core, moving average over jobs; 0 before the first
-	retry         retrySchedule
+	policy        *overload.Policy
+	retries       overload.Retries
 	servedAt      time.Time // when this or another entry last had a usable backend server; zero if never
 }
 
 func (d *Dispatcher) pool(name string) *poolState {
 	p, ok := d.pools[name]
 	if !ok {
-		p = &poolState{name: name}
+		p = &poolState{name: name, policy: overload.New()}
 		d.pools[name] = p
 		// Sorted, so that the same events lead to the same actions.
 		d.sortedPools = append(d.sortedPools, p)
@@ -34,7 +36,7 @@
 	return p
 }
 
-func (p *poolState) wait() time.Duration { return drainTime(p.queued.seconds(), p.cores) }
+func (p *poolState) wait() time.Duration { return overload.DrainTime(p.queued.seconds(), p.cores) }
 
 // usableCapacity rounds the free processor capacity of a backend server down to a multiple of the typical demand of a
 // task. The remainders on several backend servers do not add up to capacity for a task.
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"container/heap"
 	"time"
 
@@ -8,8 +9,8 @@
 )
 
 // queue is a heap of the jobs with waiting tasks, ordered by the latest start that meets the target. Jobs that can
-// no longer meet it follow in order of arrival, so that they do not delay those that can. A job that has started
-// keeps its position, so that it completes.
+// no longer meet it follow by priority and in order of arrival, so that they do not delay those that can. A job that
+// has started keeps its position, so that it completes.
 type queue struct{ jobs []*job }
 
 // Len implements heap.Interface.
@@ -17,11 +18,22 @@
 
 // Less implements heap.Interface.
 func (q *queue) Less(i, k int) bool {
-	a, b := q.jobs[i], q.jobs[k]
-	if !a.targetStart.Equal(b.targetStart) {
-		return a.targetStart.Before(b.targetStart)
+	return compareStartOrder(q.jobs[i], q.jobs[k]) < 0
+}
+
+// compareStartOrder orders jobs by when they start. Late jobs of urgent routes come before those of others.
+func compareStartOrder(a, b *job) int {
+	if a.late != b.late {
+		if a.late {
+			return 1
+		}
+		return -1
+	}
+	if a.late && a.Priority != b.Priority {
+		return cmp.Compare(a.Priority, b.Priority)
 	}
-	return a.sequence < b.sequence
+	return cmp.Or(a.targetStart.Compare(b.targetStart), cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.sequence, b.sequence))
 }
 
 // Swap implements heap.Interface.
@@ -102,6 +114,7 @@
 				continue
 			}
 			j.targetStart = j.submittedAt.Add(lateOffset)
+			j.late = true
 			heap.Fix(&p.queue, 0)
 			continue
 		}
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -17,35 +17,14 @@
 	// lateFactor is the multiple of the target time up to which a late answer is still useful to the caller.
 	lateFactor = 3
 
-	// shedMinWait and shedMaxWait are the predicted waits between which the share of jobs that are refused on arrival
-	// (shed) rises from 0 to 1. Only jobs that would have to wait are refused. Short jobs thus meet their short
-	// targets, and no kind of job starves.
-	shedMinWait = 60 * time.Millisecond
-	shedMaxWait = 200 * time.Millisecond
-
-	// slackShare is the share of a job's slack, the time until the latest start that meets its target, that the work
-	// queued ahead of it may take. More such work arrives while the job waits.
-	slackShare = 1.0
 	// demandWeight is the weight of one step in the moving average of the demand of a task.
 	demandWeight = 0.05
-	// urgentShedFactor scales the share of refusals for jobs of the most urgent routes.
-	urgentShedFactor = 0.35
-	// shedSizeExponent makes refusals more likely for the larger jobs of a route: the fewer core-seconds a job needs,
-	// the more callers the same processors serve. With the square root, large jobs are still served.
-	shedSizeExponent = 0.5
-	maxRelativeSize  = 4.0  // relative to the typical work of the route; larger jobs count as this size
-	workWeight       = 0.02 // weight of one job in the moving average of the work of a job
-
-	// maxRetryAfter bounds the time over which retries are spread.
-	maxRetryAfter = 10 * time.Second
 )
 
 // routeState is what the dispatcher has learned about the jobs of a route.
 type routeState struct {
-	runTimeRatio  float64 // typical run time relative to the estimate
-	runs          int     // observed so far
-	shedRemainder float64 // sum of refusal shares that has not led to a refusal yet
-	typicalWork   float64 // typical core-seconds of a job
+	runTimeRatio float64 // typical run time relative to the estimate
+	runs         int     // observed so far
 }
 
 func (d *Dispatcher) route(name string) *routeState {
@@ -70,51 +49,3 @@
 func (r *routeState) predictRunTime(estimate time.Duration) time.Duration {
 	return time.Duration(min(float64(estimate)*r.runTimeRatio, float64(maxRunTime)))
 }
-
-// shouldShed reports whether to refuse the next job of the route, so that the given share of jobs is refused. The
-// shares are summed up instead of drawn at random, so that no kind of job is refused several times in a row by
-// chance.
-func (r *routeState) shouldShed(share float64) bool {
-	r.shedRemainder += share
-	if r.shedRemainder < 1 {
-		return false
-	}
-	r.shedRemainder--
-	return true
-}
-
-// shedWeight returns the factor by which the share of refusals applies to a job.
-func (r *routeState) shedWeight(priority int, work float64) float64 {
-	if r.typicalWork == 0 {
-		r.typicalWork = work
-	}
-	r.typicalWork += workWeight * (work - r.typicalWork)
-	weight := 1.0
-	if r.typicalWork > 0 {
-		weight = math.Pow(min(max(work/r.typicalWork, 1/maxRelativeSize), maxRelativeSize), shedSizeExponent)
-	}
-	if priority == 0 {
-		weight *= urgentShedFactor
-	}
-	return weight
-}
-
-// shedShare returns the share of arriving jobs to refuse at a predicted wait.
-func shedShare(wait time.Duration) float64 {
-	share := float64(wait-shedMinWait) / float64(shedMaxWait-shedMinWait)
-	return min(max(share, 0), 1)
-}
-
-// retrySchedule spreads the retries of refused callers over the time that the queue needs to drain.
-type retrySchedule struct{ next time.Time }
-
-// reserve returns the delay after which a caller may retry. wait is the predicted wait for the queue, and work is how
-// long the caller's job would occupy all backend servers of the pool.
-func (r *retrySchedule) reserve(now time.Time, wait, work time.Duration) time.Duration {
-	earliest := now.Add(wait)
-	if r.next.Before(earliest) {
-		r.next = earliest
-	}
-	r.next = r.next.Add(work)
-	return min(r.next.Sub(now), maxRetryAfter)
-}
--- /dev/null
+++ b/core/overload/overload_test.go
@@ -0,0 +1,194 @@
+package overload_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dogwoodglade/core/overload"
+)
+
+var start = time.Unix(1000, 0)
+
+// job returns a job that arrives now, with slack until its target start, and half a second more until its latest one.
+func job(route string, priority int, now time.Time, slack time.Duration, work float64) overload.Job {
+	return overload.Job{
+		Route: route, Priority: priority, ArrivedAt: now, TargetStart: now.Add(slack),
+		LatestStart: now.Add(slack + 500*time.Millisecond), Work: work,
+	}
+}
+
+// learn lets a policy see one job of each of three priorities that can start.
+func learn(p *overload.Policy) {
+	for i, route := range []string{"urgent", "usual", "patient"} {
+		p.Decide(start, job(route, i, start, 100*time.Millisecond, 1), nil, overload.Capacity{Cores: 10, Fits: true})
+	}
+}
+
+// Guards against an urgent job that is refused because of a less urgent one that has not started, against refusals of
+// jobs that have started or waited, and against late refusals of jobs that cannot be in time.
+func TestDecide(t *testing.T) {
+	now := start.Add(time.Second)
+	const cores = 10
+	urgent := job("urgent", 0, now, 80*time.Millisecond, 0.1)
+	fresh := job("usual", 1, now.Add(-5*time.Millisecond), 75*time.Millisecond, 0.1)
+	started := fresh
+	started.Started = true
+	waited := job("usual", 1, now.Add(-60*time.Millisecond), 130*time.Millisecond, 0.1)
+	// A job that ends the prediction that the urgent one is in time.
+	ahead := started
+	ahead.Work = 0.8
+	for _, c := range []struct {
+		name    string
+		arrives overload.Job
+		queue   []overload.Job
+		fits    bool
+		want    overload.Decision
+	}{
+		{"it fits", urgent, []overload.Job{ahead, started}, true, overload.Admit{}},
+		{"a short queue", urgent, []overload.Job{fresh}, false, overload.Wait{}},
+		{
+			"a less urgent one has just arrived", urgent,
+			[]overload.Job{ahead, fresh},
+			false,
+			overload.Displace{Victims: []int{1}},
+		},
+		{
+			"all have started", urgent,
+			[]overload.Job{ahead, started},
+			false,
+			overload.Refuse{Cause: overload.NotInTime},
+		},
+		{
+			"the less urgent one has waited", urgent,
+			[]overload.Job{ahead, waited},
+			false,
+			overload.Refuse{Cause: overload.NotInTime},
+		},
+		{
+			"it is the less urgent one", job("usual", 1, now, 80*time.Millisecond, 0.1),
+			[]overload.Job{ahead, job("urgent", 0, now, 70*time.Millisecond, 0.1)},
+			false,
+			overload.Refuse{Cause: overload.NotInTime},
+		},
+		{
+			"its latest start comes before its turn", job("urgent", 0, now, -450*time.Millisecond, 0.1),
+			[]overload.Job{ahead},
+			false,
+			overload.Refuse{Cause: overload.TooLate},
+		},
+	} {
+		p := overload.New()
+		learn(p)
+		got := p.Decide(now, c.arrives, c.queue, overload.Capacity{Cores: cores, Fits: c.fits})
+		if fmt.Sprintf("%T%+v", got, got) != fmt.Sprintf("%T%+v", c.want, c.want) {
+			t.Errorf("%s: got %T%+v, want %T%+v", c.name, got, got, c.want, c.want)
+		}
+	}
+}
+
+// Guards against a route or the large jobs of a route that are nearly always refused while others are served, at a
+// constant wait that calls for a share of refusals.
+func TestNoRouteOrSizeStarves(t *testing.T) {
+	p := overload.New()
+	type key struct {
+		route string
+		work  float64
+	}
+	offered, served := map[key]int{}, map[key]int{}
+	for i := range 20000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		route := i % 3
+		work := []float64{0.5, 0.5, 0.5, 0.5, 0.5, 1.2, 0.5, 1.2, 0.5, 4}[i/3%10]
+		k := key{fmt.Sprint(route), work}
+		offered[k]++
+		queue := []overload.Job{job(k.route, route, now.Add(-time.Second), 2*time.Second, 1.7)}
+		queue[0].Started = true
+		d := p.Decide(now, job(k.route, route, now, 400*time.Millisecond, work), queue, overload.Capacity{Cores: 10})
+		if _, refused := d.(overload.Refuse); !refused {
+			served[k]++
+		}
+	}
+	for k, n := range offered {
+		share := float64(served[k]) / float64(n)
+		whole := 0.0
+		for _, work := range []float64{0.5, 1.2, 4} {
+			whole += float64(served[key{k.route, work}]) / float64(20000/3)
+		}
+		if share < 0.5*whole {
+			t.Errorf("route %s, work %.1f: %.2f were served, of the route %.2f", k.route, k.work, share, whole)
+		}
+	}
+}
+
+// Guards against decisions that break what the package promises, for any queue: only jobs that are less urgent or of a
+// route that is not served less, have not started and arrived a moment ago are displaced, what they free is enough, and
+// a job that fits is never refused.
+func TestDecisionsKeepPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := overload.New()
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "arrivals") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "pause")) * time.Millisecond)
+			var queue []overload.Job
+			target := now.Add(-100 * time.Millisecond)
+			for range rapid.IntRange(0, 12).Draw(t, "waiting") {
+				target = target.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "later")) * time.Millisecond)
+				priority := rapid.IntRange(0, 2).Draw(t, "priority")
+				age := time.Duration(rapid.IntRange(0, 40).Draw(t, "age")) * time.Millisecond
+				arrived := now.Add(-age)
+				waiting := job(fmt.Sprint(priority), priority, arrived, target.Sub(arrived), rapid.Float64Range(0, 3).Draw(t, "work"))
+				waiting.Started = rapid.Bool().Draw(t, "started")
+				queue = append(queue, waiting)
+			}
+			priority := rapid.IntRange(0, 2).Draw(t, "priority")
+			slack := time.Duration(rapid.IntRange(-100, 600).Draw(t, "slack")) * time.Millisecond
+			j := job(fmt.Sprint(priority), priority, now, slack, rapid.Float64Range(0, 3).Draw(t, "work"))
+			c := overload.Capacity{Cores: rapid.Float64Range(0, 40).Draw(t, "cores"), Fits: rapid.Bool().Draw(t, "fits")}
+			switch d := p.Decide(now, j, queue, c).(type) {
+			case overload.Admit:
+				if !c.Fits {
+					t.Fatalf("a job that does not fit was admitted")
+				}
+			case overload.Refuse:
+				if c.Fits {
+					t.Fatalf("a job that fits was refused: %s", d.Cause)
+				}
+			case overload.Displace:
+				freed := 0.0
+				for i, v := range d.Victims {
+					other := queue[v]
+					if i > 0 && v <= d.Victims[i-1] {
+						t.Fatalf("the positions %v do not increase", d.Victims)
+					}
+					if other.Priority <= j.Priority || other.Started {
+						t.Fatalf("%+v was displaced in favour of %+v", other, j)
+					}
+					freed += other.Work
+				}
+				if freed < j.Work {
+					t.Fatalf("%g core-seconds were freed for a job of %g", freed, j.Work)
+				}
+			case overload.Wait:
+			}
+		}
+	})
+}
+
+// Guards against refused callers that all return at the same time, and against delays longer than callers wait.
+func TestRetriesAreSpread(t *testing.T) {
+	var r overload.Retries
+	last := time.Duration(0)
+	for range 200 {
+		after := r.Reserve(start, 100*time.Millisecond, 80*time.Millisecond)
+		if after < last || after > overload.MaxRetryAfter {
+			t.Fatalf("a retry after %v follows one after %v", after, last)
+		}
+		if after == last && after < overload.MaxRetryAfter {
+			t.Fatalf("two callers retry after %v", after)
+		}
+		last = after
+	}
+}
--- a/internal/batchplay/job.go
+++ b/internal/batchplay/job.go
@@ -122,3 +122,12 @@
 	}
 	return j.Took
 }
+
+// Work returns the work of a job in seconds of run time, summed over its tasks.
+func (j *Job) Work() float64 {
+	total := 0.0
+	for _, d := range j.runTimes {
+		total += d
+	}
+	return total
+}
