Test the processes against crowds of unfinished requests

Cause: clients outside the limits can make a process exceed its memory or its descriptors. Nothing bounds the number of connections, the bytes of unfinished bodies, the time that a body may take, or what a body of legal size becomes when it is decoded.

--- /dev/null
+++ b/crowd/crowd_test.go
@@ -0,0 +1,171 @@
+package crowd
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// crowd is a group of clients outside the limits. Each holds one connection at a time and opens the next one when the
+// server has ended it.
+type crowd struct {
+	address string
+	clients int
+	rounds  int // connections that each client opens at most
+	// send sends a request on a connection.
+	send func(w io.Writer, r *rand.Rand) error
+
+	mu      sync.Mutex
+	settled int // clients that have sent all they have on their last connection, or have used it up
+	opened  int
+	refused map[string]int // responses by status code
+}
+
+// reconnectPause keeps a crowd whose connections are closed from taking the processor of the machine.
+const reconnectPause = 300 * time.Millisecond
+
+// startCrowd starts the clients. The returned function closes their connections and waits for them.
+func startCrowd(c *crowd) (stop func()) {
+	c.refused = map[string]int{}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for i := range c.clients {
+		running.Go(func() {
+			r := rand.New(rand.NewPCG(uint64(i), 1))
+			for round := range c.rounds {
+				c.play(ctx, r, round == c.rounds-1)
+				select {
+				case <-ctx.Done():
+					return
+				case <-time.After(reconnectPause):
+				}
+			}
+		})
+	}
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// play opens a connection, sends a request and holds the connection until the server or the test ends it.
+func (c *crowd) play(ctx context.Context, r *rand.Rand, last bool) {
+	once := sync.OnceFunc(func() {
+		c.mu.Lock()
+		c.settled++
+		c.mu.Unlock()
+	})
+	if last {
+		defer once()
+	}
+	dialer := net.Dialer{Timeout: 5 * time.Second}
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return
+	}
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	defer func() { _ = conn.Close() }()
+	c.mu.Lock()
+	c.opened++
+	c.mu.Unlock()
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		if c.send(conn, r) == nil {
+			once() // the connection stays open
+		}
+	}()
+	responses := bufio.NewReaderSize(conn, 1024)
+	status := ""
+	for err == nil {
+		var line string
+		if line, err = responses.ReadString('\n'); strings.HasPrefix(line, "HTTP/1.1 ") {
+			status = line[9:12]
+			c.mu.Lock()
+			c.refused[status]++
+			c.mu.Unlock()
+		}
+	}
+	_ = conn.Close()
+	<-sent
+}
+
+// Settled reports whether each client holds a connection on which it has sent what it has, or has used up its rounds.
+func (c *crowd) Settled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.settled >= c.clients
+}
+
+func (c *crowd) String() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("%d connections opened, responses by status: %v", c.opened, c.refused)
+}
+
+// request describes what a client of a crowd sends.
+type request struct {
+	method string
+	path   func(r *rand.Rand) string
+	body   []byte
+	chunk  int // size of the chunks of a chunked body; 0 sends the body by its length
+	piece  int // bytes written at once; 0 writes the body at once
+	// finishers is one in how many clients that send the body to its end. The others stop a few bytes before it. 0 means
+	// that all stop before it.
+	finishers int
+}
+
+// send writes the request.
+func (q request) send(w io.Writer, r *rand.Rand) error {
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Dogwoodglade-Deadline-Ms: 60000\r\n", q.method, q.path(r), routeHost)
+	if q.chunk > 0 {
+		head.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+	} else {
+		head.WriteString("Content-Length: " + strconv.Itoa(len(q.body)) + "\r\n\r\n")
+	}
+	body := q.body
+	if q.chunk > 0 {
+		body = q.chunked()
+	}
+	if q.finishers == 0 || r.IntN(q.finishers) > 0 {
+		body = body[:len(body)-1-r.IntN(20)]
+	}
+	if _, err := w.Write(head.Bytes()); err != nil {
+		return err
+	}
+	piece := q.piece
+	if piece == 0 {
+		piece = len(body)
+	}
+	for len(body) > 0 {
+		n, err := w.Write(body[:min(piece, len(body))])
+		if err != nil {
+			return err
+		}
+		body = body[n:]
+		if q.piece > 0 {
+			time.Sleep(time.Duration(r.IntN(int(20 * time.Millisecond))))
+		}
+	}
+	return nil
+}
+
+func (q request) chunked() []byte {
+	var b bytes.Buffer
+	for rest := q.body; len(rest) > 0; {
+		n := min(q.chunk, len(rest))
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", n, rest[:n])
+		rest = rest[n:]
+	}
+	b.WriteString("0\r\n\r\n")
+	return b.Bytes()
+}
