Bound what unfinished requests may hold in memory and descriptors

Cause: each body was read whole into memory before anything was decided, connections were not limited, a body might take any time, and a body of legal size could decode to a multiple of its size, or stay as a large open job.

Change: io/httpserver serves all HTTP listeners of the entries and agents on the platform. core/connlimit decides which connection makes room for a new one: stalled requests first, then idle connections, never one that is being served. core/bodybudget shares a budget between the bodies that are being read, by the bytes that arrived; the largest and oldest unfinished ones are refused 503 as not run. Responses to such requests do not wait for the rest of the body. Receive buffers are small, bodies have a time-out, and buffers are reused. The limits follow from memory_mb and max_fds of the settings. Events 7001 and 7002, metrics HTTP.*.

--- /dev/null
+++ b/cmd/dogwoodglade/clientlimits.go
@@ -0,0 +1,49 @@
+package main
+
+import "dogwoodglade/io/httpserver"
+
+const (
+	// defaultMemory and defaultDescriptors replace missing settings. They are the smallest that a process on the
+	// platform gets.
+	defaultMemory      = 144 << 20
+	defaultDescriptors = 3075
+	// reservedForFiles is the number of descriptors that the platform reserves for files.
+	reservedForFiles = 200
+	// callerDescriptorShare is the share of the other descriptors that callers may use. The rest is for entries, agents
+	// and the store.
+	callerDescriptorShare = 0.5
+	// callerMemoryShare and bodyMemoryShare are shares of the memory. The rest is for the program and its own state,
+	// about 25 MB, for garbage that has not been collected yet, and for received bytes where the kernel does not keep to
+	// the receive buffer that httpserver asks for.
+	callerMemoryShare = 0.2
+	bodyMemoryShare   = 0.15
+	// maxOwnConnections is the number of connections at each address for the platform itself and for the backend server
+	// of the host, which use one or two.
+	maxOwnConnections = 32
+)
+
+// clientLimits are the limits on clients, derived from the limits of the process.
+type clientLimits struct {
+	callerConnections int
+	ownConnections    int   // at each other address
+	bodyBytes         int64 // unfinished request bodies
+}
+
+// newClientLimits returns the limits for a process with the given memory in bytes and number of descriptors. Zero means
+// that a limit is not known.
+func newClientLimits(memory int64, descriptors int) clientLimits {
+	if memory <= 0 {
+		memory = defaultMemory
+	}
+	if descriptors <= 0 {
+		descriptors = defaultDescriptors
+	}
+	forSockets := max(descriptors-reservedForFiles, 0)
+	byDescriptors := int(callerDescriptorShare * float64(forSockets))
+	byMemory := int(callerMemoryShare * float64(memory) / httpserver.ConnectionBytes)
+	return clientLimits{
+		callerConnections: max(min(byDescriptors, byMemory), 1),
+		ownConnections:    max(min(maxOwnConnections, byDescriptors/4), 1),
+		bodyBytes:         int64(bodyMemoryShare * float64(memory)),
+	}
+}
--- a/cmd/dogwoodglade/fleet.go
+++ b/cmd/dogwoodglade/fleet.go
@@ -7,10 +7,8 @@
 	"net/http"
 	"os"
 	"runtime/debug"
-	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
@@ -18,6 +16,7 @@
 	"dogwoodglade/batchagent"
 	"dogwoodglade/batchentry"
 	"dogwoodglade/internal/boottime"
+	"dogwoodglade/io/httpserver"
 	"dogwoodglade/io/logs"
 	"dogwoodglade/platform"
 )
@@ -35,17 +34,17 @@
 	// memoryLimitShare is the share of the process's memory limit that is set as the soft limit of the Go runtime.
 	// The rest is for stacks, kernel buffers that count towards the limit, and garbage that is not collected yet.
 	memoryLimitShare = 0.7
+	// outsideHeap is left below the process's memory limit in any case: about 10 MB of the program itself, and received
+	// bytes of some hundred connections, which do not shrink with the limit.
+	outsideHeap = 24 << 20
 	// gcPercent is above the default of 100 to save processor time, since memory is plentiful.
 	gcPercent = 400
 	// minWeight is the lowest weight of an entry, also used if the settings do not give its share of a core.
 	minWeight = 0.1
 	// stopMargin is the part of the stop timeout that is reserved for writing responses and exiting.
 	stopMargin = 800 * time.Millisecond
-	// headerTimeout and idleTimeout limit HTTP connections. idleTimeout is long because callers reuse connections
-	// after long pauses.
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 90 * time.Second
-	maxHeaderBytes = 16 << 10
+	// maxAnnouncement limits the body of an announcement of a backend server.
+	maxAnnouncement = 64 << 10
 )
 
 func fleetCommand() *cli.Command {
@@ -71,6 +70,8 @@
 	settings platform.Settings
 	logger   zerolog.Logger
 	metrics  metrics.Registry
+	limits   clientLimits
+	bodies   *httpserver.Bodies
 	cleanUps []func()
 }
 
@@ -79,9 +80,7 @@
 	if err != nil {
 		return nil, &exitError{code: exitUsage, err: err}
 	}
-	if settings.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryLimit)))
-	}
+	setMemoryLimit(settings.MemoryLimit)
 	debug.SetGCPercent(gcPercent)
 	writer, flush := logs.New(os.Stdout)
 	f := &fleetProcess{
@@ -90,7 +89,16 @@
 		metrics:  metrics.NewRegistry(),
 	}
 	f.cleanUps = append(f.cleanUps, flush)
-	return f, f.serve(settings.MetricsAddress, metricsHandler(f.metrics))
+	f.limits = newClientLimits(settings.MemoryLimit, settings.Descriptors)
+	f.bodies = httpserver.NewBodies(f.limits.bodyBytes, f.logger, f.metrics)
+	return f, f.serve("Metrics", settings.MetricsAddress, f.limits.ownConnections, metricsHandler(f.metrics))
+}
+
+// setMemoryLimit sets the soft limit of the Go runtime for a process with the given memory in bytes.
+func setMemoryLimit(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(max(min(int64(memoryLimitShare*float64(memory)), memory-outsideHeap), memory/4))
+	}
 }
 
 // cleanUp calls the clean-up functions in reverse order.
@@ -101,30 +109,27 @@
 }
 
 // serve serves HTTP on an address until cleanUp. It does nothing if the address is empty.
-func (f *fleetProcess) serve(address string, handler http.Handler) error {
-	_, err := f.startServer(address, handler)
+func (f *fleetProcess) serve(name, address string, connections int, handler http.Handler) error {
+	_, err := f.startServer(name, address, connections, handler)
 	return err
 }
 
 // startServer starts an HTTP server that cleanUp closes. It returns nil if the address is empty.
-func (f *fleetProcess) startServer(address string, handler http.Handler) (*http.Server, error) {
+func (f *fleetProcess) startServer(
+	name, address string, connections int, handler http.Handler,
+) (*httpserver.Server, error) {
 	if address == "" {
 		return nil, nil
 	}
-	listener, err := listenTCP(address)
+	listener, err := httpserver.Listen(address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "serve %s", address)
+		return nil, err
 	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: platform.WithConnection,
-	}
-	var running sync.WaitGroup
-	running.Go(func() { _ = server.Serve(listener) })
-	f.cleanUps = append(f.cleanUps, func() {
-		_ = server.Close()
-		running.Wait()
+	server, closeServer := httpserver.New(listener, httpserver.Options{
+		Name: name, Handler: handler, MaxConnections: connections, Bodies: f.bodies,
+		ConnContext: platform.WithConnection, Logger: f.logger, Metrics: f.metrics,
 	})
+	f.cleanUps = append(f.cleanUps, closeServer)
 	return server, nil
 }
 
@@ -144,9 +149,7 @@
 		return
 	}
 	f.logger.Info().Bool("Changed", !settings.Equal(f.settings)).Msg("settings reloaded")
-	if settings.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.MemoryLimit)))
-	}
+	setMemoryLimit(settings.MemoryLimit)
 }
 
 // stopContext returns a context that ends shortly before the platform kills the process.
@@ -173,11 +176,14 @@
 		return err
 	}
 	f.cleanUps = append(f.cleanUps, closeEntry)
-	callerServer, err := f.startServer(f.settings.CallerAddress, platform.CallerHandler(e))
+	callerServer, err := f.startServer(
+		"Callers", f.settings.CallerAddress, f.limits.callerConnections, platform.CallerHandler(e),
+	)
 	if err != nil {
 		return err
 	}
-	if err := f.serve(f.settings.ReadyAddress, platform.ReadinessHandler(e)); err != nil {
+	err = f.serve("Readiness", f.settings.ReadyAddress, f.limits.ownConnections, platform.ReadinessHandler(e))
+	if err != nil {
 		return err
 	}
 	waitForSignal(ctx, f.reload)
@@ -208,7 +214,8 @@
 		MaxCapacityAge: f.settings.MaxCapacityAge,
 	})
 	f.cleanUps = append(f.cleanUps, closeAgent)
-	if err := f.serve(f.settings.AnnounceAddress, platform.AnnounceHandler(a)); err != nil {
+	announcements := httpserver.Buffered(maxAnnouncement, platform.AnnounceHandler(a))
+	if err := f.serve("Backends", f.settings.AnnounceAddress, f.limits.ownConnections, announcements); err != nil {
 		return err
 	}
 	waitForSignal(ctx, f.reload)
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -93,6 +93,12 @@
 	PlatformRestored Number = 6005
 )
 
+// Events of the limits on clients.
+const (
+	ConnectionsClosed Number = 7001
+	BodiesRefused     Number = 7002
+)
+
 // Event is one event of the timeline. Fields that do not apply are zero, except that Task is -1.
 type Event struct {
 	Stamp    Stamp
--- a/core/event/name.go
+++ b/core/event/name.go
@@ -27,6 +27,8 @@
 
 	EditAccepted: "EditAccepted", EditRefused: "EditRefused", TablesAdopted: "TablesAdopted",
 	PlatformFailed: "PlatformFailed", PlatformRestored: "PlatformRestored",
+
+	ConnectionsClosed: "ConnectionsClosed", BodiesRefused: "BodiesRefused",
 }
 
 // String returns the name of the kind of event, or the number in decimal if it is unknown.
--- /dev/null
+++ b/io/httpserver/conn.go
@@ -0,0 +1,108 @@
+package httpserver
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"dogwoodglade/core/connlimit"
+)
+
+// conn is a connection of a Server.
+type conn struct {
+	*net.TCPConn
+	server   *Server
+	id       connlimit.ID
+	bodyRead bool // the body of the current request was read to its end; used by the handler's goroutine only
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(data []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.TCPConn.Write(data)
+}
+
+func (c *conn) setState(state connlimit.State) {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit.SetState(time.Now(), c.id, state)
+}
+
+// limitedListener accepts the connections of a Server within its limit.
+type limitedListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l limitedListener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := accepted.(*net.TCPConn)
+		if !ok {
+			return accepted, nil
+		}
+		if c := l.server.admit(tcp); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// admit adds a connection, and closes the one whose place it takes. It returns nil if that is the new one.
+func (s *Server) admit(tcp *net.TCPConn) *conn {
+	s.mu.Lock()
+	s.nextID++
+	c := &conn{TCPConn: tcp, server: s, id: s.nextID}
+	s.open[c.id] = c
+	closing, full := s.limit.Open(time.Now(), c.id)
+	victim := s.open[closing]
+	if full {
+		delete(s.open, closing)
+	}
+	s.mu.Unlock()
+	if full {
+		s.closed.Inc(1)
+		s.log.add(s.options.Name)
+		_ = victim.Close()
+	}
+	if victim == c {
+		return nil
+	}
+	return c
+}
+
+func (s *Server) connContext(ctx context.Context, c net.Conn) context.Context {
+	if s.options.ConnContext != nil {
+		ctx = s.options.ConnContext(ctx, c)
+	}
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	x, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		x.setState(connlimit.Serving)
+	case http.StateIdle:
+		x.setState(connlimit.Idle)
+	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.limit.Close(x.id)
+		delete(s.open, x.id)
+	}
+}
+
+func newReader(data []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(data)) }
--- /dev/null
+++ b/io/httpserver/server_test.go
@@ -0,0 +1,152 @@
+package httpserver_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"dogwoodglade/io/httpserver"
+)
+
+// newServer starts a server whose handler echoes bodies of at most 64 KiB.
+func newServer(t *testing.T, connections int, bodyBytes int64, timeout time.Duration) (address string) {
+	t.Helper()
+	listener, err := httpserver.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	registry := metrics.NewRegistry()
+	echo := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			_, _ = io.WriteString(w, "no body")
+			return
+		}
+		data, release, err := httpserver.ReadBody(r, 64<<10, timeout)
+		defer release()
+		if err != nil {
+			httpserver.WriteError(w, err)
+			return
+		}
+		_, _ = w.Write(data)
+	})
+	_, cleanUp := httpserver.New(listener, httpserver.Options{
+		Name: "Test", Handler: echo, MaxConnections: connections,
+		Bodies: httpserver.NewBodies(bodyBytes, zerolog.Nop(), registry), Logger: zerolog.Nop(), Metrics: registry,
+	})
+	t.Cleanup(cleanUp)
+	return listener.Addr().String()
+}
+
+// send sends text on a new connection, which stays open until the end of the test.
+func send(t *testing.T, address, text string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	// The server may close the connection at any time.
+	_, _ = io.WriteString(c, text)
+	return c
+}
+
+func post(length int, body string) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", length, body)
+}
+
+// readResponse returns the status of the next response, whether the server closes the connection after it, and its body.
+func readResponse(t *testing.T, c net.Conn) (status int, closes bool, body string) {
+	t.Helper()
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.StatusCode, r.Close, string(data)
+}
+
+// Guards against bodies that are cut or mixed up where a buffer grows, and against a connection that is closed after an
+// ordinary request.
+func TestBodiesArriveWhole(t *testing.T) {
+	address := newServer(t, 10, 1<<20, time.Minute)
+	c := send(t, address, "")
+	chunked := func(body string, chunk int) string {
+		var b strings.Builder
+		b.WriteString("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for len(body) > 0 {
+			n := min(chunk, len(body))
+			fmt.Fprintf(&b, "%x\r\n%s\r\n", n, body[:n])
+			body = body[n:]
+		}
+		return b.String() + "0\r\n\r\n"
+	}
+	for _, size := range []int{1, 8191, 8192, 8193, 40000, 65535, 65536} {
+		body := strings.Repeat("0123456789abcde", size/15+1)[:size]
+		for _, request := range []string{post(size, body), chunked(body, 100), chunked(body, 1<<20)} {
+			if _, err := io.WriteString(c, request); err != nil {
+				t.Fatal(err)
+			}
+			if status, closes, echoed := readResponse(t, c); status != http.StatusOK || closes || echoed != body {
+				t.Fatalf("body of %d bytes: status %d, closes %v, %d bytes equal: %v", size, status, closes, len(echoed), echoed == body)
+			}
+		}
+	}
+}
+
+// Guards against responses that wait for the rest of a body: refused bodies, and those that a handler does not read.
+func TestResponseDoesNotWaitForBody(t *testing.T) {
+	const tooMany = 64<<10 + 1
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"TooLarge":        {post(tooMany, "x"), http.StatusRequestEntityTooLarge},
+		"TooLargeChunked": {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + strings.Repeat("x", tooMany), http.StatusRequestEntityTooLarge},
+		"Slow":            {post(10, "x"), http.StatusRequestTimeout},
+		"Unread":          {strings.Replace(post(10, "x"), "POST", "GET", 1), http.StatusOK},
+	} {
+		address := newServer(t, 10, 1<<20, 50*time.Millisecond)
+		if status, closes, _ := readResponse(t, send(t, address, c.text)); status != c.status || !closes {
+			t.Errorf("%s: status %d, closes %v, want %d and true", name, status, closes, c.status)
+		}
+	}
+}
+
+// Guards against a stalled body that keeps the memory of others, and that is not told to its client as not run.
+func TestStalledBodyIsRefused(t *testing.T) {
+	address := newServer(t, 10, 64<<10, time.Minute)
+	stalled := send(t, address, post(30<<10, strings.Repeat("x", 30<<10-1)))
+	time.Sleep(20 * time.Millisecond) // an older body is refused first; any order would do for this test
+	if status, _, _ := readResponse(t, send(t, address, post(30<<10, strings.Repeat("y", 30<<10)))); status != http.StatusOK {
+		t.Errorf("status %d for the whole body, want 200", status)
+	}
+	if status, closes, _ := readResponse(t, stalled); status != http.StatusServiceUnavailable || !closes {
+		t.Errorf("status %d, closes %v for the stalled body, want 503 and true", status, closes)
+	}
+}
+
+// Guards against clients that take all connections of a listener with unfinished requests.
+func TestUnfinishedRequestsMakeRoom(t *testing.T) {
+	address := newServer(t, 4, 1<<20, time.Minute)
+	for range 4 {
+		send(t, address, post(10, "x"))
+	}
+	for range 4 {
+		send(t, address, "POST / HT")
+	}
+	if status, _, body := readResponse(t, send(t, address, post(1, "x"))); status != http.StatusOK || body != "x" {
+		t.Errorf("status %d, body %q", status, body)
+	}
+}
