Serve the callers' interface of classic entries with the limits of io/httpserver

Cause: a body of unknown length reserved 8 MiB of the 256 MiB for bodies before anything had arrived, so that 33 unfinished ones locked out every other caller for 15 s, and connections were not limited.

Change: caller.Serve takes the place of caller.NewServer and uses io/httpserver: bodies reserve what has arrived, the largest and oldest unfinished ones are refused, and at most 4,096 connections are open. Bodies wait for memory for 2 s at most. TestRequestMemoryIsLimitedAndReleased looked into the counter that is gone; it now checks the same through a server and the gauge of the reserved bytes.

--- a/capacity/submit.go
+++ b/capacity/submit.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"sync"
 
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/core/event"
 	"dogwoodglade/core/job"
 	"dogwoodglade/core/table"
 	"dogwoodglade/core/task"
@@ -118,15 +120,13 @@
 	if err != nil {
 		return nil, err
 	}
-	server := caller.NewServer(echoDispatcher{})
-	var running sync.WaitGroup
-	running.Go(func() { _ = server.Serve(listener) })
+	report := func(event.Number, string, int) {}
+	_, closeServer := caller.Serve(listener, echoDispatcher{}, report, metrics.NewRegistry())
 	var m meter
 	transport := &http.Transport{DialContext: m.dial((&net.Dialer{}).DialContext)}
 	defer func() {
 		transport.CloseIdleConnections()
-		_ = server.Close()
-		running.Wait()
+		closeServer()
 	}()
 	client := caller.NewClient(listener.Addr().String(), &http.Client{Transport: transport})
 	return m.measureRounds(submitRounds, func() error {
--- a/cmd/dogwoodglade/fleet.go
+++ b/cmd/dogwoodglade/fleet.go
@@ -15,6 +15,7 @@
 
 	"dogwoodglade/batchagent"
 	"dogwoodglade/batchentry"
+	"dogwoodglade/core/event"
 	"dogwoodglade/internal/boottime"
 	"dogwoodglade/io/httpserver"
 	"dogwoodglade/io/logs"
@@ -90,7 +91,7 @@
 	}
 	f.cleanUps = append(f.cleanUps, flush)
 	f.limits = newClientLimits(settings.MemoryLimit, settings.Descriptors)
-	f.bodies = httpserver.NewBodies(f.limits.bodyBytes, f.logger, f.metrics)
+	f.bodies = httpserver.NewBodies(f.limits.bodyBytes, f.report, f.metrics)
 	return f, f.serve("Metrics", settings.MetricsAddress, f.limits.ownConnections, metricsHandler(f.metrics))
 }
 
@@ -127,12 +128,18 @@
 	}
 	server, closeServer := httpserver.New(listener, httpserver.Options{
 		Name: name, Handler: handler, MaxConnections: connections, Bodies: f.bodies,
-		ConnContext: platform.WithConnection, Logger: f.logger, Metrics: f.metrics,
+		ConnContext: platform.WithConnection, Report: f.report, Metrics: f.metrics,
 	})
 	f.cleanUps = append(f.cleanUps, closeServer)
 	return server, nil
 }
 
+// report logs an event of the limits on clients.
+func (f *fleetProcess) report(number event.Number, listener string, count int) {
+	f.logger.Warn().Int("Number", int(number)).Str("Event", number.String()).Str("Listener", listener).
+		Int("Count", count).Send()
+}
+
 // metricsHandler returns a handler that writes all metrics as text.
 func metricsHandler(registry metrics.Registry) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/core/bodybudget/bodybudget.go
+++ b/core/bodybudget/bodybudget.go
@@ -73,6 +73,14 @@
 	return false, b.settle(now)
 }
 
+// Abandon refuses a body whose reservation has waited for too long. It has no effect on one that does not wait.
+func (b *Budget) Abandon(now time.Time, id ID) []Action {
+	if x, ok := b.bodies[id]; !ok || x.wants == 0 {
+		return nil
+	}
+	return append([]Action{b.refuse(id)}, b.settle(now)...)
+}
+
 // Shrink returns bytes of a body that stays open.
 func (b *Budget) Shrink(now time.Time, id ID, bytes int64) []Action {
 	x := b.bodies[id]
--- a/core/bodybudget/bodybudget_test.go
+++ b/core/bodybudget/bodybudget_test.go
@@ -72,6 +72,11 @@
 	if granted, actions := b.Reserve(later, 2, 20); granted || len(actions) > 0 {
 		t.Fatalf("got %v %v, want to wait", granted, actions)
 	}
+	b.Open(later, 3)
+	b.Reserve(later, 3, 20)
+	if actions := b.Abandon(later, 3); len(actions) != 1 || actions[0] != (Refuse{ID: 3}) {
+		t.Errorf("got %v, want a refusal of the body that waits no longer", actions)
+	}
 	if actions := b.Close(later, 1); len(actions) != 1 || actions[0] != (Grant{ID: 2}) {
 		t.Errorf("got %v, want a grant", actions)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,8 +12,6 @@
 	"encoding/binary"
 	mathrand "math/rand/v2"
 	"net"
-	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -107,7 +105,7 @@
 
 	stopTables := e.startTables()
 	stopConnections := e.connect(innerListener)
-	stopServer := serve(callerListener, caller.NewServer(e))
+	stopServer := e.serve(callerListener)
 	e.background.every(stateTickInterval, e.tickOwnersAndAllocators)
 	e.background.every(pingInterval, e.tickPeers)
 	e.background.every(ownership.TickInterval, e.tickOwnership)
@@ -198,16 +196,17 @@
 	}
 }
 
-func serve(listener net.Listener, server *http.Server) (cleanUp func()) {
-	var running sync.WaitGroup
-	running.Go(func() { _ = server.Serve(listener) })
+// serve serves callers until cleanUp is called.
+func (e *Entry) serve(listener net.Listener) (cleanUp func()) {
+	report := func(number event.Number, listener string, count int) {
+		e.record(event.Event{Number: number, Task: -1, State: listener, Count: count})
+	}
+	server, closeServer := caller.Serve(listener, e, report, e.options.Metrics)
 	return func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		if server.Shutdown(ctx) != nil {
-			_ = server.Close()
-		}
-		running.Wait()
+		_ = server.Shutdown(ctx)
+		closeServer()
 	}
 }
 
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -13,6 +14,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/core/event"
 	"dogwoodglade/core/job"
 	"dogwoodglade/core/shard"
 	"dogwoodglade/core/task"
@@ -78,12 +82,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(d)
-	go func() { _ = server.Serve(listener) }()
+	_, closeServer := Serve(listener, d, func(event.Number, string, int) {}, metrics.NewRegistry())
 	transport := &http.Transport{DialContext: network.Host("caller").Dial}
 	t.Cleanup(func() {
 		transport.CloseIdleConnections()
-		_ = server.Close()
+		closeServer()
 		synctest.Wait()
 	})
 	return network, NewClient("127.0.0.1:1", &http.Client{Transport: transport})
@@ -133,40 +136,51 @@
 // eventually reject every request.
 func TestRequestMemoryIsLimitedAndReleased(t *testing.T) {
 	d := &fakeDispatcher{answer: job.Answer{State: job.Complete}}
-	h := &handler{dispatcher: d}
-	post := func(body io.Reader) *httptest.ResponseRecorder {
-		w := httptest.NewRecorder()
-		h.postJob(w, httptest.NewRequest("POST", "/v1/jobs", body))
-		return w
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
-	large := bytes.Repeat([]byte(" "), MaxBodyBytes+1)
-	for name, body := range map[string]io.Reader{
-		"with length": bytes.NewReader(large), "without length": unknownLength{bytes.NewReader(large)},
-	} {
-		w := post(body)
-		if w.Code != http.StatusRequestEntityTooLarge || !strings.Contains(w.Body.String(), "BodyTooLarge") {
-			t.Errorf("%s: got %d %s, want 413 BodyTooLarge", name, w.Code, w.Body)
+	const memory = 20 << 10
+	registry := metrics.NewRegistry()
+	_, closeServer := serveWithin(memory, listener, d, func(event.Number, string, int) {}, registry)
+	defer closeServer()
+	post := func(body io.Reader) (status int, header http.Header, text string) {
+		t.Helper()
+		response, err := http.Post("http://"+listener.Addr().String()+"/v1/jobs", "application/json", body)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if n := h.reservedBytes.Load(); n != 0 {
-			t.Errorf("%s: %d bytes still reserved", name, n)
+		defer response.Body.Close()
+		data, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Fatal(err)
 		}
+		return response.StatusCode, response.Header, string(data)
 	}
+	reserved := func() int64 { return registry.Get("HTTP.BodyBytes").(metrics.Gauge).Value() }
+	large := make([]byte, MaxBodyBytes+1)
 	const small = `{"Customer":"atlas","Key":"k","Tasks":[{}]}`
-	r := httptest.NewRequest("POST", "/v1/jobs", unknownLength{strings.NewReader(small)})
-	_, release, ok := h.readBody(httptest.NewRecorder(), r)
-	if n := h.reservedBytes.Load(); !ok || n != int64(len(small)) {
-		t.Errorf("a body of %d bytes without content length reserves %d bytes", len(small), n)
+	for name, body := range map[string]string{
+		"over the memory": small + strings.Repeat(" ", 2*memory), "more than what is left while it grows": small + strings.Repeat(" ", memory/2),
+	} {
+		status, header, text := post(unknownLength{strings.NewReader(body)})
+		if status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" || !strings.Contains(text, `"Busy"`) ||
+			strings.Contains(text, "NotRun") {
+			t.Errorf("%s: got %d %s", name, status, text)
+		}
 	}
-	release()
-	h.reservedBytes.Add(maxReservedBytes)
-	w := post(strings.NewReader(small))
-	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" ||
-		!strings.Contains(w.Body.String(), `"Busy"`) || strings.Contains(w.Body.String(), "NotRun") {
-		t.Errorf("over the memory limit: got %d %s", w.Code, w.Body)
+	for _, body := range []io.Reader{strings.NewReader(small), unknownLength{strings.NewReader(small)}} {
+		if status, _, text := post(body); status != http.StatusOK || reserved() != 0 {
+			t.Errorf("after the memory was released: got %d %s with %d bytes reserved", status, text, reserved())
+		}
 	}
-	h.reservedBytes.Add(-maxReservedBytes)
-	if w := post(strings.NewReader(small)); w.Code != http.StatusOK || h.reservedBytes.Load() != 0 {
-		t.Errorf("after the memory was released: got %d with %d bytes reserved", w.Code, h.reservedBytes.Load())
+	for name, body := range map[string]io.Reader{
+		"with length": bytes.NewReader(large), "without length": unknownLength{bytes.NewReader(large)},
+	} {
+		w := serveRequest(Handler(d), "POST", "/v1/jobs", body)
+		if w.Code != http.StatusRequestEntityTooLarge || !strings.Contains(w.Body.String(), "BodyTooLarge") {
+			t.Errorf("%s: got %d %s, want 413 BodyTooLarge", name, w.Code, w.Body)
+		}
 	}
 }
 
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -8,28 +8,28 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"dogwoodglade/core/job"
 	"dogwoodglade/core/task"
+	"dogwoodglade/io/httpserver"
 )
 
 // Limits on requests.
 const (
-	MaxBodyBytes      = 8 << 20   // of one request body
-	maxReservedBytes  = 256 << 20 // of the bodies of all requests in progress
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 15 * time.Second
-	writeTimeout      = 15 * time.Second
-	maxHeaderBytes    = 16 << 10
+	MaxBodyBytes     = 8 << 20   // of one request body
+	maxReservedBytes = 256 << 20 // of the bodies of all requests in progress
+	maxConnections   = 4096
+	readTimeout      = httpserver.DefaultBodyTimeout
+	writeTimeout     = 15 * time.Second
 )
 
 // Headers of POST /v1/requests and its response.
@@ -62,20 +62,25 @@
 }
 
 type handler struct {
-	dispatcher    Dispatcher
-	reservedBytes atomic.Int64 // for the bodies of requests in progress
+	dispatcher Dispatcher
 }
 
-// NewServer returns an HTTP server for Handler. Its timeouts and size limits protect the entry from slow and
-// oversized requests.
-func NewServer(d Dispatcher) *http.Server {
-	return &http.Server{
-		Handler:           Handler(d),
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readTimeout,
-		IdleTimeout:       time.Minute,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+// Serve serves Handler on a listener until the returned function is called. It limits connections, the memory of
+// unfinished bodies, and the size and duration of requests.
+func Serve(
+	listener net.Listener, d Dispatcher, report httpserver.Report, registry metrics.Registry,
+) (server *httpserver.Server, cleanUp func()) {
+	return serveWithin(maxReservedBytes, listener, d, report, registry)
+}
+
+// serveWithin is Serve with a limit on the memory of the bodies of all requests in progress.
+func serveWithin(
+	memory int64, listener net.Listener, d Dispatcher, report httpserver.Report, registry metrics.Registry,
+) (server *httpserver.Server, cleanUp func()) {
+	return httpserver.New(listener, httpserver.Options{
+		Name: "Callers", Handler: Handler(d), MaxConnections: maxConnections,
+		Bodies: httpserver.NewBodies(memory, report, registry), Report: report, Metrics: registry,
+	})
 }
 
 // Handler returns the handler of the HTTP API for callers.
@@ -210,38 +215,31 @@
 // readBody reads a request body of at most MaxBodyBytes, if the memory limit for all requests allows it. Its
 // memory stays reserved until release is called. If ok is false, readBody has written an error response.
 func (h *handler) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), ok bool) {
-	size := r.ContentLength
-	if size < 0 {
-		size = MaxBodyBytes
-	}
-	if size > MaxBodyBytes {
-		writeError(w, http.StatusRequestEntityTooLarge, "BodyTooLarge", &FieldError{
-			Field: "body", Want: "at most 8388608 bytes",
-		})
-		return nil, nil, false
+	body, release, err := httpserver.ReadBody(r, MaxBodyBytes, readTimeout)
+	if err == nil {
+		return body, release, true
 	}
-	if h.reservedBytes.Add(size) > maxReservedBytes {
-		h.reservedBytes.Add(-size)
+	release()
+	var (
+		tooLarge *httpserver.TooLargeError
+		busy     *httpserver.BusyError
+		slow     *httpserver.SlowError
+	)
+	switch {
+	case errors.As(err, &tooLarge):
+		err = &FieldError{Field: "body", Want: "at most 8388608 bytes"}
+		writeError(w, http.StatusRequestEntityTooLarge, "BodyTooLarge", err)
+	case errors.As(err, &busy):
 		// The key is not known yet, so the response must not claim that the job did not run: an earlier
 		// submission of the key may have run.
 		w.Header().Set("Retry-After", "1")
 		writeError(w, http.StatusServiceUnavailable, "Busy", &BusyError{})
-		return nil, nil, false
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	if err != nil {
-		h.reservedBytes.Add(-size)
-		status, errorType := http.StatusBadRequest, "UnreadableBody"
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			status, errorType = http.StatusRequestEntityTooLarge, "BodyTooLarge"
-		}
-		writeError(w, status, errorType, err)
-		return nil, nil, false
+	case errors.As(err, &slow):
+		writeError(w, http.StatusRequestTimeout, "UnreadableBody", err)
+	default:
+		writeError(w, http.StatusBadRequest, "UnreadableBody", err)
 	}
-	used := int64(len(body))
-	h.reservedBytes.Add(used - size)
-	return body, func() { h.reservedBytes.Add(-used) }, true
+	return nil, nil, false
 }
 
 func decodeBody(w http.ResponseWriter, body []byte, request any) bool {
--- a/io/caller/unfinished_test.go
+++ b/io/caller/unfinished_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/core/event"
 	"dogwoodglade/core/job"
 )
 
@@ -46,8 +49,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(&fakeDispatcher{answer: job.Answer{State: job.Complete}})
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
+	d := &fakeDispatcher{answer: job.Answer{State: job.Complete}}
+	_, closeServer := Serve(listener, d, func(event.Number, string, int) {}, metrics.NewRegistry())
+	t.Cleanup(closeServer)
 	return listener.Addr().String()
 }
--- a/io/httpserver/bodies.go
+++ b/io/httpserver/bodies.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/rs/zerolog"
 
 	"dogwoodglade/core/bodybudget"
 	"dogwoodglade/core/event"
@@ -26,11 +25,11 @@
 
 // NewBodies returns a budget of a number of bytes. Its metrics are HTTP.BodyBytes, HTTP.BodiesRefused and
 // HTTP.BodiesTimedOut.
-func NewBodies(total int64, logger zerolog.Logger, registry metrics.Registry) *Bodies {
+func NewBodies(total int64, report Report, registry metrics.Registry) *Bodies {
 	b := &Bodies{
 		refused:  metrics.GetOrRegisterCounter("HTTP.BodiesRefused", registry),
 		timedOut: metrics.GetOrRegisterCounter("HTTP.BodiesTimedOut", registry),
-		log:      newEventLog(logger, event.BodiesRefused),
+		log:      &eventLog{report: report, number: event.BodiesRefused},
 		budget:   bodybudget.New(total), open: map[bodybudget.ID]*body{},
 	}
 	held := metrics.NewFunctionalGauge(func() int64 {
@@ -51,6 +50,10 @@
 	decided chan bool // whether the waiting reservation was granted
 }
 
+// maxWait is how long a body waits for memory. Refused bodies return theirs at once; those that are complete may keep it
+// while their requests are served.
+const maxWait = 2 * time.Second
+
 // past is a deadline that has passed. A connection with it returns from a blocked read at once.
 var past = time.Unix(1, 0)
 
@@ -78,6 +81,12 @@
 	x.decided = decided
 	b.perform(actions)
 	b.mu.Unlock()
+	timer := time.AfterFunc(maxWait, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.perform(b.budget.Abandon(time.Now(), x.id))
+	})
+	defer timer.Stop()
 	return <-decided
 }
 
--- a/io/httpserver/conn.go
+++ b/io/httpserver/conn.go
@@ -6,14 +6,17 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"dogwoodglade/core/connlimit"
 )
 
 // conn is a connection of a Server.
 type conn struct {
-	*net.TCPConn
+	net.Conn
 	server   *Server
 	id       connlimit.ID
 	bodyRead bool // the body of the current request was read to its end; used by the handler's goroutine only
@@ -24,7 +27,23 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.TCPConn.Write(data)
+	return c.Conn.Write(data)
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	if inner, ok := c.Conn.(syscall.Conn); ok {
+		return inner.SyscallConn()
+	}
+	return nil, errors.WithStack(errors.ErrUnsupported)
+}
+
+// CloseWrite lets http.Server end a connection so that the client can read the last response.
+func (c *conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
 }
 
 func (c *conn) setState(state connlimit.State) {
@@ -47,21 +66,17 @@
 		if err != nil {
 			return nil, err
 		}
-		tcp, ok := accepted.(*net.TCPConn)
-		if !ok {
-			return accepted, nil
-		}
-		if c := l.server.admit(tcp); c != nil {
+		if c := l.server.admit(accepted); c != nil {
 			return c, nil
 		}
 	}
 }
 
 // admit adds a connection, and closes the one whose place it takes. It returns nil if that is the new one.
-func (s *Server) admit(tcp *net.TCPConn) *conn {
+func (s *Server) admit(accepted net.Conn) *conn {
 	s.mu.Lock()
 	s.nextID++
-	c := &conn{TCPConn: tcp, server: s, id: s.nextID}
+	c := &conn{Conn: accepted, server: s, id: s.nextID}
 	s.open[c.id] = c
 	closing, full := s.limit.Open(time.Now(), c.id)
 	victim := s.open[closing]
--- a/io/httpserver/log.go
+++ b/io/httpserver/log.go
@@ -4,26 +4,24 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"dogwoodglade/core/event"
 )
 
-// logInterval limits the log lines of one kind, so that a crowd of clients does not fill the log.
-const logInterval = time.Second
+// Report records an event of a listener: ConnectionsClosed or BodiesRefused, with the number of occurrences since the
+// last one.
+type Report func(number event.Number, listener string, count int)
+
+// reportInterval limits the events of one kind, so that a crowd of clients does not fill the log.
+const reportInterval = time.Second
 
-// eventLog logs an event at most once in logInterval, with the number of occurrences since the last line.
+// eventLog reports an event at most once in reportInterval.
 type eventLog struct {
-	logger zerolog.Logger
+	report Report
 	number event.Number
 
-	mu       sync.Mutex // guards what follows
-	count    int
-	loggedAt time.Time
-}
-
-func newEventLog(logger zerolog.Logger, number event.Number) *eventLog {
-	return &eventLog{logger: logger, number: number}
+	mu         sync.Mutex // guards what follows
+	count      int
+	reportedAt time.Time
 }
 
 func (l *eventLog) add(listener string) {
@@ -31,10 +29,9 @@
 	defer l.mu.Unlock()
 	l.count++
 	now := time.Now()
-	if now.Sub(l.loggedAt) < logInterval {
+	if now.Sub(l.reportedAt) < reportInterval {
 		return
 	}
-	l.logger.Warn().Int("Number", int(l.number)).Str("Event", l.number.String()).Str("Listener", listener).
-		Int("Count", l.count).Send()
-	l.count, l.loggedAt = 0, now
+	l.report(l.number, listener, l.count)
+	l.count, l.reportedAt = 0, now
 }
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -16,7 +16,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
-	"github.com/rs/zerolog"
 
 	"dogwoodglade/core/connlimit"
 	"dogwoodglade/core/event"
@@ -46,7 +45,7 @@
 	MaxConnections int
 	Bodies         *Bodies
 	ConnContext    func(ctx context.Context, c net.Conn) context.Context // may be nil
-	Logger         zerolog.Logger
+	Report         Report
 	Metrics        metrics.Registry
 }
 
@@ -75,13 +74,13 @@
 	return listener, errors.Wrapf(err, "listen on %s", address)
 }
 
-// New serves HTTP on a TCP listener until the returned function is called. Its metrics are HTTP.Connections.NAME and
+// New serves HTTP on a listener until the returned function is called. Its metrics are HTTP.Connections.NAME and
 // HTTP.ConnectionsClosed.NAME.
 func New(listener net.Listener, options Options) (s *Server, cleanUp func()) {
 	s = &Server{
 		options: options, limit: connlimit.New(options.MaxConnections), open: map[connlimit.ID]*conn{},
 		closed: metrics.GetOrRegisterCounter("HTTP.ConnectionsClosed."+options.Name, options.Metrics),
-		log:    newEventLog(options.Logger, event.ConnectionsClosed),
+		log:    &eventLog{report: options.Report, number: event.ConnectionsClosed},
 	}
 	_ = options.Metrics.Register("HTTP.Connections."+options.Name, metrics.NewFunctionalGauge(func() int64 {
 		s.mu.Lock()
--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"github.com/rs/zerolog"
 
+	"dogwoodglade/core/event"
 	"dogwoodglade/io/httpserver"
 )
 
@@ -24,6 +24,7 @@
 		t.Fatal(err)
 	}
 	registry := metrics.NewRegistry()
+	report := func(event.Number, string, int) {}
 	echo := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method != http.MethodPost {
 			_, _ = io.WriteString(w, "no body")
@@ -39,7 +40,7 @@
 	})
 	_, cleanUp := httpserver.New(listener, httpserver.Options{
 		Name: "Test", Handler: echo, MaxConnections: connections,
-		Bodies: httpserver.NewBodies(bodyBytes, zerolog.Nop(), registry), Logger: zerolog.Nop(), Metrics: registry,
+		Bodies: httpserver.NewBodies(bodyBytes, report, registry), Report: report, Metrics: registry,
 	})
 	t.Cleanup(cleanUp)
 	return listener.Addr().String()
