--- a/core/event/name.go
+++ b/core/event/name.go
@@ -29,6 +29,8 @@
 	EditAccepted: "EditAccepted", EditRefused: "EditRefused", TablesAdopted: "TablesAdopted",
 	PlatformFailed: "PlatformFailed", PlatformRestored: "PlatformRestored",
 	DataCentreEvacuated: "DataCentreEvacuated", EvacuationTakenBack: "EvacuationTakenBack",
+
+	ConnectionsClosed: "ConnectionsClosed", BodiesRefused: "BodiesRefused",
 }
 
 // String returns the name of the kind of event, or the number in decimal if it is unknown.
