--- a/core/supervise/leave.go
+++ b/core/supervise/leave.go
@@ -25,7 +25,7 @@
 // leavesIn returns how much longer a leaving backend server certainly runs, or 0 if that is not known. It counts from the
 // clock reading in the announcement, so that an announcement that was delayed extends nothing.
 func (s *Supervisor) leavesIn(now time.Time) time.Duration {
-	if s.left || !s.server.Leaving || s.server.LeavesAt == 0 || s.awaitingAnnouncement {
+	if s.left || !s.server.Leaving || s.server.LeavesAt == 0 || s.awaitingAnnouncement || s.restored {
 		return 0
 	}
 	return max(s.server.LeavesAt-s.serverClock(now), 0)
