Use backend servers that are always slow, and shorten Retry-After without any

Cause: where a third of the hosts takes 2.4 times as long as the others for good, the slow ones were taken as faulty again and again and idled while jobs were refused, or got long jobs that were late there. A caller of a pool without a backend server was sent away for ten seconds, the predicted wait of a queue that nobody serves.

Change: the steady slowdown of a backend server is learned over many runs. A slow one gets the jobs that can be in time there and those that cannot be in time anywhere, and is degraded only at twice its usual slowdown. Without a backend server, Retry-After is two seconds, spread by a millisecond a caller.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -163,20 +163,21 @@
 // tasks are not counted: they are too large for the free capacity, or would have started.
 func (d *Dispatcher) hasCapacity(now time.Time, j batch.Job) bool {
 	for _, st := range j.Steps {
-		if len(st.After) == 0 && !d.stepHasCapacity(now, j.Pool, st) {
+		if len(st.After) == 0 && !d.stepHasCapacity(now, j, st) {
 			return false
 		}
 	}
 	return true
 }
 
-// stepHasCapacity reports whether all tasks of a step fit on the backend servers of a pool. A backend server that is
-// due for a probe has capacity for one task. Without this, an entry whose backend servers are all degraded would
+// stepHasCapacity reports whether all tasks of a step fit on backend servers on which the job is in time. A backend server
+// that is due for a probe has capacity for one task. Without this, an entry whose backend servers are all degraded would
 // forward every job and never learn that they have recovered.
-func (d *Dispatcher) stepHasCapacity(now time.Time, pool string, st batch.Step) bool {
+func (d *Dispatcher) stepHasCapacity(now time.Time, j batch.Job, st batch.Step) bool {
 	remaining := st.Count
 	for _, s := range d.sortedServers {
-		if !s.usable() || s.info.Pool != pool || (st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) {
+		if !s.usable() || s.info.Pool != j.Pool || !d.inTimeOn(s, j, st) ||
+			(st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) {
 			continue
 		}
 		fitting := s.free().FitCount(st.Demand)
@@ -233,8 +234,11 @@
 
 func (d *Dispatcher) notRunOutcome(now time.Time, j *job, reason batch.Reason) batch.Outcome {
 	p := d.pool(j.Pool)
-	busy := min(drainTime(j.waitingWork.seconds(), p.cores), time.Second)
-	return batch.NotRun{Reason: reason, RetryAfter: p.retry.reserve(now, min(p.wait(), maxRetryAfter), busy)}
+	wait, busy := min(p.wait(), maxRetryAfter), min(drainTime(j.waitingWork.seconds(), p.cores), time.Second)
+	if !p.served() {
+		wait, busy = unservedRetryAfter, unservedRetrySpread
+	}
+	return batch.NotRun{Reason: reason, RetryAfter: p.retry.reserve(now, wait, busy)}
 }
 
 // refuse ends a waiting job with the outcome NotRun.
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -15,6 +15,7 @@
 	name          string
 	queue         queue
 	cores         float64  // of usable backend servers, weighted by speed and success rate
+	anyFast       bool     // at least one usable backend server is neither slow nor degraded
 	anyIncluded   bool     // at least one usable backend server is not excluded
 	queued        coreTime // predicted processor time of the waiting tasks
 	typicalDemand int      // thousandths of a core, moving average over jobs; 0 before the first
@@ -59,12 +60,15 @@
 // updatePoolCapacity computes the totals of the usable backend servers of each pool.
 func (d *Dispatcher) updatePoolCapacity() {
 	for _, p := range d.sortedPools {
-		p.cores, p.anyIncluded = 0, false
+		p.cores, p.anyIncluded, p.anyFast = 0, false, false
 	}
 	for _, s := range d.sortedServers {
 		if s.usable() && !s.excluded() {
 			d.pool(s.info.Pool).anyIncluded = true
 		}
+		if s.usable() && !s.degraded() && !s.slow() {
+			d.pool(s.info.Pool).anyFast = true
+		}
 	}
 	for _, s := range d.sortedServers {
 		// If all are excluded, all get work (see chooseServer), so all count.
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -38,6 +38,10 @@
 
 	// maxRetryAfter bounds the time over which retries are spread.
 	maxRetryAfter = 10 * time.Second
+	// unservedRetryAfter is the delay for callers of a pool without a backend server. After the loss of many processes,
+	// backend servers announce themselves again within two seconds. The retries are spread over the time after that.
+	unservedRetryAfter  = 2 * time.Second
+	unservedRetrySpread = time.Millisecond
 )
 
 // routeState is what the dispatcher has learned about the jobs of a route.
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -21,8 +21,9 @@
 	// maxSpeedSample bounds the effect of one run, as a natural logarithm. One run in thirty takes seven times as
 	// long as the others, on any backend server.
 	maxSpeedSample = 1.2
-	// slowFactor is the slowdown above which a backend server is degraded: no task that it runs can be in time.
-	slowFactor = 2.0
+	// degradedFactor is the ratio of the slowdown to the usual one above which a backend server is degraded: it has a fault,
+	// and no task that it runs can be in time.
+	degradedFactor = 2.0
 	// probeInterval is how often a degraded backend server gets one task as a probe, to find out whether it has
 	// recovered.
 	probeInterval = time.Second
@@ -97,7 +98,9 @@
 
 	backoffUntil time.Time // no start requests are sent before this time, after a refusal
 
-	logSlowdown float64 // natural logarithm of run times relative to other backend servers
+	logSlowdown       float64 // natural logarithm of run times relative to other backend servers
+	logSteadySlowdown float64 // the same over many more runs, which tells a slow backend server from a faulty one
+	steadyRuns        int     // observed for it
 
 	failureShare        float64 // share of recent runs that failed, counting one failure per job
 	consecutiveFailures int     // consecutive failures, each of a different job
@@ -130,7 +133,7 @@
 
 // degraded reports whether the backend server gets only probes.
 func (s *server) degraded() bool {
-	return s.excluded() || s.slowdown() > slowFactor || s.failureShare > maxFailureShare
+	return s.excluded() || s.slowdown() > degradedFactor*s.usualSlowdown() || s.failureShare > maxFailureShare
 }
 
 // Connect handles a new session with an agent. Runs of an earlier session may continue until the agent offers its
@@ -182,6 +185,7 @@
 	if s.info.ID != r.Server.ID || s.info.Incarnation != r.Server.Incarnation {
 		s.logSlowdown, s.failureShare, s.consecutiveFailures, s.consecutiveSlowRuns = 0, 0, 0, 0
 		s.quarantined, s.hangs, s.probeDelay = false, false, 0
+		s.logSteadySlowdown, s.steadyRuns = 0, 0
 	}
 	d.observeProgress(now, s, r.Progress)
 	changed := s.offered != r.Offered || s.capacity != r.Server.Capacity
@@ -233,6 +237,10 @@
 		if s.degraded() && float64(degraded) <= maxDegradedShare*float64(usable) && !s.mayProbe(now, j) {
 			continue
 		}
+		if !d.fastEnough(now, j, st, s) {
+			constrained = true
+			continue
+		}
 		score := d.score(s, st, t)
 		if s == j.lastServer {
 			score -= sameServerBonus
@@ -314,6 +322,7 @@
 			weight = probeWeight
 		}
 		s.logSlowdown += weight * (sample - s.logSlowdown)
+		s.observeSteadySpeed(sample)
 	}
 	r.observeRun(ratio / s.slowdown())
 	d.updatePoolCapacity()
@@ -323,7 +332,7 @@
 // run time is given as its natural logarithm relative to the expected one.
 func (s *server) countSlowRun(j *job, runTime float64) {
 	switch {
-	case runTime < math.Log(slowProgressFactor):
+	case runTime < math.Log(slowProgressFactor*s.usualSlowdown()):
 		s.consecutiveSlowRuns = 0
 		return
 	case s.consecutiveSlowRuns == 0:
@@ -404,9 +413,9 @@
 	least := slices.Min(ratios)
 	wasDegraded := s.degraded()
 	switch {
-	case least > slowProgressFactor:
+	case least > slowProgressFactor*s.usualSlowdown():
 		s.slowBy(least)
-	case least < 1 && s.slowdown() > slowFactor:
+	case least < 1 && s.slowdown() > degradedFactor*s.usualSlowdown():
 		s.logSlowdown = math.Log(least)
 	default:
 		return
--- a/core/dispatch/start_test.go
+++ b/core/dispatch/start_test.go
@@ -61,6 +61,28 @@
 	}
 }
 
+// Guards against callers who are sent away for ten seconds although the backend servers that were lost are back in two,
+// and against all of them returning at the same moment.
+func TestRetryAfterWithoutServers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := dispatch.New()
+	d.Tick(now)
+	now = now.Add(time.Minute)
+	delays := map[time.Duration]bool{}
+	for i := range 500 {
+		j := smallJob
+		j.ID = batch.JobID(fmt.Sprint(i))
+		refused, ok := outcomesOf(d.Submit(now, j))[0].(batch.NotRun)
+		if !ok || refused.RetryAfter < 2*time.Second || refused.RetryAfter > 3*time.Second {
+			t.Fatalf("job %d: got %+v, want a retry in 2 to 3 s", i, refused)
+		}
+		delays[refused.RetryAfter] = true
+	}
+	if len(delays) < 100 {
+		t.Errorf("500 callers return at %d moments", len(delays))
+	}
+}
+
 // Guards against start requests and refusals that alternate at network speed: an agent that cannot start runs for a
 // moment refuses at once.
 func TestNoStartsRightAfterRefusal(t *testing.T) {
