Keep the limits of runs when a refusal brings a load, and offer no job back

Cause: the load before a refusal echoed a clock reading that had come after the latest check of callers, so that runs of callers that had left could go on for longer. A refused job could be offered to an entry that had forwarded it, and one that had waited for long was offered as if it were new.

Change: that load echoes nothing, origins are excepted, and a job of an own caller is passed on only within 60 ms.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,6 +22,10 @@
 // after the other may each hand it back.
 const maxRetries = 3
 
+// maxPassOnWait is how long a job of a caller of this entry may have waited here when it is passed on after a refusal. The
+// next entry would give it a new target, so that it would be late there.
+const maxPassOnWait = 60 * time.Millisecond
+
 // call is an open job, with the callers and entries that wait for its outcome.
 type call struct {
 	job         batch.Job
@@ -472,7 +477,7 @@
 // reports whether one takes it.
 func (e *Entry) passOnOwn(c *call, a dispatch.Answer) bool {
 	o, refused := a.Outcome.(batch.NotRun)
-	if !refused || o.Reason != batch.Overloaded || len(c.origins) > 0 || e.dispatcher.Stopping(c.job.ID) {
+	if !refused || o.Reason != batch.Overloaded || a.Waited > maxPassOnWait || len(c.origins) > 0 || e.dispatcher.Stopping(c.job.ID) {
 		return false
 	}
 	c.refusals = c.refusals.With(e.options.Name)
@@ -482,7 +487,8 @@
 // passOn forwards a job that was refused as Overloaded to an entry that has not refused it and where nothing waits. Under
 // a general overload there is none, and the caller is told at once. It reports whether the job was forwarded.
 func (e *Entry) passOn(now time.Time, c *call) bool {
-	to, ok := e.peers.ChooseAfterRefusal(now, c.job, c.refusals)
+	origins := slices.Collect(maps.Keys(c.origins)) // they wait for this entry, and would pass the job back
+	to, ok := e.peers.ChooseAfterRefusal(now, c.job, c.refusals, origins...)
 	if !ok {
 		return false
 	}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -88,15 +88,19 @@
 	}
 }
 
-// sendFreshLoad sends the load to an entry whose job is refused, so that it chooses again by the present load. Its clock
-// reading is that of the latest check, because callers may have left since.
+// sendFreshLoad sends the load to an entry whose job is refused, so that it chooses again by the present load. It echoes
+// no clock reading, because callers may have left since the latest check, and an echo would let their runs continue.
 func (e *Entry) sendFreshLoad(x *entrySession) {
 	now := e.options.Now()
 	if now.Sub(x.loadSentAt) < minLoadInterval {
 		return
 	}
 	x.loadSentAt = now
-	e.sendToEntry(x, func(p *inner.Peer) bool { return p.Load(x.withSessionFields(e.load(), e.checkedAt)) })
+	e.sendToEntry(x, func(p *inner.Peer) bool {
+		l := x.withSessionFields(e.load(), e.checkedAt)
+		l.Echo = 0
+		return p.Load(l)
+	})
 }
 
 // switchConnection replaces the current connection to an entry after it has closed. Messages sent on it may be lost, so a
--- a/core/overflow/refusal.go
+++ b/core/overflow/refusal.go
@@ -26,16 +26,19 @@
 }
 
 // ChooseAfterRefusal returns another peer for a job that the given entries have refused: one that can start it at once,
-// or else one where nothing waits. An entry with a queue is not chosen: it would refuse the job as well, or make other
+// or else one where nothing waits. The excepted ones are not chosen. An entry with a queue is not chosen: it would refuse the job as well, or make other
 // jobs late.
-func (p *Peers) ChooseAfterRefusal(now time.Time, j batch.Job, refused Refusals) (best string, ok bool) {
+func (p *Peers) ChooseAfterRefusal(
+	now time.Time, j batch.Job, refused Refusals, except ...string,
+) (best string, ok bool) {
 	if len(refused.entries) >= maxOffers {
 		return "", false
 	}
 	need := demandOf(j)
-	best, ok = p.draw(now, j.ID, need, capacityWeight, refused.entries...)
+	except = slices.Concat(refused.entries, except)
+	best, ok = p.draw(now, j.ID, need, capacityWeight, except...)
 	if !ok {
-		best, ok = p.draw(now, j.ID, need, idleWeight, refused.entries...)
+		best, ok = p.draw(now, j.ID, need, idleWeight, except...)
 	}
 	if ok {
 		p.countForwarded(best, need)
--- a/core/overflow/refusal_test.go
+++ b/core/overflow/refusal_test.go
@@ -37,6 +37,9 @@
 		if got, _ := p.ChooseAfterRefusal(now, job, refused); got != c.want {
 			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
 		}
+		if got, ok := p.ChooseAfterRefusal(now, job, refused, "b"); ok {
+			t.Errorf("%s: got %q, which has forwarded the job", c.name, got)
+		}
 	}
 }
 
