Let slow backend servers that are degraded get their probes

Cause: the rule for slow backend servers also applied to probes, so that one that had been degraded far enough would never have been probed again.

--- a/core/dispatch/slow.go
+++ b/core/dispatch/slow.go
@@ -42,9 +42,10 @@
 }
 
 // fastEnough reports whether a task of a job may be placed on a backend server. A job that can still be in time waits for
-// a backend server on which it is. One that cannot only has to end while its answer is useful.
+// a backend server on which it is. One that cannot only has to end while its answer is useful. A degraded backend server
+// gets only probes, which must not be prevented: it would never recover.
 func (d *Dispatcher) fastEnough(now time.Time, j *job, st *step, s *server) bool {
-	if !s.slow() || !d.pool(j.Pool).anyFast {
+	if !s.slow() || s.degraded() || !d.pool(j.Pool).anyFast {
 		return true
 	}
 	end := now.Add(d.extraRunTime(s, j.Route, st.Step))
@@ -56,7 +57,7 @@
 
 // inTimeOn reports whether a job that arrives now is in time if a task of the step starts on the backend server at once.
 func (d *Dispatcher) inTimeOn(s *server, j batch.Job, st batch.Step) bool {
-	if !s.slow() || !d.pool(j.Pool).anyFast {
+	if !s.slow() || s.degraded() || !d.pool(j.Pool).anyFast {
 		return true
 	}
 	runTime := d.route(j.Route).predictRunTime(st.Estimate)
