--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -19,6 +19,11 @@
 
 	// demandWeight is the weight of one step in the moving average of the demand of a task.
 	demandWeight = 0.05
+
+	// unservedRetryAfter is the delay for callers of a pool without a backend server. After the loss of many processes,
+	// backend servers announce themselves again within two seconds. The retries are spread over the time after that.
+	unservedRetryAfter  = 2 * time.Second
+	unservedRetrySpread = time.Millisecond
 )
 
 // routeState is what the dispatcher has learned about the jobs of a route.
--- /dev/null
+++ b/core/dispatch/slow.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"dogwoodglade/core/batch"
+)
+
+const (
+	// slowFactor is the steady slowdown above which a backend server is slow: hosts of different generations differ by
+	// that much permanently. A slow one gets the jobs that can be in time there, and those that cannot be in time anywhere.
+	slowFactor = 1.75
+	// maxSteadySlowdown is the steady slowdown above which a backend server counts as faulty instead of slow.
+	maxSteadySlowdown = 3.0
+	// steadyWeight is the weight of one run in the steady slowdown. The first runs have the same weight; with less than
+	// minSteadyRuns of them it is not known, as a passing fault may last that long.
+	steadyWeight  = 0.02
+	minSteadyRuns = 20
+)
+
+// observeSteadySpeed updates the steady slowdown of a backend server with the run time of a run relative to the others, as
+// natural logarithm.
+func (s *server) observeSteadySpeed(sample float64) {
+	s.steadyRuns++
+	s.logSteadySlowdown += max(steadyWeight, 1/float64(s.steadyRuns)) * (sample - s.logSteadySlowdown)
+}
+
+// usualSlowdown returns the run times relative to other backend servers that are usual here: 1 unless it is slow.
+func (s *server) usualSlowdown() float64 {
+	if !s.slow() {
+		return 1
+	}
+	return math.Exp(s.logSteadySlowdown)
+}
+
+// slow reports whether run times on the backend server are always so much longer than elsewhere that they may decide
+// whether a job is in time.
+func (s *server) slow() bool {
+	return s.steadyRuns >= minSteadyRuns && s.logSteadySlowdown > math.Log(slowFactor) &&
+		s.logSteadySlowdown < math.Log(maxSteadySlowdown)
+}
+
+// needsSlack reports whether the backend server is slow and works, so that only some jobs are in time there. A degraded
+// one gets only probes, which must not be prevented: it would never recover.
+func (s *server) needsSlack() bool { return s.slow() && !s.degraded() }
+
+// extraRunTime returns how much longer a task of a step is predicted to run on the backend server than on a typical one.
+func (d *Dispatcher) extraRunTime(s *server, route string, st batch.Step) time.Duration {
+	return time.Duration(float64(d.route(route).predictRunTime(st.Estimate)) * (s.slowdown() - 1))
+}
+
+// hasFastServer reports whether a usable backend server of the pool is neither slow nor degraded, and could run a task of
+// the step if it were empty. The given backend servers are left out.
+func (d *Dispatcher) hasFastServer(pool string, st batch.Step, except []*server) bool {
+	return slices.ContainsFunc(d.sortedServers, func(s *server) bool {
+		return s.usable() && s.info.Pool == pool && !s.slow() && !s.degraded() && st.Demand.Fits(s.capacity) &&
+			(st.Label == "" || slices.Contains(s.info.Labels, st.Label)) && !slices.Contains(except, s)
+	})
+}
+
+// fastEnough reports whether a task of a job may be placed on a slow backend server although there are fast ones. A job
+// that can still be in time waits for a backend server on which it is. One that cannot only has to end while its answer is
+// useful.
+func (d *Dispatcher) fastEnough(now time.Time, j *job, st *step, s *server) bool {
+	end := now.Add(d.extraRunTime(s, j.Route, st.Step))
+	if late := j.late || now.After(j.targetStart) || j.targetStart.After(j.startDeadline); late {
+		return !end.After(j.startDeadline)
+	}
+	return !end.After(j.targetStart)
+}
+
+// inTimeOn reports whether a job that arrives now is in time if a task of the step starts on the backend server at once.
+func (d *Dispatcher) inTimeOn(s *server, j batch.Job, st batch.Step) bool {
+	runTime := d.route(j.Route).predictRunTime(st.Estimate)
+	slack := time.Duration((j.Stretch-1)*float64(runTime)) + j.Target - overheadAllowance
+	return d.extraRunTime(s, j.Route, st) <= slack
+}
