Keep jobs that have begun through an evacuation

Agents prefer dispatchers of their own data centre, so that the dispatcher of an evacuated one often had no usable backend server. Jobs that had begun there ended as Unknown:NoServer once their runs had ended. They now wait until the caller's time-out, and home.Rank spreads the weight of the dispatchers over the data centres that are not evacuated, so that agents outside choose those of the evacuated one.

Three smaller faults of the dispatcher during an evacuation: - A restarted entry refused jobs while only evacuated agents had reported. It now waits for agents outside for serverGrace. - Jobs were refused as TooLarge that fit on evacuated backend servers. They are refused with NoServer, and other entries can start them. - isFull counted the free capacity of evacuated backend servers.

The tests of core/dispatch fail before at each of the faults. TestEvacuatedPoolRefusesAtOnce submitted to an entry 0 s old, which may wait; the entry there is now a minute old.

--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -161,7 +161,7 @@
 		}
 	}
 	rank := func(entries []home.Entry) []home.Entry {
-		return home.Rank(a.options.Name, a.options.Region, a.options.DataCentre, entries)
+		return home.Rank(a.options.Name, a.options.Region, a.options.DataCentre, a.evacuations.State(), entries)
 	}
 	return append(rank(listed), rank(unlisted)...)
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -128,7 +128,7 @@
 	resubmission   *batch.Job // the job as submitted again while its runs are being stopped
 	resubmittedAt  time.Time
 	refusal        refusalCause
-	tooLargeSince  time.Time // when a waiting job ceased to fit on any backend server; zero if it fits
+	tooLargeSince  time.Time // when a waiting job ceased to fit on any usable backend server; zero if it fits
 }
 
 // started reports whether a start request was sent that may have taken effect.
@@ -185,7 +185,7 @@
 // expectsServer reports whether a pool without a backend server is likely to get one soon.
 func (d *Dispatcher) expectsServer(now time.Time, p *poolState) bool {
 	d.noteStart(now)
-	if d.evacuatedPool(p) {
+	if d.evacuatedPool(now, p) {
 		return false
 	}
 	return now.Sub(d.startedAt) < serverGrace || (!p.servedAt.IsZero() && now.Sub(p.servedAt) < serverGrace)
--- a/core/dispatch/evacuate.go
+++ b/core/dispatch/evacuate.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
+	"dogwoodglade/core/batch"
 	"dogwoodglade/core/evacuation"
 )
 
@@ -51,17 +53,34 @@
 }
 
 // evacuatedPool reports whether a pool has backend servers here, all of them in evacuated data centres, so that it is not
-// worth waiting for one.
-func (d *Dispatcher) evacuatedPool(p *poolState) bool {
-	found := false
-	for _, s := range d.sortedServers {
-		if s.info.Pool != p.name || !s.connected {
-			continue
-		}
-		if !d.evacuations.Has(s.dataCentre) {
+// worth waiting for one. Agents of other data centres may only be connecting: for serverGrace after the start of the entry,
+// and after a session with one of them has begun or ended.
+func (d *Dispatcher) evacuatedPool(now time.Time, p *poolState) bool {
+	return now.Sub(d.startedAt) >= serverGrace && d.hasEvacuatedServer(p) && !d.awaitsServer(now, p)
+}
+
+// hasEvacuatedServer reports whether a backend server of a pool is connected whose data centre is evacuated.
+func (d *Dispatcher) hasEvacuatedServer(p *poolState) bool {
+	return slices.ContainsFunc(d.sortedServers, func(s *server) bool {
+		return s.connected && s.info.Pool == p.name && d.evacuations.Has(s.dataCentre)
+	})
+}
+
+// awaitsServer reports whether an agent whose data centre is not evacuated offers a backend server of a pool, or may do so
+// soon. Its pool is not known before its first report.
+func (d *Dispatcher) awaitsServer(now time.Time, p *poolState) bool {
+	return slices.ContainsFunc(d.sortedServers, func(s *server) bool {
+		if d.evacuations.Has(s.dataCentre) || (s.info.Pool != p.name && s.info.Pool != "") {
 			return false
 		}
-		found = true
-	}
-	return found
+		return (s.connected && s.info.Pool != "") || now.Sub(s.sessionChangedAt) < serverGrace
+	})
+}
+
+// fitsEvacuated reports whether the tasks of a step fit on an empty backend server that is only evacuated.
+func (d *Dispatcher) fitsEvacuated(j *job, st batch.Step) bool {
+	return slices.ContainsFunc(d.sortedServers, func(s *server) bool {
+		return s.connected && s.evacuated && s.info.Pool == j.Pool && st.Demand.Fits(s.capacity) &&
+			(st.Label == "" || slices.Contains(s.info.Labels, st.Label))
+	})
 }
--- a/core/dispatch/evacuate_test.go
+++ b/core/dispatch/evacuate_test.go
@@ -89,6 +89,9 @@
 func TestEvacuatedPoolRefusesAtOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := evacuatedSite(now)
+	d.Tick(now)
+	now = now.Add(time.Minute)
+	d.Tick(now)
 	d.Submit(now, numberedJob(1, 20))
 	d.Submit(now, numberedJob(2, 2))
 	d.SetEvacuations(now, evacuation.NewState(7, map[string]uint64{"a": 7, "b": 7}))
@@ -127,3 +130,163 @@
 		t.Errorf("got %v cores in the end", got)
 	}
 }
+
+// Guards against started jobs whose outcome becomes unknown because all backend servers here are evacuated: when the
+// evacuation is taken back, or an agent of another data centre connects, they complete. Otherwise they end at the caller's
+// time-out.
+func TestStartedJobOutlastsEvacuation(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		resume  func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action
+		outcome string
+	}{
+		{"taken back", func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
+			return d.SetEvacuations(now, evacuation.NewState(9, nil))
+		}, "Completed"},
+		{"other agent", func(now time.Time, d *dispatch.Dispatcher) []dispatch.Action {
+			return connectServer(now, d, "b-1", 4000)
+		}, "Completed"},
+		{"timed out", func(time.Time, *dispatch.Dispatcher) []dispatch.Action { return nil }, "Unknown:DeadlinePassed"},
+	} {
+		now := time.Unix(1000, 0)
+		d := dispatch.New()
+		d.Tick(now)
+		now = now.Add(time.Minute)
+		connectServer(now, d, "a-1", 4000)
+		d.Tick(now)
+		running := d.Submit(now, numberedJob(1, 8).WithTimeout(10*time.Second))
+		running = append(running, d.SetEvacuations(now, evacuation.NewState(7, map[string]uint64{"a": 7}))...)
+		var outcomes []batch.Outcome
+		for i := range 120 {
+			now = now.Add(100 * time.Millisecond)
+			actions := d.Tick(now)
+			if i == 30 {
+				actions = append(actions, c.resume(now, d)...)
+			}
+			if i%5 == 4 {
+				actions = append(actions, endRuns(now, d, running)...)
+				running = nil
+			}
+			running = append(running, actions...)
+			outcomes = append(outcomes, outcomesOf(actions)...)
+		}
+		if len(outcomes) != 1 || batch.OutcomeName(outcomes[0]) != c.outcome {
+			t.Errorf("%s: got %v, want %s", c.name, outcomes, c.outcome)
+		}
+	}
+}
+
+// connectServer connects an agent with a backend server in the data centre that its name begins with.
+func connectServer(now time.Time, d *dispatch.Dispatcher, agent string, processor int) []dispatch.Action {
+	d.Connect(now, agent)
+	d.SetDataCentre(agent, agent[:1])
+	return d.HandleReport(now, agent, serverReport(agent, processor))
+}
+
+func serverReport(agent string, processor int) supervise.Report {
+	return supervise.Report{
+		Offered: true, Server: supervise.Server{ID: agent, Pool: "pool", Capacity: resource.Amount{Processor: processor}},
+	}
+}
+
+// endRuns reports the end of the runs that the actions start.
+func endRuns(now time.Time, d *dispatch.Dispatcher, actions []dispatch.Action) []dispatch.Action {
+	var ended []dispatch.Action
+	for _, a := range actions {
+		x, ok := a.(*dispatch.StartRuns)
+		if !ok {
+			continue
+		}
+		r := serverReport(x.Agent, 4000)
+		for _, s := range x.Starts {
+			r.Ended = append(r.Ended, supervise.RunEnd{RunID: s.RunID, End: supervise.Done, RunTime: 500 * time.Millisecond})
+		}
+		ended = append(ended, d.HandleReport(now, x.Agent, r)...)
+	}
+	return ended
+}
+
+// Guards against refusals during an evacuation by an entry that knows only the evacuated backend servers yet: it has
+// been restarted, or an agent outside has not reported, or has lost its connection a moment ago.
+func TestEvacuatedPoolAwaitsOtherAgents(t *testing.T) {
+	evacuated := evacuation.NewState(7, map[string]uint64{"a": 7})
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name    string
+		prepare func(d *dispatch.Dispatcher) (now time.Time)
+	}{
+		{"restarted", func(d *dispatch.Dispatcher) time.Time {
+			connectServer(start, d, "a-1", 4000)
+			return start.Add(100 * time.Millisecond)
+		}},
+		{"not reported", func(d *dispatch.Dispatcher) time.Time {
+			now := start.Add(time.Minute)
+			connectServer(now, d, "a-1", 4000)
+			d.NoteServed(now, "pool")
+			d.Connect(now, "b-1")
+			d.SetDataCentre("b-1", "b")
+			return now.Add(100 * time.Millisecond)
+		}},
+		{"connection lost", func(d *dispatch.Dispatcher) time.Time {
+			connectServer(start, d, "a-1", 4000)
+			connectServer(start, d, "b-1", 4000)
+			now := start.Add(time.Minute)
+			d.Tick(now)
+			d.Disconnect(now, "b-1", now.Add(time.Second))
+			return now.Add(100 * time.Millisecond)
+		}},
+	} {
+		d := dispatch.New()
+		d.SetEvacuations(start, evacuated)
+		d.Tick(start)
+		now := c.prepare(d)
+		actions := append(d.Submit(now, numberedJob(1, 2)), d.Tick(now)...)
+		if o := outcomesOf(actions); len(o) > 0 {
+			t.Errorf("%s: got %s", c.name, batch.OutcomeName(o[0]))
+		}
+		if o := outcomesOf(d.Tick(now.Add(time.Second))); len(o) != 1 || batch.OutcomeName(o[0]) != "NotRun:NoServer" {
+			t.Errorf("%s: got %v in the end", c.name, o)
+		}
+	}
+}
+
+// Guards against jobs that are refused as too large, so that their callers do not submit them again, because the backend
+// servers with room for them are evacuated.
+func TestEvacuationMakesNoJobTooLarge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := dispatch.New()
+	d.Tick(now)
+	now = now.Add(time.Minute)
+	connectServer(now, d, "a-1", 8000)
+	connectServer(now, d, "b-1", 1000)
+	d.Tick(now)
+	large := numberedJob(1, 1)
+	large.Steps[0].Demand = resource.Amount{Processor: 8000}
+	large.Target = time.Minute
+	d.Submit(now, large)
+	large.ID = "2"
+	d.Submit(now, large) // waits for the first
+	d.SetEvacuations(now, evacuation.NewState(7, map[string]uint64{"a": 7}))
+	r := serverReport("a-1", 8000)
+	r.Offered = false // an evacuated agent offers its backend server to no entry
+	d.HandleReport(now, "a-1", r)
+	large.ID = "3"
+	actions := append(d.Submit(now, large), d.Tick(now)...)
+	if stranded := d.Stranded(); len(stranded) != 2 {
+		t.Errorf("got %v to pass on", stranded)
+	}
+	actions = append(actions, d.Tick(now.Add(time.Second))...)
+	outcomes := outcomesOf(actions)
+	for _, o := range outcomes {
+		if batch.OutcomeName(o) != "NotRun:NoServer" {
+			t.Errorf("got %s", batch.OutcomeName(o))
+		}
+	}
+	if len(outcomes) != 2 {
+		t.Errorf("%d jobs were refused, want 2", len(outcomes))
+	}
+	large.ID, large.Steps[0].Demand.Processor = "4", 9000
+	if o := outcomesOf(d.Submit(now, large)); len(o) != 1 || batch.OutcomeName(o[0]) != "NotRun:TooLarge" {
+		t.Errorf("a job that is too large for all: got %v", o)
+	}
+}
--- a/core/dispatch/fit.go
+++ b/core/dispatch/fit.go
@@ -3,12 +3,11 @@
 import (
 	"slices"
 	"time"
-
-	"dogwoodglade/core/batch"
 )
 
-// endTooLarge refuses the waiting jobs of a pool whose backend servers have become too small for them, or no longer have
-// their label. They wait for serverGrace, because the agent of a suitable one may only be reconnecting.
+// endTooLarge refuses the waiting jobs of a pool whose backend servers have become too small for them, no longer have
+// their label, or are evacuated while the others are too small. They wait for serverGrace, because the agent of a suitable
+// one may only be reconnecting.
 func (d *Dispatcher) endTooLarge(now time.Time, p *poolState) {
 	if !p.served() || d.draining {
 		return
@@ -18,7 +17,7 @@
 			continue
 		}
 		switch reason, fits := d.checkFits(j); {
-		case fits || reason != batch.TooLarge:
+		case fits:
 			j.tooLargeSince = time.Time{}
 		case j.tooLargeSince.IsZero():
 			j.tooLargeSince = now
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -180,7 +180,8 @@
 	return false
 }
 
-// checkFits reports whether each task of the job fits on some empty backend server, and otherwise the reason.
+// checkFits reports whether each task of the job fits on some empty backend server, and otherwise the reason. A job is too
+// large only if it also is for the backend servers of evacuated data centres.
 func (d *Dispatcher) checkFits(j *job) (batch.Reason, bool) {
 	hasServer := false
 	for _, st := range j.steps {
@@ -196,7 +197,7 @@
 			}
 		}
 		if !fit {
-			if !hasServer {
+			if !hasServer || d.fitsEvacuated(j, st.Step) {
 				return batch.NoServer, false
 			}
 			return batch.TooLarge, false
@@ -432,12 +433,19 @@
 			}
 		case d.draining && !d.hasServerFor(j):
 			d.finish(now, j, batch.Unknown{Reason: batch.Draining})
-		case !d.draining && !expected:
+		case !d.draining && !expected && !d.waitsForReturn(p, j):
 			d.finish(now, j, batch.Unknown{Reason: batch.NoServer})
 		}
 	}
 }
 
+// waitsForReturn reports whether a started job waits although its pool has no usable backend server: that of an evacuated
+// data centre is connected, and the evacuation may be taken back, or an agent of another data centre may choose this home,
+// before the caller's time-out ends the job.
+func (d *Dispatcher) waitsForReturn(p *poolState, j *job) bool {
+	return j.Timeout > 0 && d.hasEvacuatedServer(p)
+}
+
 // hasServerFor reports whether tasks of a job may be started on any backend server.
 func (d *Dispatcher) hasServerFor(j *job) bool {
 	return slices.ContainsFunc(d.sortedServers, func(s *server) bool { return d.usableFor(s, j) && s.info.Pool == j.Pool })
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -160,7 +160,7 @@
 // isFull reports whether no backend server of a pool has capacity for a small task.
 func (d *Dispatcher) isFull(pool string) bool {
 	for _, s := range d.sortedServers {
-		if s.connected && (s.offered || s.released) && s.info.Pool == pool && s.free().Processor >= minFreeProcessor {
+		if s.connected && !s.evacuated && (s.offered || s.released) && s.info.Pool == pool && s.free().Processor >= minFreeProcessor {
 			return false
 		}
 	}
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -95,11 +95,13 @@
 	suspects      int  // among the tasks of runs
 	processEnded  bool // it has crashed, and its runs have not been reported as ended
 	dataCentre    string
-	evacuated     bool          // gets no starts: its data centre is evacuated, or was until readmitAt has not come yet
-	readmitAt     time.Time     // zero if its data centre is still evacuated
-	leavesAt      time.Time     // when it leaves at the earliest, as announced; zero if it does not or that is not known
-	leastDelay    time.Duration // least difference between this clock and the agent's in its reports
-	delayKnown    bool
+	evacuated     bool // gets no starts: its data centre is evacuated, or was until readmitAt has not come yet
+	// sessionChangedAt is when the latest session with the agent began or ended.
+	sessionChangedAt time.Time
+	readmitAt        time.Time     // zero if its data centre is still evacuated
+	leavesAt         time.Time     // when it leaves at the earliest, as announced; zero if it does not or that is not known
+	leastDelay       time.Duration // least difference between this clock and the agent's in its reports
+	delayKnown       bool
 
 	backoffUntil time.Time // no start requests are sent before this time, after a refusal
 
@@ -151,6 +153,7 @@
 	}
 	d.markLost(s, now.Add(supervise.MaxRunAfterAgentLoss))
 	s.connected, s.offered, s.released, s.processEnded = true, false, false, false
+	s.sessionChangedAt = now
 	s.leavesAt, s.delayKnown = time.Time{}, false
 	return d.takeActions()
 }
@@ -159,6 +162,7 @@
 func (d *Dispatcher) Disconnect(now time.Time, agent string, runsEndBy time.Time) []Action {
 	if s, ok := d.servers[agent]; ok && s.connected {
 		s.connected, s.offered, s.released = false, false, false
+		s.sessionChangedAt = now
 		d.markLost(s, runsEndBy)
 		d.updatePoolCapacity()
 		d.place(now)
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -16,6 +16,7 @@
 	"math"
 	"slices"
 
+	"dogwoodglade/core/evacuation"
 	"dogwoodglade/internal/uniform"
 )
 
@@ -45,7 +46,13 @@
 // Rank orders the entries by preference of an agent: first the dispatchers of its data centre, unless their weight is
 // too small to serve this agent as well, then the other dispatchers of its region, then the other entries of its region,
 // then the rest. Each of these groups is ordered by weighted rendezvous hashing.
-func Rank(agent, region, dataCentre string, entries []Entry) []Entry {
+//
+// The agents of evacuated data centres offer no capacity, so that the dispatchers there share those of the other data
+// centres. Only as many agents change their home as these need; those of evacuated data centres keep theirs.
+func Rank(agent, region, dataCentre string, evacuations evacuation.State, entries []Entry) []Entry {
+	if evacuations.Has(dataCentre) {
+		evacuations = evacuation.State{}
+	}
 	entries = slices.Clone(entries)
 	for i, e := range entries {
 		if !e.WeightPlausible() {
@@ -64,8 +71,14 @@
 			regionWeight += e.Weight
 		}
 	}
-	// The agents of a region are assumed to be spread evenly over its data centres.
-	fairWeight := regionWeight / float64(max(len(weights), 1))
+	// The agents of a region are assumed to be spread evenly over its data centres that are not evacuated.
+	serving := 0
+	for dataCentre := range weights {
+		if !evacuations.Has(dataCentre) {
+			serving++
+		}
+	}
+	fairWeight := regionWeight / float64(max(serving, 1))
 	stays := uniform.FromString(agent) < weights[dataCentre]/fairWeight
 	tier := func(e Entry) int {
 		switch {
@@ -79,7 +92,7 @@
 		return 1
 	}
 	weight := func(e Entry) float64 {
-		if tier(e) == 1 {
+		if tier(e) == 1 && !evacuations.Has(e.DataCentre) {
 			// Only the weight above the data centre's share counts for agents from elsewhere.
 			return e.Weight * max(1-fairWeight/weights[e.DataCentre], minWeight)
 		}
--- a/core/home/home_test.go
+++ b/core/home/home_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"testing"
 
+	"dogwoodglade/core/evacuation"
 	"dogwoodglade/core/home"
 )
 
@@ -18,7 +19,7 @@
 	count := map[string]int{}
 	for i := range agents {
 		name := fmt.Sprintf("agent-%d", i)
-		count[home.Rank(name, "r", dataCentre, entries)[0].Name]++
+		count[home.Rank(name, "r", dataCentre, evacuation.State{}, entries)[0].Name]++
 	}
 	return count
 }
@@ -101,8 +102,8 @@
 	moved := 0
 	for i := range agents {
 		name := fmt.Sprintf("agent-%d", i)
-		ranked := home.Rank(name, "r", "a", entries)
-		rest := home.Rank(name, "r", "a", entries[1:])
+		ranked := home.Rank(name, "r", "a", evacuation.State{}, entries)
+		rest := home.Rank(name, "r", "a", evacuation.State{}, entries[1:])
 		if ranked[0].Name == "a-2" && rest[0].Name != "a-2" {
 			moved++
 		}
@@ -191,3 +192,37 @@
 		}
 	}
 }
+
+// Guards against dispatchers of an evacuated data centre that have no usable backend server, so that started jobs there
+// wait until they time out, and against more agents that change their home than necessary.
+func TestEvacuatedDispatchersGetAgents(t *testing.T) {
+	dataCentres := []string{"a", "b", "c"}
+	var entries []home.Entry
+	for _, dc := range dataCentres {
+		entries = append(entries, entriesOf(dc, "x", 4, 0.8)...)
+	}
+	evacuated := evacuation.NewState(7, map[string]uint64{"a": 7})
+	others := 0
+	usable := map[string]int{} // agents that are not evacuated, by data centre of their home
+	for _, dc := range dataCentres {
+		for i := range agents {
+			name := fmt.Sprintf("%s-agent-%d", dc, i)
+			before := home.Rank(name, "r", dc, evacuation.State{}, entries)[0]
+			after := home.Rank(name, "r", dc, evacuated, entries)[0]
+			if before != after && (dc == "a" || after.DataCentre != "a") {
+				others++
+			}
+			if dc != "a" {
+				usable[after.DataCentre]++
+			}
+		}
+	}
+	if others > 2*agents/100 { // the weights of the other dispatchers are small, not 0
+		t.Errorf("%d agents change their home for one that is not evacuated, or are evacuated", others)
+	}
+	for _, dc := range dataCentres {
+		if share := float64(usable[dc]) / (2 * agents); math.Abs(share-1.0/3) > 0.05 {
+			t.Errorf("the dispatchers of %s have %.2f of the usable agents", dc, share)
+		}
+	}
+}
--- a/internal/batchplay/batchplay.go
+++ b/internal/batchplay/batchplay.go
@@ -12,6 +12,7 @@
 
 	"dogwoodglade/core/batch"
 	"dogwoodglade/core/dispatch"
+	"dogwoodglade/core/evacuation"
 	"dogwoodglade/core/home"
 	"dogwoodglade/core/overflow"
 	"dogwoodglade/core/resource"
@@ -113,7 +114,7 @@
 		}
 	}
 	for _, so := range o.Servers {
-		first := home.Rank(so.Name, "", so.DataCentre, homes)[0].Name
+		first := home.Rank(so.Name, "", so.DataCentre, evacuation.State{}, homes)[0].Name
 		i := slices.IndexFunc(sim.entries, func(e *entry) bool { return e.Name == first })
 		sim.Servers[so.Name] = &Server{ServerOptions: so, home: sim.entries[i], runs: map[supervise.RunID]*run{}}
 		sim.perform(sim.entries[i], sim.entries[i].dispatcher.Connect(sim.now, so.Name))
