Tell agents that an evacuation was taken back before starting tasks

The entry sent starts before the keep-alive with the news, so that agents refused them with the reason Evacuated when their reports had not withdrawn the backend server yet. The keep-alives go first.

TestNoStartBeforeNewsOfTakingBack, in which the messages of the agents are delayed, saw refused starts before and sees none now. All tests of batchentry pass.

--- a/batchentry/evacuation.go
+++ b/batchentry/evacuation.go
@@ -40,9 +40,10 @@
 	for _, c := range changes {
 		e.logEvacuation(now, c)
 	}
+	// Agents refuse starts until they know that the evacuation was taken back.
+	e.sendKeepAlives()
 	e.performActions(e.dispatcher.SetEvacuations(now, next.State()))
 	e.reassignStranded(now)
-	e.sendKeepAlives()
 	e.sendLoad()
 }
 
--- a/batchentry/evacuation_test.go
+++ b/batchentry/evacuation_test.go
@@ -242,6 +242,70 @@
 	}
 }
 
+// Guards against a started job whose outcome becomes unknown because its entry, which prefers the agents of its own data
+// centre, has no others when that data centre is evacuated.
+func TestStartedJobSurvivesEvacuation(t *testing.T) {
+	runSiteInOneRegion(t, 0, 0, func(s *testSite) {
+		for i, dc := range []string{"a", "b", "a", "b", "a", "b", "a", "b"} {
+			name := fmt.Sprintf("entry-%d", i+1)
+			s.dataCentres[name] = dc
+			s.startEntry(name)
+		}
+		for i := range 4 {
+			for _, dc := range []string{"a", "b"} {
+				name := fmt.Sprintf("%s-%d", dc, i+1)
+				s.dataCentres[name] = dc
+				s.addAgent(name)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		outcomes := make(chan batch.Outcome)
+		homes := s.agentCounts()
+		for name := range homes {
+			go func() {
+				j := newJob("long-"+name, 50, time.Second).WithTimeout(30 * time.Second)
+				outcomes <- s.entries[name].Submit(s.t.Context(), j)
+			}()
+		}
+		time.Sleep(300 * time.Millisecond)
+		s.store.evacuate("a")
+		for range homes {
+			if o := <-outcomes; o != (batch.Completed{}) {
+				s.t.Errorf("got %s", batch.OutcomeName(o))
+			}
+		}
+	})
+}
+
+// Guards against starts that agents refuse because the entry sends them before the news that an evacuation was taken back:
+// the reports with which the agents withdraw their backend servers are still on their way.
+func TestNoStartBeforeNewsOfTakingBack(t *testing.T) {
+	runSiteWithDataCentres(t, 1, func(s *testSite) {
+		setStalled := func(stalled bool) {
+			s.network.SetStalled("a-1", "entry-1", stalled)
+			s.network.SetStalled("a-2", "entry-1", stalled)
+		}
+		setStalled(true)
+		s.store.evacuate("a")
+		time.Sleep(10 * time.Millisecond)
+		outcome := make(chan batch.Outcome)
+		go func() { outcome <- s.entries["entry-1"].Submit(s.t.Context(), newJob("job", 40, 200*time.Millisecond)) }()
+		time.Sleep(10 * time.Millisecond)
+		s.store.takeBack("a")
+		time.Sleep(10 * time.Millisecond)
+		setStalled(false)
+		if o := <-outcome; o != (batch.Completed{}) {
+			s.t.Errorf("got %s", batch.OutcomeName(o))
+		}
+		if s.starts("a") == 0 {
+			s.t.Error("no task was started in the data centre that was taken back")
+		}
+		if lines := s.logs.about(`"Reason":"Evacuated"`); lines != "" {
+			s.t.Errorf("starts were refused:\n%s", lines)
+		}
+	})
+}
+
 // entryWithAgents returns an entry that is the home of agents.
 func (s *testSite) entryWithAgents() string {
 	for name := range s.agentCounts() {
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -383,7 +383,7 @@
 	logs     *logRecorder
 	// suspended is how long the entries have been suspended. Their timers did not advance meanwhile.
 	suspended atomic.Int64
-	// dataCentres are those of the agents, by name, and turnedAway the processes that the store does not answer.
+	// dataCentres are those of the agents and entries, by name, and turnedAway the processes that the store does not answer.
 	dataCentres     map[string]string
 	turnedAway      map[string]*atomic.Bool
 	evacuationReads atomic.Int64
@@ -421,7 +421,8 @@
 	host := s.network.Host(name)
 	s.registry(name)
 	e, stop, err := batchentry.New(batchentry.Options{
-		Name: name, Region: cmp.Or(s.region, "of-"+name), Address: name + ":1", Weight: 1, Directory: s.storeFor(name),
+		Name: name, Region: cmp.Or(s.region, "of-"+name), DataCentre: s.dataCentres[name],
+		Address: name + ":1", Weight: 1, Directory: s.storeFor(name),
 		Logger: s.logs.logger(name), Metrics: s.metrics[name], Dial: host.Dial, Listen: host.Listen,
 		Now: func() time.Time { return time.Now().Add(time.Duration(s.suspended.Load())) },
 	})
