Judge the age of the knowledge about evacuations more strictly

A response of the store without a change of the configuration or the evacuations counted as complete up to the end of the wait. It may have had rows of other keys, written at the beginning, and have been delayed. WaitForChange now returns Edits, which say whether the store has waited. With responses delayed by 300 ms beyond the wait of 1 s, the knowledge of an entry was 400 ms old at its youngest before, and is at least 1.3 s old now (TestDelayedResponseIsNotFresh).

All tests of batchentry, batchagent and platform pass.

--- a/batchagent/evacuation.go
+++ b/batchagent/evacuation.go
@@ -15,8 +15,8 @@
 const (
 	// maxEvacuationAge is the age of the knowledge about evacuations from which an agent reads the store itself. An entry
 	// that reads the store, or is connected to one that does, keeps it below 1.6 s: 1 s is the poll of a watcher, the rest
-	// are the intervals of the messages.
-	maxEvacuationAge = 2 * time.Second
+	// are the intervals of the messages. A slow store adds 0.4 s for each of two responses.
+	maxEvacuationAge = 2500 * time.Millisecond
 	// evacuationCheckInterval is how often the age is checked, with a jitter of a half.
 	evacuationCheckInterval = 250 * time.Millisecond
 	// evacuationTimeout limits a read. A slow store responds in 400 ms.
@@ -24,7 +24,7 @@
 	// minEvacuationRetry and maxEvacuationRetry bound the exponential backoff between reads that fail. With the longest
 	// one, the first read after an outage succeeds at most 3 s after its end.
 	minEvacuationRetry = 250 * time.Millisecond
-	maxEvacuationRetry = 2500 * time.Millisecond
+	maxEvacuationRetry = 2 * time.Second
 )
 
 // learnEvacuations processes what the store or an entry tells about the evacuations. The state was complete in the store
@@ -85,7 +85,8 @@
 	}
 }
 
-// needsEvacuations reports whether an entry may use the backend server while the knowledge about evacuations is old.
+// needsEvacuations reports whether the knowledge about evacuations is old. An agent without an entry keeps it fresh as well:
+// the next entry may know nothing, and starts tasks at once.
 func (a *Agent) needsEvacuations() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -94,7 +95,7 @@
 	if !known {
 		age = now.Sub(a.startedAt)
 	}
-	return len(a.peers) > 0 && !a.stopping && age > maxEvacuationAge
+	return !a.stopping && age > maxEvacuationAge
 }
 
 // readEvacuations reads the evacuations from the store, and tells the entries about a change.
--- a/batchentry/configuration.go
+++ b/batchentry/configuration.go
@@ -120,12 +120,12 @@
 	defer e.setPollInterrupt(plan, nil)
 	timeoutCtx, cancel := context.WithTimeout(ctx, plan.Wait+plan.Timeout)
 	defer cancel()
-	c, evacuations, err := e.options.Directory.WaitForChange(timeoutCtx, r.state, plan.Wait)
+	x, err := e.options.Directory.WaitForChange(timeoutCtx, r.state, plan.Wait)
 	if err != nil && errors.Is(context.Cause(ctx), errBecameWatcher) {
 		err = errBecameWatcher
 	}
-	edits := operatorEdits{configuration: c, evacuations: evacuations, confirmedAt: askedAt}
-	if end := askedAt.Add(plan.Wait); c.Version == 0 && evacuations.SameEvacuations(r.state) && !e.options.Now().Before(end) {
+	edits := operatorEdits{configuration: x.Configuration, evacuations: x.Evacuations, confirmedAt: askedAt}
+	if end := askedAt.Add(plan.Wait); x.Waited && !e.options.Now().Before(end) {
 		edits.confirmedAt = end // the store has waited until then for an edit
 	}
 	return edits.valid(), err
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -64,17 +64,22 @@
 	maxReadyLoadAge = time.Second
 )
 
+// Edits are the edits of the operators after a state, as the store returned them.
+type Edits struct {
+	Configuration site.Configuration // the newest one, or version 0 if there is none
+	Evacuations   evacuation.State   // after the edits
+	Waited        bool               // there was no edit at all for the time of the call
+}
+
 // Directory is the data that entries share through the platform's store.
 type Directory interface {
 	// Configuration returns the newest configuration and the evacuations, whose position is where WaitForChange begins. The
 	// evacuations are also valid if the configuration cannot be decoded.
 	Configuration(ctx context.Context) (site.Configuration, evacuation.State, error)
-	// WaitForChange waits for at most the given time for an edit of the operators after a state. It returns the newest
-	// configuration among the edits, or version 0 if there is none, and the state after the edits. It returns a
-	// HistoryLostError if the position of the state is too old.
-	WaitForChange(
-		ctx context.Context, after evacuation.State, wait time.Duration,
-	) (site.Configuration, evacuation.State, error)
+	// WaitForChange waits for at most the given time for an edit of the operators after a state. It returns a
+	// HistoryLostError if the position of the state is too old. The evacuations are also valid if the configuration cannot
+	// be decoded.
+	WaitForChange(ctx context.Context, after evacuation.State, wait time.Duration) (Edits, error)
 	// Register writes the entry to the directory.
 	Register(ctx context.Context, e home.Entry) error
 	// Entries returns the registered entries.
