Displace only fresh jobs whose refusal puts another in time

Cause: a job that was accepted without a decision has a route that the policy does not know, and displacing it dereferenced a nil route. A job could be displaced for one that was late all the same. Each arrival described and sorted the whole queue under the lock of the entry, also if it fitted.

Change: a displaced job of an unknown route is credited to no route. Late jobs keep their target start; the late flag orders them and excludes them from displacement, and they may still be probes. NotInTime is judged before Share, and jobs are displaced only if the arriving one is then predicted to be in time. The policy asks for the sums of the queue, and for its order only if a job may be displaced.

Result: before, the new table cases end in the panic and in two wrong displacements, and TestLateJobsAreNotDisplaced sees a job displaced after 550 ms; all pass now. The random test had not reached a single displacement; its jobs are now drawn close to the limits, and the old code fails it (displaced for a job that starts 22 ms after its target), the new one holds in 20000 draws.

--- a/core/dispatch/overload.go
+++ b/core/dispatch/overload.go
@@ -17,7 +17,7 @@
 // decide carries out the decision of the pool's policy about an arriving job.
 func (d *Dispatcher) decide(now time.Time, j *job, canStart bool) (batch.Reason, bool) {
 	p := d.pool(j.Pool)
-	waiting, queue := p.describeQueue()
+	queue := &queueView{pool: p}
 	c := overload.Capacity{Cores: p.cores, Fits: canStart}
 	switch decision := p.policy.Decide(now, j.describe(), queue, c).(type) {
 	case overload.Refuse:
@@ -25,33 +25,55 @@
 		return batch.Overloaded, false
 	case overload.Displace:
 		for _, i := range decision.Victims {
-			waiting[i].refusal = refusalCause{cause: overload.Displaced, inFavourOf: j.ID}
-			d.refuse(now, waiting[i], batch.Overloaded)
+			queue.waiting[i].refusal = refusalCause{cause: overload.Displaced, inFavourOf: j.ID}
+			d.refuse(now, queue.waiting[i], batch.Overloaded)
 		}
 	case overload.Admit, overload.Wait:
 	}
 	return "", true
 }
 
-// describeQueue returns the waiting jobs in the order in which they start, also as the policy sees them.
-func (p *poolState) describeQueue() ([]*job, []overload.Job) {
-	var waiting []*job
-	for _, j := range p.queue.jobs {
+// queueView is the queue of a pool as the policy sees it. It is sorted only when the policy asks for the jobs, as each
+// arrival is decided under the lock of the entry.
+type queueView struct {
+	pool    *poolState
+	waiting []*job // in the order of the jobs that Jobs returned
+}
+
+// Work implements overload.Queue.
+func (q *queueView) Work() float64 { return q.pool.queued.seconds() }
+
+// WorkAhead implements overload.Queue.
+func (q *queueView) WorkAhead(arriving overload.Job) float64 {
+	var total coreTime
+	for _, j := range q.pool.queue.jobs {
+		if !j.answered && !j.late && !j.targetStart.After(arriving.TargetStart) {
+			total += j.waitingWork
+		}
+	}
+	return total.seconds()
+}
+
+// Jobs implements overload.Queue.
+func (q *queueView) Jobs() []overload.Job {
+	q.waiting = q.waiting[:0]
+	for _, j := range q.pool.queue.jobs {
 		if !j.answered && len(j.waiting) > 0 {
-			waiting = append(waiting, j)
+			q.waiting = append(q.waiting, j)
 		}
 	}
-	slices.SortFunc(waiting, compareStartOrder)
-	described := make([]overload.Job, len(waiting))
-	for i, j := range waiting {
+	slices.SortFunc(q.waiting, compareStartOrder)
+	described := make([]overload.Job, len(q.waiting))
+	for i, j := range q.waiting {
 		described[i] = j.describe()
 	}
-	return waiting, described
+	return described
 }
 
 func (j *job) describe() overload.Job {
 	return overload.Job{
 		Route: j.Route, Priority: j.Priority, ArrivedAt: j.submittedAt, TargetStart: j.targetStart,
 		LatestStart: j.startDeadline, Work: j.waitingWork.seconds(), Started: j.started() || j.activeRuns > 0,
+		Late: j.late,
 	}
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -29,8 +29,8 @@
 		}
 		return -1
 	}
-	if a.late && a.Priority != b.Priority {
-		return cmp.Compare(a.Priority, b.Priority)
+	if a.late {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.sequence, b.sequence))
 	}
 	return cmp.Or(a.targetStart.Compare(b.targetStart), cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.sequence, b.sequence))
@@ -50,10 +50,6 @@
 	return last
 }
 
-// lateOffset is added to the arrival time of a job that can no longer meet its target. The sum replaces its
-// targetStart, so that the job follows all jobs that can, in order of arrival.
-const lateOffset = 24 * time.Hour
-
 // lateWaitFactor decides whether a job that can no longer meet its target stays in the queue: the time until its
 // startDeadline must be at least this many times the predicted wait. Under overload, jobs that are placed ahead of it
 // keep arriving.
@@ -103,7 +99,7 @@
 			j.queued = false
 			d.refuse(now, j, batch.DeadlinePassed)
 			continue
-		case !j.started() && now.After(j.targetStart) && j.targetStart.Before(j.startDeadline):
+		case !j.late && !j.started() && now.After(j.targetStart) && j.targetStart.Before(j.startDeadline):
 			// The job can no longer meet its target. It moves behind all jobs that can, in order of arrival, unless
 			// it would probably expire there: jobs that arrive later and can meet their targets are placed first. How
 			// long it waits is not known while the pool has no backend server.
@@ -113,7 +109,6 @@
 				d.refuse(now, j, batch.Overloaded)
 				continue
 			}
-			j.targetStart = j.submittedAt.Add(lateOffset)
 			j.late = true
 			heap.Fix(&p.queue, 0)
 			continue
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -257,7 +257,7 @@
 // mayProbe reports whether a task of the job may be the next probe of a degraded backend server.
 func (s *server) mayProbe(now time.Time, j *job) bool {
 	return !now.Before(s.nextProbe) && len(s.runs) == 0 &&
-		(now.Add(probeSlack).Before(j.targetStart) || now.After(s.nextProbe.Add(probeInterval)))
+		(j.late || now.Add(probeSlack).Before(j.targetStart) || now.After(s.nextProbe.Add(probeInterval)))
 }
 
 // tasksOn returns the number of tasks of a step that may be running on a backend server.
--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -25,6 +25,7 @@
 	LatestStart time.Time // latest start with which the answer can still be useful to the caller
 	Work        float64   // predicted core-seconds of its waiting tasks
 	Started     bool      // one of its tasks has started
+	Late        bool      // it can no longer meet its target, and starts after all jobs that can
 }
 
 // Capacity is what a pool has for waiting and arriving jobs.
@@ -77,23 +78,39 @@
 	maxWait = 200 * time.Millisecond
 )
 
-// Decide decides about an arriving job and counts it. The queue is in the order in which the jobs start.
-func (p *Policy) Decide(now time.Time, j Job, queue []Job, c Capacity) Decision {
+// Queue is the queue of a pool.
+type Queue interface {
+	// Work returns the core-seconds of all waiting jobs.
+	Work() float64
+	// WorkAhead returns the core-seconds of the waiting jobs that start before an arriving one.
+	WorkAhead(j Job) float64
+	// Jobs returns the waiting jobs in the order in which they start. It is called only if one may be displaced.
+	Jobs() []Job
+}
+
+// Decide decides about an arriving job and counts it.
+func (p *Policy) Decide(now time.Time, j Job, queue Queue, c Capacity) Decision {
 	p.observe(now, j)
 	if c.Fits {
 		return Admit{}
 	}
-	s := newSchedule(now, j, queue, c.Cores)
-	wait := DrainTime(s.totalWork(), c.Cores)
-	cause, refuse := p.judge(now, j, wait, s)
+	s := schedule{now: now, arriving: j, cores: c.Cores, work: queue.Work()}
+	if now.Add(s.wait()).After(j.LatestStart) {
+		p.lose(now, j)
+		return Refuse{Cause: TooLate}
+	}
+	if s.wait() > minWait {
+		s.workAhead = queue.WorkAhead(j)
+	}
+	cause, refuse := p.judge(s)
 	if !refuse {
 		return Wait{}
 	}
-	if cause != TooLate && shedShare(wait) < maxDisplaceShare {
-		if victims := p.findVictims(j, cause, s); len(victims) > 0 {
+	if p.mayDisplace(s) {
+		jobs := queue.Jobs()
+		if victims := p.findVictims(s, cause, jobs); len(victims) > 0 {
 			for _, v := range victims {
-				p.lose(now, queue[v])
-				p.routes[queue[v].Route].credit()
+				p.displace(now, jobs[v])
 			}
 			return Displace{Victims: victims}
 		}
@@ -102,38 +119,44 @@
 	return Refuse{Cause: cause}
 }
 
-// judge reports whether the arriving job is to be refused, if no other gives way, and why.
-func (p *Policy) judge(now time.Time, j Job, wait time.Duration, s schedule) (Cause, bool) {
-	if now.Add(wait).After(j.LatestStart) {
-		return TooLate, true
-	}
-	if share := shedShare(wait) * p.weight(now, j); share > 0 && p.routes[j.Route].collect(share) {
-		return Share, true
-	}
-	if wait > minWait && DrainTime(s.workAhead(), s.cores) > j.TargetStart.Sub(now) {
+// judge reports whether the arriving job is to be refused, if no other gives way, and why. Its share is collected in any
+// case, so that refusals for NotInTime do not add to the share.
+func (p *Policy) judge(s schedule) (Cause, bool) {
+	share := shedShare(s.wait()) * p.weight(s.now, s.arriving)
+	inShare := share > 0 && p.routes[s.arriving.Route].collect(share)
+	if !s.inTime() {
 		return NotInTime, true
 	}
-	return "", false
+	return Share, inShare
+}
+
+// mayDisplace reports whether jobs may be displaced at the predicted wait. No job is less urgent than one of the least
+// urgent priority.
+func (p *Policy) mayDisplace(s schedule) bool {
+	return shedShare(s.wait()) < maxDisplaceShare && p.rank(s.arriving.Priority) < len(p.priorities)-1
 }
 
 // findVictims returns the positions of waiting jobs that are refused in favour of the arriving one. They are less urgent,
-// arrived a moment ago, and together free the work of the arriving job at less cost to callers.
-func (p *Policy) findVictims(j Job, cause Cause, s schedule) []int {
-	end := len(s.queue)
-	if cause == NotInTime {
-		end = s.position // jobs behind it do not make it late
-	}
+// arrived a moment ago, and together free the work of the arriving job at less cost to callers. The arriving job is in
+// time without them.
+func (p *Policy) findVictims(s schedule, cause Cause, jobs []Job) []int {
 	var victims []int
 	freed, cost := 0.0, 0.0
-	for i := end - 1; i >= 0 && freed < j.Work; i-- {
-		other := s.queue[i]
-		if other.Priority > j.Priority && other.mayBeDisplaced(s.now) && !p.isBelow(s.now, other, 1, displaceSizeShare) {
+	for i := len(jobs) - 1; i >= 0 && (freed < s.arriving.Work || !s.inTime()); i-- {
+		other := jobs[i]
+		ahead := !other.startsAfter(s.arriving)
+		if cause == NotInTime && !ahead {
+			continue // it does not make the arriving job late
+		}
+		if other.Priority > s.arriving.Priority && other.mayBeDisplaced(s.now) &&
+			!p.isBelow(s.now, other, 1, displaceSizeShare) {
 			victims = append(victims, i)
 			freed += other.Work
 			cost += p.urgency(other.Priority) * other.Work
+			s = s.without(other.Work, ahead)
 		}
 	}
-	if freed < j.Work || cost > p.urgency(j.Priority)*j.Work {
+	if freed < s.arriving.Work || !s.inTime() || cost > p.urgency(s.arriving.Priority)*s.arriving.Work {
 		return nil
 	}
 	slices.Sort(victims)
@@ -145,36 +168,38 @@
 	return min(max(float64(wait-minWait)/float64(maxWait-minWait), 0), 1)
 }
 
-// schedule is the queue of a pool with an arriving job.
+// schedule is what the queue of a pool means for an arriving job.
 type schedule struct {
-	now      time.Time
-	queue    []Job
-	position int // of the arriving job
-	cores    float64
+	now       time.Time
+	arriving  Job
+	cores     float64
+	work      float64 // of all waiting jobs
+	workAhead float64 // of those that start before the arriving one
+}
+
+// wait returns the predicted wait of the whole queue.
+func (s schedule) wait() time.Duration { return DrainTime(s.work, s.cores) }
+
+// inTime reports whether the arriving job is predicted to start in time for its target.
+func (s schedule) inTime() bool {
+	return s.wait() <= minWait || DrainTime(s.workAhead, s.cores) <= s.arriving.TargetStart.Sub(s.now)
 }
 
-func newSchedule(now time.Time, j Job, queue []Job, cores float64) schedule {
-	s := schedule{now: now, queue: queue, position: len(queue), cores: cores}
-	if i := slices.IndexFunc(queue, func(other Job) bool { return other.TargetStart.After(j.TargetStart) }); i >= 0 {
-		s.position = i
+// without returns the schedule without a displaced job.
+func (s schedule) without(work float64, ahead bool) schedule {
+	s.work -= work
+	if ahead {
+		s.workAhead -= work
 	}
 	return s
 }
 
-func (s schedule) totalWork() float64 { return sumWork(s.queue) }
-
-// workAhead returns the work ahead of the arriving job.
-func (s schedule) workAhead() float64 { return sumWork(s.queue[:s.position]) }
-
-func sumWork(jobs []Job) float64 {
-	total := 0.0
-	for _, j := range jobs {
-		total += j.Work
-	}
-	return total
+// startsAfter reports whether a waiting job starts after an arriving one.
+func (j Job) startsAfter(arriving Job) bool {
+	return j.Late || j.TargetStart.After(arriving.TargetStart)
 }
 
 func (j Job) mayBeDisplaced(now time.Time) bool {
 	limit := time.Duration(displaceShare * float64(j.TargetStart.Sub(j.ArrivedAt)))
-	return !j.Started && j.Work > 0 && now.Sub(j.ArrivedAt) <= limit
+	return !j.Started && !j.Late && j.Work > 0 && now.Sub(j.ArrivedAt) <= limit
 }
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,10 +21,40 @@
 	}
 }
 
+// sortedQueue is a queue in the order in which its jobs start.
+type sortedQueue []overload.Job
+
+func (q sortedQueue) Work() float64 { return sumWork(q) }
+
+func (q sortedQueue) WorkAhead(j overload.Job) float64 { return sumWork(ahead(q, j)) }
+
+func (q sortedQueue) Jobs() []overload.Job { return q }
+
+// ahead returns the jobs of a queue that start before an arriving one.
+func ahead(queue []overload.Job, j overload.Job) []overload.Job {
+	for i, other := range queue {
+		if other.Late || other.TargetStart.After(j.TargetStart) {
+			return queue[:i]
+		}
+	}
+	return queue
+}
+
+func sumWork(jobs []overload.Job) float64 {
+	total := 0.0
+	for _, j := range jobs {
+		total += j.Work
+	}
+	return total
+}
+
+// routes are the routes of jobs by priority.
+var routes = []string{"urgent", "usual", "patient"}
+
 // learn lets a policy see one job of each of three priorities that can start.
 func learn(p *overload.Policy) {
-	for i, route := range []string{"urgent", "usual", "patient"} {
-		p.Decide(start, job(route, i, start, 100*time.Millisecond, 1), nil, overload.Capacity{Cores: 10, Fits: true})
+	for i, route := range routes {
+		p.Decide(start, job(route, i, start, 100*time.Millisecond, 1), sortedQueue(nil), overload.Capacity{Cores: 10, Fits: true})
 	}
 }
 
@@ -37,9 +68,15 @@
 	started := fresh
 	started.Started = true
 	waited := job("usual", 1, now.Add(-60*time.Millisecond), 130*time.Millisecond, 0.1)
+	late := fresh
+	late.Late = true
+	unknown := fresh
+	unknown.Route = "accepted without a decision"
 	// A job that ends the prediction that the urgent one is in time.
 	ahead := started
 	ahead.Work = 0.8
+	longAhead := ahead
+	longAhead.Work = 0.95
 	for _, c := range []struct {
 		name    string
 		arrives overload.Job
@@ -55,6 +92,24 @@
 			false,
 			overload.Displace{Victims: []int{1}},
 		},
+		{
+			"the policy does not know the route of the less urgent one", urgent,
+			[]overload.Job{ahead, unknown},
+			false,
+			overload.Displace{Victims: []int{1}},
+		},
+		{
+			"it would be late also without the less urgent one", urgent,
+			[]overload.Job{longAhead, fresh},
+			false,
+			overload.Refuse{Cause: overload.NotInTime},
+		},
+		{
+			"the less urgent one is late and does not delay it", urgent,
+			[]overload.Job{longAhead, late},
+			false,
+			overload.Refuse{Cause: overload.NotInTime},
+		},
 		{
 			"all have started", urgent,
 			[]overload.Job{ahead, started},
@@ -82,13 +137,54 @@
 	} {
 		p := overload.New()
 		learn(p)
-		got := p.Decide(now, c.arrives, c.queue, overload.Capacity{Cores: cores, Fits: c.fits})
+		got := p.Decide(now, c.arrives, sortedQueue(c.queue), overload.Capacity{Cores: cores, Fits: c.fits})
 		if fmt.Sprintf("%T%+v", got, got) != fmt.Sprintf("%T%+v", c.want, c.want) {
 			t.Errorf("%s: got %T%+v, want %T%+v", c.name, got, got, c.want, c.want)
 		}
 	}
 }
 
+// countedQueue counts how often the order of its jobs is computed.
+type countedQueue struct {
+	sortedQueue
+	sorted *int
+}
+
+func (q countedQueue) Jobs() []overload.Job {
+	*q.sorted++
+	return q.sortedQueue
+}
+
+// Guards against decisions that sort the whole queue although no job can be displaced.
+func TestQueueIsSortedOnlyToDisplace(t *testing.T) {
+	now := start.Add(time.Second)
+	urgent := job("urgent", 0, now, 80*time.Millisecond, 0.1)
+	patient := job("patient", 2, now, 80*time.Millisecond, 0.1)
+	waiting := job("usual", 1, now, 75*time.Millisecond, 0.1)
+	long := job("usual", 1, now, 75*time.Millisecond, 0.9)
+	for _, c := range []struct {
+		name    string
+		arrives overload.Job
+		waiting overload.Job
+		fits    bool
+		want    int
+	}{
+		{"it fits", urgent, long, true, 0},
+		{"it can wait", urgent, waiting, false, 0},
+		{"none is less urgent", patient, long, false, 0},
+		{"one is less urgent", urgent, long, false, 1},
+	} {
+		p := overload.New()
+		learn(p)
+		got := 0
+		queue := countedQueue{sortedQueue: sortedQueue{c.waiting}, sorted: &got}
+		p.Decide(now, c.arrives, queue, overload.Capacity{Cores: 10, Fits: c.fits})
+		if got != c.want {
+			t.Errorf("%s: the queue was sorted %d times, want %d", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against a route or the large jobs of a route that are nearly always refused while others are served, at a
 // constant wait that calls for a share of refusals.
 func TestNoRouteOrSizeStarves(t *testing.T) {
@@ -106,7 +202,7 @@
 		offered[k]++
 		queue := []overload.Job{job(k.route, route, now.Add(-time.Second), 2*time.Second, 1.7)}
 		queue[0].Started = true
-		d := p.Decide(now, job(k.route, route, now, 400*time.Millisecond, work), queue, overload.Capacity{Cores: 10})
+		d := p.Decide(now, job(k.route, route, now, 400*time.Millisecond, work), sortedQueue(queue), overload.Capacity{Cores: 10})
 		if _, refused := d.(overload.Refuse); !refused {
 			served[k]++
 		}
@@ -123,31 +219,46 @@
 	}
 }
 
+// drawWork draws the core-seconds of a job. Rapid draws most real numbers close to 0, for which no job can be displaced.
+// Sums of the multiples are exact.
+func drawWork(t *rapid.T) float64 { return float64(rapid.IntRange(0, 10).Draw(t, "work")) / 32 }
+
 // Guards against decisions that break what the package promises, for any queue: only jobs that are less urgent or of a
-// route that is not served less, have not started and arrived a moment ago are displaced, what they free is enough, and
-// a job that fits is never refused.
+// route that is not served less, have not started, are not late and have used at most a fifth of their slack are
+// displaced, what they free is enough for the arriving job, which is then in time, and a job that fits is never refused.
 func TestDecisionsKeepPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := overload.New()
+		learn(p)
 		now := start
 		for range rapid.IntRange(1, 60).Draw(t, "arrivals") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "pause")) * time.Millisecond)
 			var queue []overload.Job
-			target := now.Add(-100 * time.Millisecond)
-			for range rapid.IntRange(0, 12).Draw(t, "waiting") {
+			target := now.Add(time.Duration(rapid.IntRange(-100, 60).Draw(t, "target")) * time.Millisecond)
+			late := false
+			for range rapid.IntRange(2, 12).Draw(t, "waiting") {
 				target = target.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "later")) * time.Millisecond)
 				priority := rapid.IntRange(0, 2).Draw(t, "priority")
-				age := time.Duration(rapid.IntRange(0, 40).Draw(t, "age")) * time.Millisecond
+				age := time.Duration(rapid.OneOf(rapid.IntRange(0, 5), rapid.IntRange(0, 200)).Draw(t, "age")) * time.Millisecond
 				arrived := now.Add(-age)
-				waiting := job(fmt.Sprint(priority), priority, arrived, target.Sub(arrived), rapid.Float64Range(0, 3).Draw(t, "work"))
-				waiting.Started = rapid.Bool().Draw(t, "started")
+				waiting := job(routes[priority], priority, arrived, target.Sub(arrived), drawWork(t))
+				waiting.Started = rapid.IntRange(0, 5).Draw(t, "started") == 5
+				late = late || rapid.IntRange(0, 20).Draw(t, "late") == 20
+				waiting.Late = late
 				queue = append(queue, waiting)
 			}
 			priority := rapid.IntRange(0, 2).Draw(t, "priority")
-			slack := time.Duration(rapid.IntRange(-100, 600).Draw(t, "slack")) * time.Millisecond
-			j := job(fmt.Sprint(priority), priority, now, slack, rapid.Float64Range(0, 3).Draw(t, "work"))
+			slack := time.Duration(rapid.OneOf(rapid.IntRange(0, 150), rapid.IntRange(-100, 600)).Draw(t, "slack")) * time.Millisecond
+			j := job(routes[priority], priority, now, slack, drawWork(t))
 			c := overload.Capacity{Cores: rapid.Float64Range(0, 40).Draw(t, "cores"), Fits: rapid.Bool().Draw(t, "fits")}
-			switch d := p.Decide(now, j, queue, c).(type) {
+			if rapid.Bool().Draw(t, "slight overload") {
+				c = overload.Capacity{Cores: sumWork(queue) / (float64(rapid.IntRange(61, 130).Draw(t, "wait")) / 1000)}
+				// The arriving job is nearly in time.
+				starts := overload.DrainTime(sumWork(ahead(queue, j)), c.Cores)
+				slack = starts - time.Duration(rapid.IntRange(0, 30).Draw(t, "missing"))*time.Millisecond
+				j = job(j.Route, j.Priority, now, slack, j.Work)
+			}
+			switch d := p.Decide(now, j, sortedQueue(queue), c).(type) {
 			case overload.Admit:
 				if !c.Fits {
 					t.Fatalf("a job that does not fit was admitted")
@@ -158,6 +269,7 @@
 				}
 			case overload.Displace:
 				freed := 0.0
+				rest := slices.Clone(queue)
 				for i, v := range d.Victims {
 					other := queue[v]
 					if i > 0 && v <= d.Victims[i-1] {
@@ -166,7 +278,16 @@
 					if other.Priority <= j.Priority || other.Started {
 						t.Fatalf("%+v was displaced in favour of %+v", other, j)
 					}
+					if age, slack := now.Sub(other.ArrivedAt), other.TargetStart.Sub(other.ArrivedAt); other.Late || 5*age > slack {
+						t.Fatalf("a job was displaced %v after it arrived, with a slack of %v, late: %v", age, slack, other.Late)
+					}
 					freed += other.Work
+					rest[v].Work = 0
+				}
+				starts := overload.DrainTime(sumWork(ahead(rest, j)), c.Cores)
+				wait := overload.DrainTime(sumWork(rest), c.Cores)
+				if starts > slack && wait > 60*time.Millisecond {
+					t.Fatalf("%v were displaced for a job that starts %v after its target", d.Victims, starts-slack)
 				}
 				if freed < j.Work {
 					t.Fatalf("%g core-seconds were freed for a job of %g", freed, j.Work)
--- a/core/overload/policy.go
+++ b/core/overload/policy.go
@@ -142,6 +142,14 @@
 	}
 }
 
+// displace counts a waiting job that is displaced. Its route is unknown if it was accepted without a decision.
+func (p *Policy) displace(now time.Time, j Job) {
+	p.lose(now, j)
+	if r, ok := p.routes[j.Route]; ok {
+		r.credit()
+	}
+}
+
 // sharesOf returns the shares in which a job is counted.
 func (p *Policy) sharesOf(r *route, j Job) [3]*share {
 	return [3]*share{&p.total, &r.total, &r.sizes[r.sizeOf(j.Work)]}
