Count the whole job as its size, and forget routes that offer nothing

Cause: the size of a job was that of its tasks without dependencies, and a first job without predicted work left its route without sizes. The priorities of removed routes still set the ranks of others. Counters of refusals by priority were unbounded. After a burst of refusals, callers were told to wait 10 s although the queue was short.

Change: the size counts all tasks, and jobs without predicted work teach no sizes. A route is forgotten once what it offered has decayed. Priorities beyond 9 count as 9, negative ones as 0. The retry reserved last is at most MaxRetryAfter ahead.

Not taken in: higher weights of the first jobs of a route.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -21,6 +21,8 @@
 	MaxTasks = 4096 // over all steps
 	// MaxDemand is the limit of each resource of a task. It is beyond any host, and keeps sums over many tasks in range.
 	MaxDemand = 1 << 20
+	// MaxPriority is the least urgent priority that is told apart. It bounds the number of counters by priority.
+	MaxPriority = 9
 )
 
 // JobID identifies a job. The caller chooses it, and a resubmission has the same one.
@@ -58,7 +60,7 @@
 	Route    string
 	Pool     string
 	Version  uint64        `json:",omitempty"` // of the configuration from which route and pool were chosen
-	Priority int           `json:",omitempty"` // 0 is the most urgent
+	Priority int           `json:",omitempty"` // 0 is the most urgent; those beyond MaxPriority are equal
 	Attempts int           // failed runs of a task after which the job fails
 	Stretch  float64       // target time from submission to answer, as a multiple of the job's run time; see Target
 	Target   time.Duration // added to Stretch times the run time
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -119,6 +119,7 @@
 	mayHaveRun     bool // a task of the job ran or may have run
 	waiting        []*task
 	waitingWork    coreTime // of its waiting tasks
+	size           coreTime // predicted for all its tasks when it arrived
 	answered       bool
 	late           bool // it can no longer meet its target
 	queued         bool
@@ -277,9 +278,6 @@
 	return sum
 }
 
-// NoServerWait is the predicted wait at an entry without backend servers.
-const NoServerWait = overload.NoServerWait
-
 // Load returns the current load. It includes the pools that have backend servers or waiting jobs.
 func (d *Dispatcher) Load() Load {
 	l := Load{Pools: make(map[string]PoolLoad, len(d.pools)), Draining: d.draining}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -43,6 +43,7 @@
 
 func (d *Dispatcher) newJob(now time.Time, b batch.Job) *job {
 	d.sequence++
+	b.Priority = min(max(b.Priority, 0), batch.MaxPriority)
 	j := &job{Job: b, submittedAt: now, sequence: d.sequence}
 	r := d.route(b.Route)
 	suspect := d.hasSuspect(now, b)
@@ -55,6 +56,7 @@
 			s.tasks[k] = &task{id: id, suspect: suspect}
 		}
 		j.unfinished += st.Count
+		j.size += coreTime(st.Count) * predictWork(r, s)
 		j.steps = append(j.steps, s)
 		for _, dependency := range st.After {
 			j.steps[dependency].dependents = append(j.steps[dependency].dependents, i)
--- a/core/dispatch/limits_test.go
+++ b/core/dispatch/limits_test.go
@@ -32,3 +32,27 @@
 		}
 	}
 }
+
+// Guards against a job that counts as small because most of its tasks depend on others.
+func TestSizeCountsDependentSteps(t *testing.T) {
+	d := New()
+	step := batch.Step{Count: 2, Estimate: time.Second, Demand: resource.Amount{Processor: 1000}}
+	dependent := step
+	dependent.Count, dependent.After = 8, []int{0}
+	j := d.newJob(time.Unix(1000, 0), batch.Job{ID: "1", Route: "r", Pool: "p", Steps: []batch.Step{step, dependent}})
+	if got := j.describe(); got.Size != 10 || got.Work != 2 {
+		t.Errorf("got a size of %g and %g core-seconds that wait, want 10 and 2", got.Size, got.Work)
+	}
+}
+
+// Guards against an unbounded number of counters by priority.
+func TestPrioritiesAreBounded(t *testing.T) {
+	d := New()
+	for given, want := range map[int]int{-3: 0, 0: 0, 2: 2, 1000: batch.MaxPriority} {
+		step := batch.Step{Count: 1, Estimate: time.Second, Demand: resource.Amount{Processor: 1000}}
+		j := d.newJob(time.Unix(1000, 0), batch.Job{ID: "1", Route: "r", Pool: "p", Priority: given, Steps: []batch.Step{step}})
+		if j.Priority != want {
+			t.Errorf("priority %d: got %d, want %d", given, j.Priority, want)
+		}
+	}
+}
--- a/core/dispatch/overload.go
+++ b/core/dispatch/overload.go
@@ -74,6 +74,6 @@
 	return overload.Job{
 		Route: j.Route, Priority: j.Priority, ArrivedAt: j.submittedAt, TargetStart: j.targetStart,
 		LatestStart: j.startDeadline, Work: j.waitingWork.seconds(), Started: j.started() || j.activeRuns > 0,
-		Late: j.late,
+		Late: j.late, Size: j.size.seconds(),
 	}
 }
--- a/core/overflow/overflow.go
+++ b/core/overflow/overflow.go
@@ -15,6 +15,7 @@
 
 	"dogwoodglade/core/batch"
 	"dogwoodglade/core/dispatch"
+	"dogwoodglade/core/overload"
 	"dogwoodglade/core/resource"
 	"dogwoodglade/internal/uniform"
 )
@@ -109,7 +110,7 @@
 func predictWait(all dispatch.Load, need demand) time.Duration {
 	l := all.Pools[need.pool]
 	if all.Draining || l.Cores <= 0 || !need.largestTask.Fits(l.Largest) {
-		return dispatch.NoServerWait
+		return overload.NoServerWait
 	}
 	if !l.Healthy {
 		return l.PredictedWait() + degradedWait
@@ -149,7 +150,7 @@
 // that fall free.
 func weight(all dispatch.Load, need demand) float64 {
 	wait := predictWait(all, need)
-	if wait >= dispatch.NoServerWait {
+	if wait >= overload.NoServerWait {
 		return 0
 	}
 	l := all.Pools[need.pool]
--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -24,6 +24,7 @@
 	TargetStart time.Time // latest start that can still meet the target
 	LatestStart time.Time // latest start with which the answer can still be useful to the caller
 	Work        float64   // predicted core-seconds of its waiting tasks
+	Size        float64   // predicted core-seconds of all its tasks
 	Started     bool      // one of its tasks has started
 	Late        bool      // it can no longer meet its target, and starts after all jobs that can
 }
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -17,7 +17,7 @@
 func job(route string, priority int, now time.Time, slack time.Duration, work float64) overload.Job {
 	return overload.Job{
 		Route: route, Priority: priority, ArrivedAt: now, TargetStart: now.Add(slack),
-		LatestStart: now.Add(slack + 500*time.Millisecond), Work: work,
+		LatestStart: now.Add(slack + 500*time.Millisecond), Work: work, Size: work,
 	}
 }
 
@@ -298,6 +298,92 @@
 	})
 }
 
+// Guards against sizes that are wrong for long because the first job of a route had no predicted work.
+func TestFirstJobWithoutWorkDoesNotDecideSizes(t *testing.T) {
+	refusals := func(first float64) int {
+		p := overload.New()
+		now := start
+		for i := range 20 {
+			size := 1.0
+			if i == 0 {
+				size = first
+			}
+			p.Decide(now, job("r", 1, now, time.Second, size), sortedQueue(nil), overload.Capacity{Cores: 10, Fits: true})
+		}
+		refused := 0
+		for range 60 {
+			now = now.Add(10 * time.Millisecond)
+			queue := sortedQueue{job("other", 1, now.Add(-time.Second), 2*time.Second, 1.5)}
+			d := p.Decide(now, job("r", 1, now, time.Second, 1), queue, overload.Capacity{Cores: 10})
+			if _, ok := d.(overload.Refuse); ok {
+				refused++
+			}
+		}
+		return refused
+	}
+	want := refusals(1)
+	if got := refusals(0); 10*got < 9*want || 10*got > 11*want {
+		t.Errorf("after a first job of size 0, %d jobs were refused, want about %d", got, want)
+	}
+}
+
+// Guards against a job that counts as small because few of its tasks can start on arrival.
+func TestSizeCountsAllTasks(t *testing.T) {
+	p := overload.New()
+	refused := map[float64]int{}
+	for i := range 2000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		j := job("r", 1, now, time.Second, 0.1)
+		j.Size = float64(1 + i%2)
+		queue := sortedQueue{job("other", 1, now.Add(-time.Second), 2*time.Second, 1)}
+		if _, ok := p.Decide(now, j, queue, overload.Capacity{Cores: 10}).(overload.Refuse); ok {
+			refused[j.Size]++
+		}
+	}
+	if refused[2] <= refused[1] {
+		t.Errorf("%d large and %d small jobs were refused", refused[2], refused[1])
+	}
+}
+
+// Guards against jobs that are refused like less urgent ones because of an urgent route that no longer exists.
+func TestRemovedRouteDoesNotChangeRanks(t *testing.T) {
+	refusals := func(removed bool) int {
+		p := overload.New()
+		now := start
+		if removed {
+			learn(p)
+		}
+		refused := 0
+		for i := range 3000 {
+			now = now.Add(10 * time.Millisecond)
+			priority := 1 + i%2
+			queue := sortedQueue{job("other", 2, now.Add(-time.Second), 2*time.Second, 1)}
+			queue[0].Started = true
+			d := p.Decide(now, job(routes[priority], priority, now, time.Second, 1), queue, overload.Capacity{Cores: 10})
+			// What was learned about the removed route decays within 20 s.
+			if _, ok := d.(overload.Refuse); ok && priority == 1 && i >= 2000 {
+				refused++
+			}
+		}
+		return refused
+	}
+	if got, want := refusals(true), refusals(false); got > want+1 {
+		t.Errorf("after a more urgent route was removed, %d jobs of the most urgent one were refused, want %d", got, want)
+	}
+}
+
+// Guards against delays that remain long after a burst of refusals.
+func TestRetriesAfterBurstAreSoon(t *testing.T) {
+	var r overload.Retries
+	for range 1000 {
+		r.Reserve(start, 100*time.Millisecond, 80*time.Millisecond)
+	}
+	now := start.Add(overload.MaxRetryAfter)
+	if got := r.Reserve(now, 100*time.Millisecond, 80*time.Millisecond); got > 180*time.Millisecond {
+		t.Errorf("a caller may retry after %v", got)
+	}
+}
+
 // Guards against refused callers that all return at the same time, and against delays longer than callers wait.
 func TestRetriesAreSpread(t *testing.T) {
 	var r overload.Retries
--- a/core/overload/policy.go
+++ b/core/overload/policy.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -9,6 +10,8 @@
 const (
 	// shareWindow is the time constant with which offered and refused jobs are forgotten.
 	shareWindow = 3 * time.Second
+	// leastOffered is the decayed number of offered jobs below which a route is forgotten.
+	leastOffered = 0.01
 	// priorJobs is the number of served jobs that each share starts with, so that a single refusal does not count as a
 	// low share.
 	priorJobs = 2
@@ -21,8 +24,8 @@
 	maxCredit = 5
 	// maxRelativeSize limits the size of a job relative to the typical one of its route, and its inverse.
 	maxRelativeSize = 4
-	// workWeight is the weight of one job in the moving average of the work of a job.
-	workWeight = 0.02
+	// sizeWeight is the weight of one job in the moving average of the size of a job.
+	sizeWeight = 0.02
 	// Neither a route nor a size of jobs may starve. A job is refused less, by protectedWeight, if the served share of its
 	// route is below leastRouteShare of the pool's, or that of its size below leastSizeShare of its route's. It is
 	// displaced only if its route is served no less than the pool, and its size at least displaceSizeShare.
@@ -30,8 +33,6 @@
 	leastSizeShare    = 0.6
 	displaceSizeShare = 0.9
 	protectedWeight   = 0.2
-	// rankStep sets how much less a core-second counts with each step of priority when jobs are displaced.
-	rankStep = 1
 )
 
 // sizeClass divides the jobs of a route by their work, so that the large ones are not refused too often.
@@ -53,12 +54,12 @@
 	quantileStep = 0.05
 )
 
-// quantile estimates a quantile of the work of jobs.
+// quantile estimates a quantile of the sizes of jobs.
 type quantile float64
 
 // observe moves the estimate, so that the given part of the jobs stays below it.
-func (q *quantile) observe(work, part float64) {
-	if work <= float64(*q) {
+func (q *quantile) observe(size, part float64) {
+	if size <= float64(*q) {
 		part--
 	}
 	*q *= quantile(math.Exp(quantileStep * part))
@@ -69,13 +70,14 @@
 	routes     map[string]*route
 	priorities []int // of the routes, increasing
 	total      share
+	sweptAt    time.Time // when routes were last forgotten
 }
 
 // route is what is known about the jobs of a route.
 type route struct {
 	priority       int
-	work           float64  // typical core-seconds of a job
-	large, largest quantile // of the work of its jobs
+	size           float64  // typical core-seconds of a job
+	large, largest quantile // of the sizes of its jobs
 	remainder      float64  // sum of refusal shares that has not led to a refusal yet
 	total          share
 	sizes          [sizeClasses]share
@@ -106,23 +108,49 @@
 
 // observe counts an arriving job.
 func (p *Policy) observe(now time.Time, j Job) {
+	p.forgetRoutes(now)
 	r, known := p.routes[j.Route]
 	if !known {
-		r = &route{work: j.Work, large: quantile(j.Work), largest: quantile(j.Work)}
+		r = &route{}
 		p.routes[j.Route] = r
 	}
 	if !known || r.priority != j.Priority {
 		r.priority = j.Priority
 		p.rankPriorities()
 	}
-	r.work += workWeight * (j.Work - r.work)
-	r.large.observe(j.Work, largeQuantile)
-	r.largest.observe(j.Work, largestQuantile)
+	r.learn(j.Size)
 	for _, s := range p.sharesOf(r, j) {
 		s.offered.add(now, 1)
 	}
 }
 
+// forgetRoutes forgets the routes that have offered nothing for a while, so that the priorities of removed routes do not
+// change the ranks of others.
+func (p *Policy) forgetRoutes(now time.Time) {
+	if now.Sub(p.sweptAt) < shareWindow {
+		return
+	}
+	p.sweptAt = now
+	before := len(p.routes)
+	maps.DeleteFunc(p.routes, func(_ string, r *route) bool { return r.total.offered.value(now) < leastOffered })
+	if len(p.routes) < before {
+		p.rankPriorities()
+	}
+}
+
+// learn learns from the size of a job.
+func (r *route) learn(size float64) {
+	if size <= 0 {
+		return
+	}
+	if r.size == 0 {
+		r.size, r.large, r.largest = size, quantile(size), quantile(size)
+	}
+	r.size += sizeWeight * (size - r.size)
+	r.large.observe(size, largeQuantile)
+	r.largest.observe(size, largestQuantile)
+}
+
 func (p *Policy) rankPriorities() {
 	p.priorities = p.priorities[:0]
 	for _, r := range p.routes {
@@ -152,7 +180,7 @@
 
 // sharesOf returns the shares in which a job is counted.
 func (p *Policy) sharesOf(r *route, j Job) [3]*share {
-	return [3]*share{&p.total, &r.total, &r.sizes[r.sizeOf(j.Work)]}
+	return [3]*share{&p.total, &r.total, &r.sizes[r.sizeOf(j.Size)]}
 }
 
 // rank returns the position of a priority among those of the pool's routes.
@@ -161,13 +189,14 @@
 	return rank
 }
 
-// urgency returns how much a core-second of a priority counts when jobs are displaced.
-func (p *Policy) urgency(priority int) float64 { return 1 / (1 + rankStep*float64(p.rank(priority))) }
+// urgency returns how much a core-second of a priority counts when jobs are displaced: the more urgent the priority, the
+// more.
+func (p *Policy) urgency(priority int) float64 { return 1 / float64(1+p.rank(priority)) }
 
 // weight returns the factor by which the share of refusals applies to a job.
 func (p *Policy) weight(now time.Time, j Job) float64 {
 	r := p.routes[j.Route]
-	weight := math.Pow(r.relativeSize(j.Work), sizeExponent)
+	weight := math.Pow(r.relativeSize(j.Size), sizeExponent)
 	if j.Priority == 0 || (len(p.priorities) > 1 && p.rank(j.Priority) == 0) {
 		weight *= urgentWeight
 	}
@@ -185,7 +214,7 @@
 		return false
 	}
 	served := r.total.served(now)
-	return served < ofPool*p.total.served(now) || r.sizes[r.sizeOf(j.Work)].served(now) < ofRoute*served
+	return served < ofPool*p.total.served(now) || r.sizes[r.sizeOf(j.Size)].served(now) < ofRoute*served
 }
 
 // collect adds the share of a job that is to be refused, and reports whether the shares add up to a refusal. They are
@@ -202,18 +231,18 @@
 // credit counts a displaced job as one of the refusals that the route's shares add up to.
 func (r *route) credit() { r.remainder = max(r.remainder-1, -maxCredit) }
 
-func (r *route) relativeSize(work float64) float64 {
-	if r.work <= 0 {
+func (r *route) relativeSize(size float64) float64 {
+	if r.size <= 0 {
 		return 1
 	}
-	return min(max(work/r.work, 1/maxRelativeSize), maxRelativeSize)
+	return min(max(size/r.size, 1/maxRelativeSize), maxRelativeSize)
 }
 
-func (r *route) sizeOf(work float64) sizeClass {
+func (r *route) sizeOf(size float64) sizeClass {
 	switch {
-	case work > float64(r.largest):
+	case size > float64(r.largest):
 		return largest
-	case work > float64(r.large):
+	case size > float64(r.large):
 		return large
 	default:
 		return common
--- a/core/overload/retry.go
+++ b/core/overload/retry.go
@@ -26,6 +26,7 @@
 	if r.next.Before(earliest) {
 		r.next = earliest
 	}
-	r.next = r.next.Add(work)
-	return min(r.next.Sub(now), MaxRetryAfter)
+	delay := min(r.next.Add(work).Sub(now), MaxRetryAfter)
+	r.next = now.Add(delay)
+	return delay
 }
