Make room beside unread responses and held connections

A connection whose client does not read its responses counted as served for 10 s per write, so a few such clients locked out every new one. Requests that take long could hold all places, and new connections were closed without a response. A connection that was closed for a new one while its body arrived could still run its request.

Add the state Responding, which a new connection may replace after 1 s, and a send buffer of 32 KiB. Serve requests on 15 of 16 places and answer 503 with Retry-After on the others. ReadBody fails if the connection has lost its place.

The crowd of the tests now reconnects until the end, and is checked to have connections while the ordinary job runs; a crowd that never reads is new.

Measured: TestUnreadResponsesMakeRoom got no response for 4 s without the state Responding, and gets one with it. That crowd test also passed without the state, as a write ends after 10 s and the test waits longer.

--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -1,8 +1,9 @@
 // Package connlimit decides which connections a listener keeps when it has as many as it may have.
 //
 // A new connection takes the place of the one that is worth least to its client: first one that has not sent a
-// complete request for some time, then the one that has been idle for the longest time, then any that has not sent a
+// complete request, or has not read its response, for some time, then the one that has been idle for the longest time, then any that has not sent a
 // complete request. Connections whose request is being served are never closed. If all are, the new one is refused.
+// A sixteenth of the places is not for serving: a request on them gets a response that says so.
 //
 // A Limit is a state machine without a lock: it takes the time and returns what to close.
 package connlimit
@@ -17,9 +18,10 @@
 
 // States of a connection.
 const (
-	Receiving State = iota // it has not sent a complete request
-	Idle                   // it has had its responses and may send another request
-	Serving                // its request is being served
+	Receiving  State = iota // it has not sent a complete request
+	Idle                    // it has had its responses and may send another request
+	Serving                 // its request is being served
+	Responding              // bytes of a response wait for the client
 	stateCount
 )
 
@@ -27,9 +29,14 @@
 // needed longer is closed before idle ones, which ordinary clients keep for their next request.
 const stalledAfter = time.Second
 
+// notServingShare is the part of the places, as a divisor, on which no request is served. Without it, new clients get no
+// response at all while callers hold all places with requests that take long.
+const notServingShare = 16
+
 // connection is an open connection, and an element of the list of its state.
 type connection struct {
 	id             ID
+	state          State
 	since          time.Time
 	previous, next *connection
 }
@@ -37,6 +44,7 @@
 // Limit is the set of connections of a listener. Create it with New.
 type Limit struct {
 	most        int
+	serving     int // connections in the state Serving
 	connections map[ID]*connection
 	// heads are the heads of cyclic lists. The connection that has been in the state for the longest time is first.
 	heads [stateCount]connection
@@ -72,30 +80,57 @@
 	return closing, full
 }
 
-// SetState says what a connection is doing from now on. It has no effect on a connection that was removed.
-func (l *Limit) SetState(now time.Time, id ID, state State) {
-	if c, ok := l.connections[id]; ok {
-		c.unlink()
-		l.append(now, c, state)
+// SetState says what a connection is doing from now on, and returns what it did before. It has no effect on a connection
+// that was removed.
+func (l *Limit) SetState(now time.Time, id ID, state State) (previous State) {
+	c, ok := l.connections[id]
+	if !ok {
+		return state
+	}
+	previous = c.state
+	l.remove(c)
+	l.append(now, c, state)
+	return previous
+}
+
+// Serve changes the state of a connection to Serving. It reports false, and changes nothing, if the connection was
+// removed or if as many requests as may be are being served.
+func (l *Limit) Serve(now time.Time, id ID) bool {
+	c, ok := l.connections[id]
+	switch {
+	case !ok:
+		return false
+	case c.state == Serving:
+		return true
+	case l.serving >= l.most-l.most/notServingShare:
+		return false
 	}
+	l.SetState(now, id, Serving)
+	return true
 }
 
 // Close removes a connection. It has no effect on one that was removed before.
 func (l *Limit) Close(id ID) {
 	if c, ok := l.connections[id]; ok {
-		c.unlink()
+		l.remove(c)
 		delete(l.connections, id)
 	}
 }
 
 func (l *Limit) append(now time.Time, c *connection, state State) {
-	c.since = now
+	c.since, c.state = now, state
+	if state == Serving {
+		l.serving++
+	}
 	head := &l.heads[state]
 	c.previous, c.next = head.previous, head
 	c.previous.next, head.previous = c, c
 }
 
-func (c *connection) unlink() {
+func (l *Limit) remove(c *connection) {
+	if c.state == Serving {
+		l.serving--
+	}
 	c.previous.next, c.next.previous = c.next, c.previous
 }
 
@@ -104,6 +139,9 @@
 	if hasReceiving && now.Sub(receiving.since) >= stalledAfter {
 		return receiving, true
 	}
+	if responding, ok := l.first(Responding); ok && now.Sub(responding.since) >= stalledAfter {
+		return responding, true
+	}
 	if idle, ok := l.first(Idle); ok {
 		return idle, true
 	}
--- a/core/connlimit/connlimit_test.go
+++ b/core/connlimit/connlimit_test.go
@@ -32,6 +32,8 @@
 		"LongestStalled":  {[]State{Receiving, Receiving}, []time.Duration{2 * time.Second, 3 * time.Second}, 2},
 		"LongestIdle":     {[]State{Receiving, Idle, Idle}, []time.Duration{time.Millisecond, time.Second, time.Minute}, 3},
 		"OldestReceiving": {[]State{Serving, Receiving}, []time.Duration{time.Hour, time.Millisecond}, 2},
+		"NotReading":      {[]State{Serving, Idle, Responding}, []time.Duration{time.Hour, time.Minute, 2 * time.Second}, 3},
+		"Reading":         {[]State{Serving, Responding}, []time.Duration{time.Hour, time.Millisecond}, newOne},
 		"AllServing":      {[]State{Serving, Serving}, []time.Duration{time.Hour, time.Hour}, newOne},
 	} {
 		now := start.Add(2 * time.Hour)
@@ -69,3 +71,28 @@
 		t.Errorf("%d connections are left", l.Count())
 	}
 }
+
+// Guards against requests that hold all places, so that new clients get no response.
+func TestPlacesForRefusals(t *testing.T) {
+	const most = 32
+	l := New(most)
+	served := 0
+	for id := ID(1); id <= most; id++ {
+		l.Open(start, id)
+		if l.Serve(start, id) {
+			served++
+		}
+	}
+	if served != most-2 {
+		t.Errorf("%d requests are served, want %d", served, most-2)
+	}
+	if closing, full := l.Open(start, 100); !full || closing == 100 || closing <= most-2 {
+		t.Errorf("closes %d, want one that is not served", closing)
+	}
+	if l.Close(1); !l.Serve(start, 100) {
+		t.Error("the place that became free is not used")
+	}
+	if l.Serve(start, 1) {
+		t.Error("a connection that was removed is served")
+	}
+}
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,20 +21,23 @@
 type crowd struct {
 	address string
 	clients int
-	rounds  int // connections that each client opens at most
+	rounds  int // connections of each client after which it counts as settled
 	// send sends a request on a connection.
 	send func(w io.Writer, r *rand.Rand) error
+	// deaf clients send the request again and again on one connection and never read.
+	deaf bool
 
 	mu      sync.Mutex
-	settled int // clients that have sent all they have on their last connection, or have used it up
+	settled int // clients that have sent all they have in their last round, or have used it up
 	opened  int
+	open    int            // connections that neither side has ended
 	refused map[string]int // responses by status code
 }
 
 // reconnectPause keeps a crowd whose connections are closed from taking the processor of the machine.
 const reconnectPause = 300 * time.Millisecond
 
-// startCrowd starts the clients. The returned function closes their connections and waits for them.
+// startCrowd starts the clients, which open connections again and again. The returned function closes their connections and waits for them.
 func startCrowd(c *crowd) (stop func()) {
 	c.refused = map[string]int{}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -40,8 +45,8 @@
 	for i := range c.clients {
 		running.Go(func() {
 			r := rand.New(rand.NewPCG(uint64(i), 1))
-			for round := range c.rounds {
-				c.play(ctx, r, round == c.rounds-1)
+			for round := 1; ; round++ {
+				c.play(ctx, r, round == c.rounds)
 				select {
 				case <-ctx.Done():
 					return
@@ -75,7 +80,17 @@
 	defer func() { _ = conn.Close() }()
 	c.mu.Lock()
 	c.opened++
+	c.open++
 	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.open--
+	}()
+	if c.deaf {
+		c.playDeaf(ctx, conn, r, once)
+		return
+	}
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
@@ -98,6 +113,30 @@
 	<-sent
 }
 
+// playDeaf sends requests until the server ends the connection. It calls blocked when the server takes no more.
+func (c *crowd) playDeaf(ctx context.Context, conn net.Conn, r *rand.Rand, blocked func()) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(4 << 10)
+	}
+	for ctx.Err() == nil {
+		_ = conn.SetWriteDeadline(time.Now().Add(time.Second))
+		err := c.send(conn, r)
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			blocked()
+		case err != nil:
+			return
+		}
+	}
+}
+
+// Count returns how many connections are open, and how many have been opened.
+func (c *crowd) Count() (open, opened int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open, c.opened
+}
+
 // Settled reports whether each client holds a connection on which it has sent what it has, or has used up its rounds.
 func (c *crowd) Settled() bool {
 	c.mu.Lock()
--- a/crowd/limits_test.go
+++ b/crowd/limits_test.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -95,6 +96,17 @@
 	}
 }
 
+// Guards against callers that keep the places of others by not reading their responses.
+func TestUnreadResponses(t *testing.T) {
+	requests := []byte(strings.Repeat("GET "+jobRoute.PathPrefix+" HTTP/1.1\r\nHost: "+routeHost+"\r\n\r\n", 100))
+	s := newSite(t, few, large)
+	s.endure(&crowd{address: s.address(entryHost, callerPort), deaf: true, send: func(w io.Writer, _ *rand.Rand) error {
+		_, err := w.Write(requests)
+		return err
+	}})
+	s.entry.checkLimits(few)
+}
+
 // Guards against callers that use up the descriptors of an entry, at each of its addresses for HTTP.
 func TestEntryDescriptors(t *testing.T) {
 	for name, port := range map[string]int{"Callers": callerPort, "Readiness": readyPort, "Metrics": metricsPort} {
@@ -146,7 +158,11 @@
 		s.entry.checkAlive()
 		s.agent.checkAlive()
 	}
+	_, before := c.Count()
 	s.serveOrdinary("beside the waiting crowd")
+	if open, opened := c.Count(); open == 0 && opened == before {
+		s.t.Errorf("nothing of the crowd was connected or refused beside the ordinary job: %s", c)
+	}
 	stop()
 	s.t.Log(c)
 	s.serveOrdinary("after the crowd")
--- a/io/httpserver/conn.go
+++ b/io/httpserver/conn.go
@@ -19,6 +19,7 @@
 	net.Conn
 	server   *Server
 	id       connlimit.ID
+	refused  bool // the current request may not be served; used by the connection's goroutine only
 	bodyRead bool // the body of the current request was read to its end; used by the handler's goroutine only
 }
 
@@ -27,6 +28,8 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
+	previous := c.setState(connlimit.Responding)
+	defer c.setState(previous)
 	return c.Conn.Write(data)
 }
 
@@ -46,11 +49,19 @@
 	return nil
 }
 
-func (c *conn) setState(state connlimit.State) {
+func (c *conn) setState(state connlimit.State) (previous connlimit.State) {
 	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limit.SetState(time.Now(), c.id, state)
+	return s.limit.SetState(time.Now(), c.id, state)
+}
+
+// serve reports whether the current request may be served. From then on, the connection is not closed for a new one.
+func (c *conn) serve() bool {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit.Serve(time.Now(), c.id)
 }
 
 // limitedListener accepts the connections of a Server within its limit.
@@ -109,7 +120,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		x.setState(connlimit.Serving)
+		x.refused = !x.serve()
 	case http.StateIdle:
 		x.setState(connlimit.Idle)
 	case http.StateClosed, http.StateHijacked:
--- a/io/httpserver/read.go
+++ b/io/httpserver/read.go
@@ -43,8 +43,8 @@
 }
 
 // ReadBody reads the body of a request that is served by a Server. The memory of the body stays reserved until release
-// is called, which is never nil; data must not be used after that. If it fails, the connection closes after the response, which does not wait for the
-// rest of the body.
+// is called, which is never nil; data must not be used after that. If it fails, the connection closes after the
+// response, which does not wait for the rest of the body.
 //
 // For a request of another server, only the size is limited.
 func ReadBody(r *http.Request, limit int64, timeout time.Duration) (data []byte, release func(), err error) {
@@ -68,11 +68,10 @@
 	}
 	_ = c.SetReadDeadline(time.Now().Add(timeout))
 	c.setState(connlimit.Receiving)
-	defer c.setState(connlimit.Serving)
 	x := c.server.options.Bodies.add(c)
 	err = x.read(r, limit)
 	switch {
-	case err == nil && x.complete():
+	case err == nil && x.complete() && c.serve():
 		_ = c.SetReadDeadline(time.Time{})
 		c.bodyRead = true
 		return x.data, x.close, nil
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -32,6 +32,9 @@
 	// receiveBuffer limits the bytes of a connection that were received and not read, which may count as memory of the
 	// process. It holds an ordinary request; larger bodies need more round trips. The kernel doubles it for its overhead.
 	receiveBuffer = 8 << 10
+	// sendBuffer limits the bytes of responses that the kernel keeps for a client that does not read. With the default
+	// of some kernels, 2.5 MB, a client that sends requests and never reads is noticed late.
+	sendBuffer = 32 << 10
 )
 
 // ConnectionBytes is the memory that a connection may need besides its body: the buffers of net/http (4 KiB each way and
@@ -62,12 +65,13 @@
 	open   map[connlimit.ID]*conn
 }
 
-// Listen listens on a TCP address with small receive buffers.
+// Listen listens on a TCP address with small buffers.
 func Listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		// Accepted connections inherit the size. Without it, the only harm is larger buffers.
 		return raw.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
 		})
 	}}
 	listener, err := config.Listen(context.Background(), "tcp", address)
@@ -103,11 +107,15 @@
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength != 0 {
-		if c := connOf(r.Context()); c != nil {
+	if c := connOf(r.Context()); c != nil {
+		if r.ContentLength != 0 {
 			c.bodyRead = false
 			w = &bodyWriter{ResponseWriter: w, conn: c}
 		}
+		if c.refused {
+			WriteError(w, errors.WithStack(&BusyError{}))
+			return
+		}
 	}
 	s.options.Handler.ServeHTTP(w, r)
 }
--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -16,7 +16,7 @@
 	"dogwoodglade/io/httpserver"
 )
 
-// newServer starts a server whose handler echoes bodies of at most 64 KiB.
+// newServer starts a server whose handler echoes bodies of at most 64 KiB. Requests of /wait last until the client leaves.
 func newServer(t *testing.T, connections int, bodyBytes int64, timeout time.Duration) (address string) {
 	t.Helper()
 	listener, err := httpserver.Listen("127.0.0.1:0")
@@ -26,6 +26,10 @@
 	registry := metrics.NewRegistry()
 	report := func(event.Number, string, int) {}
 	echo := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-r.Context().Done()
+			return
+		}
 		if r.Method != http.MethodPost {
 			_, _ = io.WriteString(w, "no body")
 			return
@@ -151,3 +155,51 @@
 		t.Errorf("status %d, body %q", status, body)
 	}
 }
+
+// Guards against clients that take all connections of a listener by not reading their responses.
+func TestUnreadResponsesMakeRoom(t *testing.T) {
+	address := newServer(t, 4, 1<<20, time.Minute)
+	pipelined := strings.Repeat(post(32<<10, strings.Repeat("x", 32<<10)), 300)
+	for range 4 {
+		c := send(t, address, "")
+		go func() { _, _ = io.WriteString(c, pipelined) }() // ends when the connection is closed
+	}
+	// All clients are blocked by then. Their writes time out after 10 s; a response counts as stalled after 1 s.
+	time.Sleep(2 * time.Second)
+	var err error
+	for limit := time.Now().Add(4 * time.Second); time.Now().Before(limit); time.Sleep(100 * time.Millisecond) {
+		if err = get(address); err == nil {
+			return
+		}
+	}
+	t.Errorf("no response beside clients that do not read: %v", err)
+}
+
+func get(address string) error {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	r, err := client.Get("http://" + address)
+	if err != nil {
+		return err
+	}
+	return r.Body.Close()
+}
+
+// Guards against requests that hold all connections, so that further clients get no response.
+func TestHeldConnectionsLeaveRoomForRefusals(t *testing.T) {
+	const connections = 32
+	address := newServer(t, connections, 1<<20, time.Minute)
+	for range connections {
+		send(t, address, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+	}
+	time.Sleep(500 * time.Millisecond) // until the requests have arrived
+	for _, request := range []string{"GET / HTTP/1.1\r\nHost: a\r\n\r\n", post(1, "x")} {
+		response, err := http.ReadResponse(bufio.NewReader(send(t, address, request)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+			t.Errorf("status %d, Retry-After %q, want 503 with a time", response.StatusCode, response.Header.Get("Retry-After"))
+		}
+	}
+}
