Refuse stalled bodies beside complete ones, and stalled trailers with 503

Bodies that are complete counted as memory about to return, so nothing was refused while requests kept them, and ordinary callers waited 2 s for a 503. A body refused or late in its trailer was answered 400, because net/http reports another error there.

Count the memory of refused bodies only, and let a reservation wait for complete bodies if unfinished ones hold nothing. After a read error, ask first whether the body was refused, then compare with the deadline.

Measured: the three new tests fail before (no refusal; 400 for 408 and for 503) and pass after.

--- a/core/bodybudget/bodybudget.go
+++ b/core/bodybudget/bodybudget.go
@@ -40,7 +40,7 @@
 type Budget struct {
 	total     int64
 	held      int64
-	returning int64 // held by bodies that are refused or complete, and will be closed soon
+	returning int64 // held by refused bodies, which are closed at once; complete ones may be held while a request is served
 	bodies    map[ID]*body
 	waiting   []ID // in the order of their reservations
 }
@@ -86,7 +86,7 @@
 	x := b.bodies[id]
 	x.held -= bytes
 	b.held -= bytes
-	if x.refused || x.complete {
+	if x.refused {
 		b.returning -= bytes
 	}
 	return b.settle(now)
@@ -99,7 +99,6 @@
 		return false
 	}
 	x.complete = true
-	b.returning += x.held
 	return true
 }
 
@@ -107,7 +106,7 @@
 func (b *Budget) Close(now time.Time, id ID) []Action {
 	x := b.bodies[id]
 	b.held -= x.held
-	if x.refused || x.complete {
+	if x.refused {
 		b.returning -= x.held
 	}
 	delete(b.bodies, id)
@@ -116,7 +115,7 @@
 }
 
 // settle makes the waiting reservations that fit. For the first one that does not, it refuses bodies until it will fit
-// when those that are refused or complete have been closed.
+// when the refused ones have been closed. If too little is held by unfinished bodies, it waits for complete ones.
 func (b *Budget) settle(now time.Time) []Action {
 	var actions []Action
 	for len(b.waiting) > 0 {
@@ -145,7 +144,7 @@
 func (b *Budget) victim(now time.Time) (victim ID, found bool) {
 	most := float64(0)
 	for id, x := range b.bodies {
-		if x.refused || x.complete {
+		if x.refused || x.complete || x.held == 0 {
 			continue
 		}
 		// A body opened at this instant has some weight, so that the largest of several new ones is found.
--- a/core/bodybudget/bodybudget_test.go
+++ b/core/bodybudget/bodybudget_test.go
@@ -149,3 +149,18 @@
 		}
 	})
 }
+
+// Guards against stalled bodies that keep their memory while the rest is held by requests that are being served.
+func TestStalledBodyIsRefusedBesideCompleteOnes(t *testing.T) {
+	b := New(100)
+	b.Open(start, 1)
+	b.Reserve(start, 1, 60)
+	b.Complete(1)
+	b.Open(start, 2)
+	b.Reserve(start, 2, 30)
+	later := start.Add(time.Second)
+	b.Open(later, 3)
+	if _, actions := b.Reserve(later, 3, 20); len(actions) != 1 || actions[0] != (Refuse{ID: 2}) {
+		t.Errorf("got %v, want a refusal of the stalled body", actions)
+	}
+}
--- a/io/httpserver/read.go
+++ b/io/httpserver/read.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,24 +65,24 @@
 	if timeout <= 0 || timeout > DefaultBodyTimeout {
 		timeout = DefaultBodyTimeout
 	}
-	_ = c.SetReadDeadline(time.Now().Add(timeout))
+	deadline := time.Now().Add(timeout)
+	_ = c.SetReadDeadline(deadline)
 	c.setState(connlimit.Receiving)
 	x := c.server.options.Bodies.add(c)
 	err = x.read(r, limit)
+	var tooLarge *TooLargeError
 	switch {
 	case err == nil && x.complete() && c.serve():
 		_ = c.SetReadDeadline(time.Time{})
 		c.bodyRead = true
 		return x.data, x.close, nil
-	case err == nil:
+	case err == nil || !x.complete():
 		err = errors.WithStack(&BusyError{})
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		if x.complete() {
-			c.server.options.Bodies.timedOut.Inc(1)
-			err = errors.WithStack(&SlowError{Timeout: timeout})
-		} else {
-			err = errors.WithStack(&BusyError{})
-		}
+	case errors.As(err, &tooLarge):
+	case !time.Now().Before(deadline):
+		// The error is another one if the time was over in the trailer.
+		c.server.options.Bodies.timedOut.Inc(1)
+		err = errors.WithStack(&SlowError{Timeout: timeout})
 	}
 	_ = c.SetReadDeadline(past)
 	x.close()
--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -120,6 +120,7 @@
 		"TooLarge":        {post(tooMany, "x"), http.StatusRequestEntityTooLarge},
 		"TooLargeChunked": {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + strings.Repeat("x", tooMany), http.StatusRequestEntityTooLarge},
 		"Slow":            {post(10, "x"), http.StatusRequestTimeout},
+		"SlowTrailer":     {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nTrai", http.StatusRequestTimeout},
 		"Unread":          {strings.Replace(post(10, "x"), "POST", "GET", 1), http.StatusOK},
 	} {
 		address := newServer(t, 10, 1<<20, 50*time.Millisecond)
@@ -203,3 +204,22 @@
 		}
 	}
 }
+
+// Guards against a body refused in its trailer whose client is not told that it may send the request again.
+func TestStalledTrailerIsRefused(t *testing.T) {
+	address := newServer(t, 10, 64<<10, time.Minute)
+	stalled := send(t, address, fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nTrai",
+		30<<10, strings.Repeat("x", 30<<10)))
+	time.Sleep(20 * time.Millisecond) // until it has arrived
+	if status, _, _ := readResponse(t, send(t, address, post(30<<10, strings.Repeat("y", 30<<10)))); status != http.StatusOK {
+		t.Errorf("status %d for the whole body, want 200", status)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(stalled), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q, want 503 with a time", response.StatusCode, response.Header.Get("Retry-After"))
+	}
+}
