--- a/crowd/limits_test.go
+++ b/crowd/limits_test.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -95,6 +96,26 @@
 	}
 }
 
+// Guards against callers that keep the places of others by not reading their responses.
+func TestUnreadResponses(t *testing.T) {
+	requests := []byte(strings.Repeat("GET "+jobRoute.PathPrefix+" HTTP/1.1\r\nHost: "+routeHost+"\r\n\r\n", 100))
+	s := newSite(t, few, large)
+	s.endure(&crowd{address: s.address(entryHost, callerPort), deaf: true, send: func(w io.Writer, _ *rand.Rand) error {
+		_, err := w.Write(requests)
+		return err
+	}})
+	s.entry.checkLimits(few)
+}
+
+// Guards against complete jobs whose tasks use up the memory of an entry, or that keep the places of others.
+func TestLargeJobs(t *testing.T) {
+	body := []byte(`{"best_effort":true,"spec":"x","steps":[{"count":4096,"cpu":1,"estimate_ms":1}]}`)
+	s := newSite(t, few, large)
+	q := request{method: http.MethodPost, path: jobPath, body: body, finishers: 1}
+	s.endure(&crowd{address: s.address(entryHost, callerPort), send: q.send})
+	s.entry.checkLimits(few)
+}
+
 // Guards against callers that use up the descriptors of an entry, at each of its addresses for HTTP.
 func TestEntryDescriptors(t *testing.T) {
 	for name, port := range map[string]int{"Callers": callerPort, "Readiness": readyPort, "Metrics": metricsPort} {
@@ -146,7 +167,17 @@
 		s.entry.checkAlive()
 		s.agent.checkAlive()
 	}
-	s.serveOrdinary("beside the waiting crowd")
+	// Clients that get a response at once may all be in their pause before the next connection. The check needs an
+	// ordinary job beside which some were connected.
+	for present := false; !present; {
+		if ctx.Err() != nil {
+			s.t.Fatalf("nothing of the crowd was connected or refused beside the ordinary jobs: %s", c)
+		}
+		open, before := c.Count()
+		s.serveOrdinary("beside the waiting crowd")
+		_, after := c.Count()
+		present = open > 0 || after > before
+	}
 	stop()
 	s.t.Log(c)
 	s.serveOrdinary("after the crowd")
--- a/io/httpserver/read.go
+++ b/io/httpserver/read.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,8 +42,8 @@
 }
 
 // ReadBody reads the body of a request that is served by a Server. The memory of the body stays reserved until release
-// is called, which is never nil; data must not be used after that. If it fails, the connection closes after the response, which does not wait for the
-// rest of the body.
+// is called, which is never nil; data must not be used after that. If it fails, the connection closes after the
+// response, which does not wait for the rest of the body.
 //
 // For a request of another server, only the size is limited.
 func ReadBody(r *http.Request, limit int64, timeout time.Duration) (data []byte, release func(), err error) {
@@ -66,25 +65,24 @@
 	if timeout <= 0 || timeout > DefaultBodyTimeout {
 		timeout = DefaultBodyTimeout
 	}
-	_ = c.SetReadDeadline(time.Now().Add(timeout))
+	deadline := time.Now().Add(timeout)
+	_ = c.SetReadDeadline(deadline)
 	c.setState(connlimit.Receiving)
-	defer c.setState(connlimit.Serving)
 	x := c.server.options.Bodies.add(c)
 	err = x.read(r, limit)
+	var tooLarge *TooLargeError
 	switch {
-	case err == nil && x.complete():
+	case err == nil && x.complete() && c.serve():
 		_ = c.SetReadDeadline(time.Time{})
 		c.bodyRead = true
 		return x.data, x.close, nil
-	case err == nil:
+	case err == nil || !x.complete():
 		err = errors.WithStack(&BusyError{})
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		if x.complete() {
-			c.server.options.Bodies.timedOut.Inc(1)
-			err = errors.WithStack(&SlowError{Timeout: timeout})
-		} else {
-			err = errors.WithStack(&BusyError{})
-		}
+	case errors.As(err, &tooLarge):
+	case !time.Now().Before(deadline):
+		// The error is another one if the time was over in the trailer.
+		c.server.options.Bodies.timedOut.Inc(1)
+		err = errors.WithStack(&SlowError{Timeout: timeout})
 	}
 	_ = c.SetReadDeadline(past)
 	x.close()
--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -16,7 +16,7 @@
 	"dogwoodglade/io/httpserver"
 )
 
-// newServer starts a server whose handler echoes bodies of at most 64 KiB.
+// newServer starts a server whose handler echoes bodies of at most 64 KiB. Requests of /wait last until the client leaves.
 func newServer(t *testing.T, connections int, bodyBytes int64, timeout time.Duration) (address string) {
 	t.Helper()
 	listener, err := httpserver.Listen("127.0.0.1:0")
@@ -26,6 +26,10 @@
 	registry := metrics.NewRegistry()
 	report := func(event.Number, string, int) {}
 	echo := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-r.Context().Done()
+			return
+		}
 		if r.Method != http.MethodPost {
 			_, _ = io.WriteString(w, "no body")
 			return
@@ -116,6 +120,7 @@
 		"TooLarge":        {post(tooMany, "x"), http.StatusRequestEntityTooLarge},
 		"TooLargeChunked": {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n" + strings.Repeat("x", tooMany), http.StatusRequestEntityTooLarge},
 		"Slow":            {post(10, "x"), http.StatusRequestTimeout},
+		"SlowTrailer":     {"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nTrai", http.StatusRequestTimeout},
 		"Unread":          {strings.Replace(post(10, "x"), "POST", "GET", 1), http.StatusOK},
 	} {
 		address := newServer(t, 10, 1<<20, 50*time.Millisecond)
@@ -151,3 +156,70 @@
 		t.Errorf("status %d, body %q", status, body)
 	}
 }
+
+// Guards against clients that take all connections of a listener by not reading their responses.
+func TestUnreadResponsesMakeRoom(t *testing.T) {
+	address := newServer(t, 4, 1<<20, time.Minute)
+	pipelined := strings.Repeat(post(32<<10, strings.Repeat("x", 32<<10)), 300)
+	for range 4 {
+		c := send(t, address, "")
+		go func() { _, _ = io.WriteString(c, pipelined) }() // ends when the connection is closed
+	}
+	// All clients are blocked by then. Their writes time out after 10 s; a response counts as stalled after 1 s.
+	time.Sleep(2 * time.Second)
+	var err error
+	for limit := time.Now().Add(4 * time.Second); time.Now().Before(limit); time.Sleep(100 * time.Millisecond) {
+		if err = get(address); err == nil {
+			return
+		}
+	}
+	t.Errorf("no response beside clients that do not read: %v", err)
+}
+
+func get(address string) error {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	r, err := client.Get("http://" + address)
+	if err != nil {
+		return err
+	}
+	return r.Body.Close()
+}
+
+// Guards against requests that hold all connections, so that further clients get no response.
+func TestHeldConnectionsLeaveRoomForRefusals(t *testing.T) {
+	const connections = 32
+	address := newServer(t, connections, 1<<20, time.Minute)
+	for range connections {
+		send(t, address, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+	}
+	time.Sleep(500 * time.Millisecond) // until the requests have arrived
+	for _, request := range []string{"GET / HTTP/1.1\r\nHost: a\r\n\r\n", post(1, "x")} {
+		response, err := http.ReadResponse(bufio.NewReader(send(t, address, request)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+			t.Errorf("status %d, Retry-After %q, want 503 with a time", response.StatusCode, response.Header.Get("Retry-After"))
+		}
+	}
+}
+
+// Guards against a body refused in its trailer whose client is not told that it may send the request again.
+func TestStalledTrailerIsRefused(t *testing.T) {
+	address := newServer(t, 10, 64<<10, time.Minute)
+	stalled := send(t, address, fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nTrai",
+		30<<10, strings.Repeat("x", 30<<10)))
+	time.Sleep(20 * time.Millisecond) // until it has arrived
+	if status, _, _ := readResponse(t, send(t, address, post(30<<10, strings.Repeat("y", 30<<10)))); status != http.StatusOK {
+		t.Errorf("status %d for the whole body, want 200", status)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(stalled), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q, want 503 with a time", response.StatusCode, response.Header.Get("Retry-After"))
+	}
+}
