--- a/batchagent/evacuation.go
+++ b/batchagent/evacuation.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// needsEvacuations reports whether the knowledge about evacuations is old. An agent without an entry keeps it fresh as well:
-// the next entry may know nothing, and starts tasks at once.
+// needsEvacuations reports whether the knowledge about evacuations is old. An agent without an entry keeps it fresh as
+// well: the next entry may know nothing, and starts tasks at once.
 func (a *Agent) needsEvacuations() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -401,7 +401,8 @@
 	logs     *logRecorder
 	// suspended is how long the entries have been suspended. Their timers did not advance meanwhile.
 	suspended atomic.Int64
-	// dataCentres are those of the agents and entries, by name, and turnedAway the processes that the store does not answer.
+	// dataCentres are those of the agents and entries, by name, and turnedAway the processes that the store does not
+	// answer.
 	dataCentres     map[string]string
 	turnedAway      map[string]*atomic.Bool
 	evacuationReads atomic.Int64
--- a/cmd/dogwoodglade/clientlimits.go
+++ b/cmd/dogwoodglade/clientlimits.go
@@ -16,9 +16,9 @@
 	// callerDescriptorShare is the share of the other descriptors that callers may use. The rest is for entries, agents
 	// and the store.
 	callerDescriptorShare = 0.5
-	// callerMemoryShare, bodyMemoryShare and taskMemoryShare are shares of the memory. The rest is for the program and its own state,
-	// about 25 MB, for garbage that has not been collected yet, and for received bytes where the kernel does not keep to
-	// the receive buffer that httpserver asks for.
+	// callerMemoryShare, bodyMemoryShare and taskMemoryShare are shares of the memory. The rest is for the program and
+	// its own state, about 25 MB, for garbage that has not been collected yet, and for received bytes where the kernel
+	// does not keep to the receive buffer that httpserver asks for.
 	callerMemoryShare = 0.2
 	bodyMemoryShare   = 0.15
 	taskMemoryShare   = 0.1
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -21,8 +21,8 @@
 	// maxSpeedSample bounds the effect of one run, as a natural logarithm. One run in thirty takes seven times as
 	// long as the others, on any backend server.
 	maxSpeedSample = 1.2
-	// degradedFactor is the ratio of the slowdown to the usual one above which a backend server is degraded: it has a fault,
-	// and no task that it runs can be in time.
+	// degradedFactor is the ratio of the slowdown to the usual one above which a backend server is degraded: it has a
+	// fault, and no task that it runs can be in time.
 	degradedFactor = 2.0
 	// probeInterval is how often a degraded backend server gets one task as a probe, to find out whether it has
 	// recovered.
--- a/core/overflow/overflow.go
+++ b/core/overflow/overflow.go
@@ -172,9 +172,9 @@
 	return float64(max(all.Pools[need.pool].Free.Processor, 1)) / 1000
 }
 
-// draw chooses among the peers with a positive weight, other than the excepted ones, with a probability proportional to it. If all entries chose the
-// peer with the highest weight, together they would overload it before its next report. The choice depends only on the
-// job ID and the peers.
+// draw chooses among the peers with a positive weight, other than the excepted ones, with a probability proportional to
+// it. If all entries chose the peer with the highest weight, together they would overload it before its next report.
+// The choice depends only on the job ID and the peers.
 func (p *Peers) draw(
 	now time.Time, id batch.JobID, need demand, weight func(dispatch.Load, demand) float64, except ...string,
 ) (best string, ok bool) {
--- a/core/overflow/refusal.go
+++ b/core/overflow/refusal.go
@@ -26,8 +26,8 @@
 }
 
 // ChooseAfterRefusal returns another peer for a job that the given entries have refused: one that can start it at once,
-// or else one where nothing waits. The excepted ones are not chosen. An entry with a queue is not chosen: it would refuse the job as well, or make other
-// jobs late.
+// or else one where nothing waits. The excepted ones are not chosen. An entry with a queue is not chosen: it would
+// refuse the job as well, or make other jobs late.
 func (p *Peers) ChooseAfterRefusal(
 	now time.Time, j batch.Job, refused Refusals, except ...string,
 ) (best string, ok bool) {
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -37,7 +37,8 @@
 // reconnectPause keeps a crowd whose connections are closed from taking the processor of the machine.
 const reconnectPause = 300 * time.Millisecond
 
-// startCrowd starts the clients, which open connections again and again. The returned function closes their connections and waits for them.
+// startCrowd starts the clients, which open connections again and again. The returned function closes their connections
+// and waits for them.
 func startCrowd(c *crowd) (stop func()) {
 	c.refused = map[string]int{}
 	ctx, cancel := context.WithCancel(context.Background())
