Keep a refused connection open until the client has the response

Cause: a response that does not wait for the rest of the body was followed by close, with unread bytes in the kernel. That resets the connection; a client that was still sending took it for a broken one and lost Retry-After.

Change: the server discards what such a client sends, for 0.5 s and 1 MiB at most, before it closes. The connection counts as receiving then, so that it may be closed for a new one.

--- a/io/httpserver/conn.go
+++ b/io/httpserver/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,8 +22,16 @@
 	id       connlimit.ID
 	refused  bool // the current request may not be served; used by the connection's goroutine only
 	bodyRead bool // the body of the current request was read to its end; used by the handler's goroutine only
+	linger   atomic.Bool
 }
 
+const (
+	// lingerTimeout and lingerBytes limit what a connection reads after a response that did not wait for the request's
+	// body. Closing it before would reset it, and the client might lose the response.
+	lingerTimeout = 500 * time.Millisecond
+	lingerBytes   = 1 << 20
+)
+
 // Write implements net.Conn.
 func (c *conn) Write(data []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -49,6 +58,16 @@
 	return nil
 }
 
+// Close implements net.Conn. If the body of the last request was not read to its end, it first discards what the client
+// is still sending. A second call, and the end of the server, interrupt that.
+func (c *conn) Close() error {
+	if c.linger.Swap(false) && !c.server.ending.Load() && c.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	return c.Conn.Close()
+}
+
 func (c *conn) setState(state connlimit.State) (previous connlimit.State) {
 	s := c.server
 	s.mu.Lock()
@@ -98,7 +117,7 @@
 	if full {
 		s.closed.Inc(1)
 		s.log.add(s.options.Name)
-		_ = victim.Close()
+		_ = victim.Conn.Close()
 	}
 	if victim == c {
 		return nil
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,6 +59,7 @@
 	http    *http.Server
 	closed  metrics.Counter
 	log     *eventLog
+	ending  atomic.Bool
 
 	mu     sync.Mutex // guards what follows
 	limit  *connlimit.Limit
@@ -98,6 +100,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { _ = s.http.Serve(limitedListener{Listener: listener, server: s}) })
 	return s, func() {
+		s.ending.Store(true)
 		_ = s.http.Close()
 		running.Wait()
 	}
@@ -136,6 +139,8 @@
 	if !w.wroteHeader && !w.conn.bodyRead {
 		w.Header().Set("Connection", "close")
 		_ = w.conn.SetReadDeadline(past)
+		w.conn.setState(connlimit.Receiving)
+		w.conn.linger.Store(true)
 	}
 	w.wroteHeader = true
 	w.ResponseWriter.WriteHeader(status)
--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -223,3 +223,45 @@
 		t.Errorf("status %d, Retry-After %q, want 503 with a time", response.StatusCode, response.Header.Get("Retry-After"))
 	}
 }
+
+// Guards against a connection that is reset after a refusal: a client that is still sending would take it for a broken
+// connection, and lose the time to wait.
+func TestRefusalReachesSendingClient(t *testing.T) {
+	address := newServer(t, 8, 16<<10, 0)
+	const piece = 16 << 10
+	for name, test := range map[string]struct{ length, want int }{
+		"too large": {200 << 10, http.StatusRequestEntityTooLarge}, "no memory": {60 << 10, http.StatusServiceUnavailable},
+	} {
+		tooSlow := 0
+		for done := 0; done < 10; {
+			c := send(t, address, post(test.length, strings.Repeat("a", 2*piece)))
+			r := bufio.NewReader(c)
+			if _, err := r.Peek(1); err != nil {
+				t.Fatal(err)
+			}
+			refused := time.Now()
+			var sendErr error
+			for sent := 2 * piece; sent+piece < test.length && sendErr == nil; sent += piece {
+				_, sendErr = io.WriteString(c, strings.Repeat("a", piece))
+			}
+			if time.Since(refused) > 200*time.Millisecond && tooSlow < 100 {
+				// The server stops reading after 500 ms.
+				tooSlow++
+				continue
+			}
+			done++
+			if sendErr != nil {
+				t.Errorf("%s: send after the refusal: %v", name, sendErr)
+			}
+			response, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if response.StatusCode != test.want || !response.Close {
+				t.Errorf("%s: got status %d, connection closes: %v; want %d on a connection that closes",
+					name, response.StatusCode, response.Close, test.want)
+			}
+			_ = response.Body.Close()
+		}
+	}
+}
