Limit clients of the operators' interface and of the agents' interface for backend servers

Cause: the classic commands served both without a limit on connections; unfinished requests of a crowd took descriptors and memory of the process.

Change: both are served by io/httpserver, with limits far above what operators and the backend servers of a host use, and budgets of their own.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -109,7 +109,10 @@
 	a.address = listener.Addr().String()
 	var closeClient func()
 	a.client, closeClient = backend.NewClient(executor.DefaultConnections, options.DialBackend)
-	closeServer := backend.Serve(listener, a)
+	report := func(number event.Number, listener string, count int) {
+		options.Recorder.Record(event.Event{Number: number, Task: -1, State: listener, Count: count})
+	}
+	closeServer := backend.Serve(listener, a, report, options.Metrics)
 	ctx, stop := context.WithCancel(context.Background())
 	closeConnector := a.connect()
 	var running sync.WaitGroup
--- a/cmd/dogwoodglade/dev.go
+++ b/cmd/dogwoodglade/dev.go
@@ -151,7 +151,7 @@
 		if err != nil {
 			return errors.Wrap(err, "serve operator API")
 		}
-		stops = append(stops, serveHTTP(listener, operator.Handler(config)))
+		stops = append(stops, operator.Serve(listener, config))
 		addresses = append(addresses, listener.Addr().String())
 		return nil
 	}
--- a/cmd/dogwoodglade/process.go
+++ b/cmd/dogwoodglade/process.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "serve operator API")
 	}
-	return serveHTTP(listener, operator.Handler(config)), nil
+	return operator.Serve(listener, config), nil
 }
 
 func serveHTTP(listener net.Listener, handler http.Handler) (cleanUp func()) {
--- a/io/backend/announce.go
+++ b/io/backend/announce.go
@@ -6,19 +6,21 @@
 package backend
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"dogwoodglade/core/executor"
 	"dogwoodglade/core/route"
+	"dogwoodglade/io/httpserver"
 )
 
 // Paths that the agent serves for backend servers, and that backend servers serve for the agent.
@@ -33,7 +35,10 @@
 const (
 	maxAnnouncementBytes = 4 << 10 // of a request body
 	requestTimeout       = 5 * time.Second
-	idleTimeout          = time.Minute
+	// maxConnections is far above the number of backend servers of a host, which use one or two each.
+	maxConnections = 1024
+	// maxBodyMemory holds one unfinished announcement for each connection, in the smallest buffer.
+	maxBodyMemory = maxConnections * (8 << 10)
 )
 
 // Agent receives the announcements and leave notices of backend servers.
@@ -150,24 +155,27 @@
 	return nil
 }
 
-// Serve serves Handler on the listener until the returned function is called.
-func Serve(listener net.Listener, agent Agent) (stop func()) {
-	server := &http.Server{
-		Handler: Handler(agent), ReadHeaderTimeout: requestTimeout, ReadTimeout: requestTimeout,
-		WriteTimeout: requestTimeout, IdleTimeout: idleTimeout,
-	}
-	var wg sync.WaitGroup
-	wg.Go(func() { _ = server.Serve(listener) })
-	return func() {
-		_ = server.Close()
-		wg.Wait()
-	}
+// Serve serves Handler on the listener until the returned function is called. It limits connections and the memory of
+// unfinished announcements. Its metrics begin with "Backends.".
+func Serve(listener net.Listener, agent Agent, report httpserver.Report, registry metrics.Registry) (stop func()) {
+	registry = metrics.NewPrefixedChildRegistry(registry, "Backends.")
+	_, stop = httpserver.New(listener, httpserver.Options{
+		Name: "Backends", Handler: Handler(agent), MaxConnections: maxConnections,
+		Bodies: httpserver.NewBodies(maxBodyMemory, report, registry), Report: report, Metrics: registry,
+	})
+	return stop
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, body any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	data, release, err := httpserver.ReadBody(r, maxAnnouncementBytes, requestTimeout)
+	defer release()
+	if err != nil {
+		writeReadError(w, err)
+		return false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(body)
+	err = decoder.Decode(body)
 	if err == nil {
 		_, err = decoder.Token()
 		if errors.Is(err, io.EOF) {
@@ -177,15 +185,28 @@
 			err = errors.WithStack(&FieldError{Field: "body", Want: "one JSON value"})
 		}
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeError(w, http.StatusRequestEntityTooLarge, "BodyTooLarge", err)
-		return false
-	}
 	writeError(w, http.StatusBadRequest, "MalformedBody", err)
 	return false
 }
 
+func writeReadError(w http.ResponseWriter, err error) {
+	var (
+		tooLarge *httpserver.TooLargeError
+		busy     *httpserver.BusyError
+		slow     *httpserver.SlowError
+	)
+	switch {
+	case errors.As(err, &tooLarge):
+		writeError(w, http.StatusRequestEntityTooLarge, "BodyTooLarge", err)
+	case errors.As(err, &busy):
+		writeError(w, http.StatusServiceUnavailable, "Busy", err)
+	case errors.As(err, &slow):
+		writeError(w, http.StatusRequestTimeout, "UnreadableBody", err)
+	default:
+		writeError(w, http.StatusBadRequest, "MalformedBody", err)
+	}
+}
+
 func writeError(w http.ResponseWriter, status int, errorType string, err error) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -16,6 +16,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"dogwoodglade/core/event"
 	"dogwoodglade/core/executor"
 	"dogwoodglade/core/task"
@@ -247,7 +249,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	closeAgent := Serve(listener, agent)
+	closeAgent := Serve(listener, agent, func(event.Number, string, int) {}, metrics.NewRegistry())
 	host := network.Host("backend")
 	s, cleanUp, err := NewServer(ServerSettings{
 		ID: "b", Pool: "p", Agent: "127.0.0.1:1", Slots: 8, Connections: 64, Run: run,
--- a/io/backend/example_test.go
+++ b/io/backend/example_test.go
@@ -7,6 +7,9 @@
 	"net"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
+	"dogwoodglade/core/event"
 	"dogwoodglade/core/executor"
 	"dogwoodglade/core/task"
 	"dogwoodglade/io/backend"
@@ -32,7 +35,8 @@
 		return
 	}
 	agent := make(fakeAgent, 1)
-	defer backend.Serve(listener, agent)()
+	report := func(event.Number, string, int) {}
+	defer backend.Serve(listener, agent, report, metrics.NewRegistry())()
 	_, stop, err := backend.NewServer(backend.ServerSettings{
 		ID: "server-1", Pool: "samples", Agent: listener.Addr().String(), Slots: 8, Connections: 64,
 		Run: func(_ context.Context, t backend.Task) ([]byte, error) { return bytes.ToUpper(t.Body), nil },
--- a/io/operator/error.go
+++ b/io/operator/error.go
@@ -8,6 +8,7 @@
 
 	"dogwoodglade/core/table"
 	"dogwoodglade/internal/strict"
+	"dogwoodglade/io/httpserver"
 	"dogwoodglade/io/tables"
 )
 
@@ -58,7 +59,9 @@
 	var (
 		apiErr         *Error
 		validationErr  *strict.ValidationError
-		tooLarge       *http.MaxBytesError
+		tooLarge       *httpserver.TooLargeError
+		busy           *httpserver.BusyError
+		slow           *httpserver.SlowError
 		conflict       *table.ConflictError
 		outcomeUnknown *table.OutcomeUnknownError
 	)
@@ -70,6 +73,12 @@
 	case errors.As(err, &tooLarge):
 		return &Error{Status: statuses[TooLarge], Type: TooLarge, Message: fmt.Sprintf("the row is over %d bytes; "+
 			"send a smaller one", tooLarge.Limit)}
+	case errors.As(err, &busy):
+		return &Error{Status: statuses[Unavailable], Type: Unavailable, Message: "no edit was made, because the process " +
+			"has too many unfinished requests; repeat the edit later"}
+	case errors.As(err, &slow):
+		return &Error{Status: http.StatusRequestTimeout, Type: Invalid, Message: fmt.Sprintf("no edit was made, because "+
+			"the row did not arrive within %v", slow.Timeout)}
 	}
 	e := &Error{Type: tables.ErrorType(err), Message: err.Error(), Status: http.StatusInternalServerError}
 	if status, ok := statuses[e.Type]; ok {
--- a/io/operator/table.go
+++ b/io/operator/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"net/http"
 	"net/url"
@@ -34,7 +33,7 @@
 			writeResponse(w, response, err)
 		})
 		mux.HandleFunc("PUT "+tablePath(n)+"/{name}", func(w http.ResponseWriter, r *http.Request) {
-			e, err := readRow(n, w, r)
+			e, err := readRow(n, r)
 			if err != nil {
 				writeResponse(w, nil, err)
 				return
@@ -76,8 +75,9 @@
 }
 
 // readRow decodes the row of a PUT request. If the row has no name, it gets the name in the path.
-func readRow(n table.Name, w http.ResponseWriter, r *http.Request) (table.Edit, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRowBytes))
+func readRow(n table.Name, r *http.Request) (table.Edit, error) {
+	data, release, err := readRowBody(r)
+	defer release()
 	if err != nil {
 		return table.Edit{}, errors.Wrap(err, "read row")
 	}
