Check a configuration of the users' platform before it is written

Cause: an operator learned only from refused jobs that a route could never match, that entries skipped it, or that its limits contradicted each other.

--- a/cmd/dogwoodglade/check.go
+++ b/cmd/dogwoodglade/check.go
@@ -18,6 +18,7 @@
 Validates files and reports all errors at once, each with file, line, column and key. KIND is entry, agent
 or platform for settings, routes or pools for the rows that "route apply" and "pool apply" take, or tables
 for a file with the lists Routes and Pools, which are validated together. FILE may be - for standard input.
+"check configuration" checks the operators' configuration of the users' platform.
 
 EXAMPLES:
    dogwoodglade check entry entry.yaml
@@ -52,7 +53,7 @@
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name: "check", Usage: "validate settings and table files", UsageText: checkUsage, ArgsUsage: "KIND FILE...",
-		OnUsageError: onUsageError,
+		OnUsageError: onUsageError, Commands: []*cli.Command{checkConfigurationCommand()},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			validate, ok := validators[cmd.Args().First()]
 			if !ok || cmd.Args().Len() < 2 {
--- a/cmd/dogwoodglade/clientlimits.go
+++ b/cmd/dogwoodglade/clientlimits.go
@@ -54,3 +54,6 @@
 		openTasks:         max(int(taskMemoryShare*float64(memory)/platform.TaskBytes), batch.MaxTasks),
 	}
 }
+
+// maxBody returns the size of the largest body that can be read: while it grows, its buffers take half as much again.
+func (l clientLimits) maxBody() int64 { return l.bodyBytes * 2 / 3 }
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -22,12 +22,14 @@
 	"dogwoodglade/core/event"
 )
 
+// Limits on all connections. IdleTimeout is long because callers reuse connections after long pauses.
+const (
+	HeaderTimeout  = 3 * time.Second
+	IdleTimeout    = 90 * time.Second
+	MaxHeaderBytes = 16 << 10
+)
+
 const (
-	// headerTimeout and idleTimeout limit connections. idleTimeout is long because callers reuse connections after long
-	// pauses.
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 90 * time.Second
-	maxHeaderBytes = 16 << 10
 	// writeTimeout limits how long a client may leave a response unread that the kernel does not buffer.
 	writeTimeout = 10 * time.Second
 	// receiveBuffer limits the bytes of a connection that were received and not read, which may count as memory of the
@@ -94,8 +96,8 @@
 		return int64(s.limit.Count())
 	}))
 	s.http = &http.Server{
-		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ConnContext: s.connContext, ConnState: s.connState,
+		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: HeaderTimeout, IdleTimeout: IdleTimeout,
+		MaxHeaderBytes: MaxHeaderBytes, ConnContext: s.connContext, ConnState: s.connState,
 	}
 	var running sync.WaitGroup
 	running.Go(func() { _ = s.http.Serve(limitedListener{Listener: listener, server: s}) })
