Mend what the review of the limits and of the check of a configuration found

Causes: net/http slept 500 ms beside a long unread body, on a connection that no longer counted; a header that was too long made its connection count as serving; the operators' and agents' listeners kept large kernel buffers; limits above the descriptors of the process could not be met by closing connections. The check took the wrong size for the largest body, called a target beyond the time-out and an unlisted pool errors, and passed routes that need advice.

Change: the body is hidden from net/http when the response does not wait for it; a connection serves from the handler on; listeners ask for small buffers; limits are lowered to half of the descriptors. The findings of the check are corrected.

--- a/cmd/dogwoodglade/agent.go
+++ b/cmd/dogwoodglade/agent.go
@@ -7,6 +7,7 @@
 	"github.com/urfave/cli/v3"
 
 	"dogwoodglade/agent"
+	"dogwoodglade/io/httpserver"
 	"dogwoodglade/io/operator"
 	"dogwoodglade/setting"
 )
@@ -39,7 +40,7 @@
 		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Rack: settings.Rack,
 		Entries: settings.Entries, BackendAddress: settings.BackendAddress, DrainTimeout: settings.DrainTimeout,
 		Platform: newPlatformClient(settings.Platform), Recorder: p.recorder, Metrics: p.metrics,
-		Dial: (&net.Dialer{}).DialContext, Listen: listenTCP,
+		Dial: (&net.Dialer{}).DialContext, Listen: httpserver.Listen,
 	})
 	if err != nil {
 		return withExitCode(err)
--- a/cmd/dogwoodglade/clientlimits.go
+++ b/cmd/dogwoodglade/clientlimits.go
@@ -55,5 +55,12 @@
 	}
 }
 
-// maxBody returns the size of the largest body that can be read: while it grows, its buffers take half as much again.
-func (l clientLimits) maxBody() int64 { return l.bodyBytes * 2 / 3 }
+// maxBody returns the size below which a body can be read. The sizes of buffers are powers of two, and while a body
+// grows, the previous buffer is kept.
+func (l clientLimits) maxBody() int64 {
+	size := int64(1)
+	for size*2*3/2 <= l.bodyBytes {
+		size *= 2
+	}
+	return size
+}
--- a/cmd/dogwoodglade/entry.go
+++ b/cmd/dogwoodglade/entry.go
@@ -7,6 +7,7 @@
 	"github.com/urfave/cli/v3"
 
 	"dogwoodglade/entry"
+	"dogwoodglade/io/httpserver"
 	"dogwoodglade/io/operator"
 	"dogwoodglade/setting"
 )
@@ -40,7 +41,12 @@
 		InnerAddress: settings.InnerAddress, CallerAddress: settings.CallerAddress,
 		Peers: settings.OtherPeers(), DrainTimeout: settings.DrainTimeout,
 		Platform: newPlatformClient(settings.Platform), Recorder: p.recorder, Metrics: p.metrics,
-		Dial: (&net.Dialer{}).DialContext, Listen: listenTCP,
+		Dial: (&net.Dialer{}).DialContext, Listen: func(address string) (net.Listener, error) {
+			if address == settings.CallerAddress {
+				return httpserver.Listen(address)
+			}
+			return net.Listen("tcp", address)
+		},
 	})
 	if err != nil {
 		return withExitCode(err)
@@ -57,5 +63,3 @@
 	waitForSignal(ctx, nil)
 	return nil
 }
-
-func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
--- a/cmd/dogwoodglade/process.go
+++ b/cmd/dogwoodglade/process.go
@@ -16,6 +16,7 @@
 	"github.com/urfave/cli/v3"
 
 	"dogwoodglade/core/event"
+	"dogwoodglade/io/httpserver"
 	"dogwoodglade/io/operator"
 	"dogwoodglade/io/store"
 	"dogwoodglade/setting"
@@ -67,7 +68,7 @@
 
 // serveOperatorAPI serves the operator API until cleanUp is called.
 func serveOperatorAPI(address string, config operator.Config) (cleanUp func(), err error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := httpserver.Listen(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "serve operator API")
 	}
--- a/core/site/check.go
+++ b/core/site/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"time"
 )
@@ -29,8 +30,9 @@
 // lowestDistinctPriority is the priority from which all are served alike.
 const lowestDistinctPriority = 9
 
-// Check returns what is wrong or unexpected in a configuration, in its order.
-func Check(c Configuration) []Finding {
+// Check returns what is wrong or unexpected in a configuration, in its order. spare are the names of pools that no route
+// needs to use.
+func Check(c Configuration, spare []string) []Finding {
 	k := &checker{pools: map[string]bool{}, used: map[string]bool{}}
 	for _, p := range c.Pools {
 		if k.pools[p.Name] {
@@ -47,7 +49,7 @@
 		k.checkLimits(r)
 	}
 	for _, p := range c.Pools {
-		if !k.used[p.Name] {
+		if !k.used[p.Name] && !slices.Contains(spare, p.Name) {
 			k.add(Warning, poolEntry(p.Name), "no route uses it")
 		}
 	}
@@ -78,12 +80,13 @@
 	k.used[r.Pool] = true
 	switch {
 	case r.Pool == "":
-		k.add(Error, routeEntry(r.Name), "it names no pool; its jobs are refused")
+		k.add(Error, routeEntry(r.Name), "it names no pool; no backend server runs its tasks")
 	case !k.pools[r.Pool]:
-		k.add(Error, routeEntry(r.Name), "there is no pool %q; its jobs are refused", r.Pool)
+		k.add(Warning, routeEntry(r.Name), "the configuration has no pool %q; only backend servers that name it on their own run "+
+			"its tasks, and they are taken as ones that refuse nothing", r.Pool)
 	}
 	if r.UnsupportedFeature != "" {
-		k.add(Warning, routeEntry(r.Name), "it needs %s, which entries do not support; its jobs are refused", r.UnsupportedFeature)
+		k.add(Error, routeEntry(r.Name), "it needs %s, which entries do not support; its jobs are refused", r.UnsupportedFeature)
 	}
 }
 
@@ -141,8 +144,7 @@
 	case r.Target < 0:
 		k.add(Error, entry, "the target latency %v has always passed", r.Target)
 	case r.Target >= r.Deadline:
-		k.add(Error, entry, "callers stop waiting after %v, before the target latency of %v; raise the time-out or lower the target",
-			r.Deadline, r.Target)
+		k.add(Warning, entry, "callers that set no deadline stop waiting after %v, before the target latency of %v", r.Deadline, r.Target)
 	}
 	switch {
 	case r.Priority < 0:
@@ -168,11 +170,11 @@
 	case l.BodyBytes < 0:
 		add(Error, "the largest body has %d bytes", l.BodyBytes)
 	case l.BodyBytes == 0:
-		add(Warning, "no largest body; it is %d bytes", process.BodyBytes)
+		add(Warning, "there is no largest body; entries use their default")
 	case l.BodyBytes < specBytes:
 		add(Error, "a body of %d bytes cannot hold a job with a spec of %d bytes, which is allowed", l.BodyBytes, specBytes)
-	case l.BodyBytes > process.BodyBytes:
-		add(Error, "bodies of more than %d bytes cannot be read within the memory of a process, and %d are allowed",
+	case l.BodyBytes >= process.BodyBytes:
+		add(Error, "bodies of %d bytes and more cannot be read within the memory of a process, and %d are allowed",
 			process.BodyBytes, l.BodyBytes)
 	}
 	if l.HeaderBytes < 0 || l.HeaderBytes > process.HeaderBytes {
--- a/io/httpserver/conn.go
+++ b/io/httpserver/conn.go
@@ -20,7 +20,6 @@
 	net.Conn
 	server   *Server
 	id       connlimit.ID
-	refused  bool // the current request may not be served; used by the connection's goroutine only
 	bodyRead bool // the body of the current request was read to its end; used by the handler's goroutine only
 	linger   atomic.Bool
 }
@@ -138,8 +137,6 @@
 		return
 	}
 	switch state {
-	case http.StateActive:
-		x.refused = !x.serve()
 	case http.StateIdle:
 		x.setState(connlimit.Idle)
 	case http.StateClosed, http.StateHijacked:
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -48,7 +50,7 @@
 type Options struct {
 	Name           string // of the listener in events
 	Handler        http.Handler
-	MaxConnections int
+	MaxConnections int // lowered to half of the descriptors that the process may open
 	Bodies         *Bodies
 	ConnContext    func(ctx context.Context, c net.Conn) context.Context // may be nil
 	Report         Report
@@ -86,7 +88,7 @@
 // HTTP.ConnectionsClosed.NAME.
 func New(listener net.Listener, options Options) (s *Server, cleanUp func()) {
 	s = &Server{
-		options: options, limit: connlimit.New(options.MaxConnections), open: map[connlimit.ID]*conn{},
+		options: options, limit: connlimit.New(min(options.MaxConnections, max(maxDescriptors()/2, 1))), open: map[connlimit.ID]*conn{},
 		closed: metrics.GetOrRegisterCounter("HTTP.ConnectionsClosed."+options.Name, options.Metrics),
 		log:    &eventLog{report: options.Report, number: event.ConnectionsClosed},
 	}
@@ -108,6 +110,16 @@
 	}
 }
 
+// maxDescriptors returns the number of descriptors that the process may open. Beyond it, accepting a connection fails, and
+// no other one would be closed for it.
+func maxDescriptors() int {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return math.MaxInt
+	}
+	return int(min(limit.Cur, math.MaxInt))
+}
+
 // Shutdown stops accepting connections and waits until all requests are answered, or until the context ends.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
@@ -115,9 +127,9 @@
 	if c := connOf(r.Context()); c != nil {
 		if r.ContentLength != 0 {
 			c.bodyRead = false
-			w = &bodyWriter{ResponseWriter: w, conn: c}
+			w = &bodyWriter{ResponseWriter: w, conn: c, request: r}
 		}
-		if c.refused {
+		if !c.serve() {
 			WriteError(w, errors.WithStack(&BusyError{}))
 			return
 		}
@@ -130,6 +142,7 @@
 type bodyWriter struct {
 	http.ResponseWriter
 	conn        *conn
+	request     *http.Request
 	wroteHeader bool
 }
 
@@ -143,6 +156,7 @@
 		_ = w.conn.SetReadDeadline(past)
 		w.conn.setState(connlimit.Receiving)
 		w.conn.linger.Store(true)
+		w.request.Body = unreadBody{w.request.Body}
 	}
 	w.wroteHeader = true
 	w.ResponseWriter.WriteHeader(status)
@@ -156,6 +170,10 @@
 	return w.ResponseWriter.Write(data)
 }
 
+// unreadBody hides the type of a body from net/http, which would otherwise sleep 500 ms before it closes a connection with
+// a long rest of a body.
+type unreadBody struct{ io.ReadCloser }
+
 // Buffered returns a handler that reads request bodies of at most limit bytes before it calls next.
 func Buffered(limit int64, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
