--- a/cmd/dogwoodglade/entry.go
+++ b/cmd/dogwoodglade/entry.go
@@ -45,7 +45,7 @@
 			if address == settings.CallerAddress {
 				return httpserver.Listen(address)
 			}
-			return net.Listen("tcp", address)
+			return listenTCP(address)
 		},
 	})
 	if err != nil {
@@ -63,3 +63,5 @@
 	waitForSignal(ctx, nil)
 	return nil
 }
+
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
