Spread the moves of agents after an evacuation, and let jobs without a time-out outlast it

Cause: all agents that change their home after an evacuation or its being taken back did so within 1.5 s. Jobs without a time-out ended as unknown at once when all backend servers of their entry were evacuated, although agents from outside were about to choose it. An entry without a data centre in its settings counted as a data centre of its own, without agents: beside others it was the home of none.

Started jobs without a time-out wait for agents from outside for 10 s. home.Rank gives entries without a data centre agents of all data centres.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -133,22 +133,23 @@
 	calls           sync.WaitGroup
 	startedAt       time.Time
 
-	mu             sync.Mutex // guards the fields below
-	supervisor     *supervise.Supervisor
-	peers          map[string]*inner.Peer // by name of the entry
-	known          map[string]knownEntry  // by name
-	avoidUntil     map[string]time.Time   // entries that are not tried before the time
-	failedDials    map[string]int         // connection attempts since the last success, by entry
-	draining       map[string]string      // incarnations of the entries that have told this agent to choose another home, by name
-	preferred      preference
-	spareHoldUntil time.Time            // until then a second hold call waits for the ends of runs
-	usedAt         map[string]time.Time // when each connected entry last had runs here, or connected
-	saved          supervise.Server     // the state that this process last saved
-	hasSaved       bool
-	stopping       bool
-	evacuations    evacuation.Knowledge
-	asksReaders    map[string]bool // whether each entry asks for reads of the evacuations, by name
-	readFailed     bool            // the latest read of the evacuations failed
+	mu                   sync.Mutex // guards the fields below
+	supervisor           *supervise.Supervisor
+	peers                map[string]*inner.Peer // by name of the entry
+	known                map[string]knownEntry  // by name
+	avoidUntil           map[string]time.Time   // entries that are not tried before the time
+	failedDials          map[string]int         // connection attempts since the last success, by entry
+	draining             map[string]string      // incarnations of the entries that have told this agent to choose another home, by name
+	preferred            preference
+	spareHoldUntil       time.Time            // until then a second hold call waits for the ends of runs
+	usedAt               map[string]time.Time // when each connected entry last had runs here, or connected
+	saved                supervise.Server     // the state that this process last saved
+	hasSaved             bool
+	stopping             bool
+	evacuations          evacuation.Knowledge
+	evacuationsChangedAt time.Time
+	asksReaders          map[string]bool // whether each entry asks for reads of the evacuations, by name
+	readFailed           bool            // the latest read of the evacuations failed
 }
 
 // New starts an agent. Stop drains it; the returned function stops it immediately.
--- a/batchagent/evacuation.go
+++ b/batchagent/evacuation.go
@@ -44,6 +44,7 @@
 		line.Send()
 	}
 	if len(changes) > 0 {
+		a.evacuationsChangedAt = now
 		a.metrics.evacuations.Update(int64(len(next.State().DataCentres())))
 		a.performActions(a.supervisor.SetEvacuated(next.State().Has(a.options.DataCentre)))
 	}
--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -23,9 +23,9 @@
 	minRetryDelay = 100 * time.Millisecond
 	retryDelay    = time.Second
 	maxRetryShift = 10
-	// homeChangeDelay is how long an agent that has a home prefers another entry before it moves there. The entries that
-	// it knows change several times while entries start or are lost.
-	homeChangeDelay = 2 * time.Second
+	// evacuationMoveWindow is how long after a change of the evacuations an agent may first prefer another home because of
+	// it, as it reconsiders the choice every 1.5 s at least.
+	evacuationMoveWindow = 2 * homeCheckInterval
 	// forgetUnlistedAfter is how long an entry is remembered that its home no longer lists.
 	forgetUnlistedAfter = 10 * time.Minute
 	// directoryTimeout limits a read of the store.
@@ -46,6 +46,7 @@
 type preference struct {
 	name  string
 	since time.Time
+	delay time.Duration // until the agent moves there
 }
 
 // triggerHomeCheck makes maintainHome reconsider the home without waiting for the next interval.
@@ -141,9 +142,12 @@
 		return current != ""
 	}
 	if a.preferred.name != candidates[0].Name {
-		a.preferred = preference{name: candidates[0].Name, since: now}
+		changed := now.Sub(a.evacuationsChangedAt) < evacuationMoveWindow
+		a.preferred = preference{
+			name: candidates[0].Name, since: now, delay: home.MoveDelay(a.options.Name, changed),
+		}
 	}
-	return now.Sub(a.preferred.since) < homeChangeDelay
+	return now.Sub(a.preferred.since) < a.preferred.delay
 }
 
 // candidates returns the entries that may be tried now, in order of preference.
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -142,17 +142,18 @@
 
 // Dispatcher is the state machine that dispatches the jobs of one entry. It is not safe for concurrent use.
 type Dispatcher struct {
-	servers       map[string]*server // by agent
-	sortedServers []*server          // sorted by agent
-	jobs          map[batch.JobID]*job
-	pools         map[string]*poolState
-	sortedPools   []*poolState // sorted by name
-	routes        map[string]*routeState
-	crashes       crashMemory
-	evacuations   evacuation.State
-	sequence      uint64
-	draining      bool
-	startedAt     time.Time // time of the first call
+	servers              map[string]*server // by agent
+	sortedServers        []*server          // sorted by agent
+	jobs                 map[batch.JobID]*job
+	pools                map[string]*poolState
+	sortedPools          []*poolState // sorted by name
+	routes               map[string]*routeState
+	crashes              crashMemory
+	evacuations          evacuation.State
+	evacuationsChangedAt time.Time
+	sequence             uint64
+	draining             bool
+	startedAt            time.Time // time of the first call
 
 	actions []Action
 	starts  map[string]*StartRuns
--- a/core/dispatch/evacuate.go
+++ b/core/dispatch/evacuate.go
@@ -12,6 +12,10 @@
 // taken back. They may be cold, so that the first tasks tell their speed before all of them get work.
 const readmissionPeriod = 2 * time.Second
 
+// evacuationGrace is how long the started jobs of an evacuated pool wait for an agent of another data centre if they have
+// no time-out. Agents change their home within 8 s of an evacuation (home.MoveDelay, and 1.5 s between two checks).
+const evacuationGrace = 10 * time.Second
+
 // SetDataCentre records the data centre of the backend server of a connected agent.
 func (d *Dispatcher) SetDataCentre(agent, dataCentre string) {
 	if s, ok := d.servers[agent]; ok {
@@ -23,7 +27,7 @@
 // SetEvacuations stops starts on the backend servers of the evacuated data centres. Their runs continue. The backend
 // servers of a data centre that is no longer evacuated are used again one after the other.
 func (d *Dispatcher) SetEvacuations(now time.Time, state evacuation.State) []Action {
-	d.evacuations = state
+	d.evacuations, d.evacuationsChangedAt = state, now
 	var returning []*server
 	for _, s := range d.sortedServers {
 		switch evacuated := state.Has(s.dataCentre); {
--- a/core/dispatch/evacuate_test.go
+++ b/core/dispatch/evacuate_test.go
@@ -290,3 +290,47 @@
 		t.Errorf("a job that is too large for all: got %v", o)
 	}
 }
+
+// Guards against jobs without a time-out that end as unknown at the moment at which their data centre is evacuated, before
+// agents from outside could take their place, and against some that wait for ever.
+func TestJobWithoutTimeoutOutlastsEvacuation(t *testing.T) {
+	for _, served := range []bool{true, false} {
+		now := time.Unix(1000, 0)
+		d := evacuatedSite(now)
+		now = now.Add(time.Minute)
+		d.Tick(now)
+		j := numberedJob(1, 21)
+		j.Timeout = 0
+		actions := d.Submit(now, j)
+		d.SetEvacuations(now, evacuation.NewState(7, map[string]uint64{"a": 7, "b": 7}))
+		now = now.Add(500 * time.Millisecond)
+		for _, a := range actions {
+			if x, ok := a.(*dispatch.StartRuns); ok {
+				r := supervise.Report{Server: supervise.Server{ID: x.Agent, Pool: "pool", Capacity: resource.Amount{Processor: 4000}}}
+				for _, start := range x.Starts {
+					r.Ended = append(r.Ended, supervise.RunEnd{RunID: start.RunID, End: supervise.Done, RunTime: 500 * time.Millisecond})
+				}
+				d.HandleReport(now, x.Agent, r)
+			}
+		}
+		var outcomes []batch.Outcome
+		started := 0
+		for i := range 200 {
+			now = now.Add(100 * time.Millisecond)
+			if served && i == 70 {
+				d.Connect(now, "c-1")
+				d.SetDataCentre("c-1", "c")
+				started = startsIn("c", d.HandleReport(now, "c-1", supervise.Report{
+					Offered: true, Server: supervise.Server{ID: "c-1", Pool: "pool", Capacity: resource.Amount{Processor: 4000}},
+				}))
+			}
+			outcomes = append(outcomes, outcomesOf(d.Tick(now))...)
+		}
+		switch {
+		case served && (started != 1 || len(outcomes) > 0):
+			t.Errorf("got %d starts and the outcomes %v with an agent from outside", started, outcomes)
+		case !served && (len(outcomes) != 1 || batch.OutcomeName(outcomes[0]) != "Unknown:NoServer"):
+			t.Errorf("got %v without an agent from outside", outcomes)
+		}
+	}
+}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -439,7 +439,7 @@
 			}
 		case d.draining && !d.hasServerFor(j):
 			d.finish(now, j, batch.Unknown{Reason: batch.Draining})
-		case !d.draining && !expected && !d.waitsForReturn(p, j):
+		case !d.draining && !expected && !d.waitsForReturn(now, p, j):
 			d.finish(now, j, batch.Unknown{Reason: batch.NoServer})
 		}
 	}
@@ -447,9 +447,9 @@
 
 // waitsForReturn reports whether a started job waits although its pool has no usable backend server: that of an evacuated
 // data centre is connected, and the evacuation may be taken back, or an agent of another data centre may choose this home,
-// before the caller's time-out ends the job.
-func (d *Dispatcher) waitsForReturn(p *poolState, j *job) bool {
-	return j.Timeout > 0 && d.hasEvacuatedServer(p)
+// before the caller's time-out ends the job. Without a time-out, it waits as long as such agents need.
+func (d *Dispatcher) waitsForReturn(now time.Time, p *poolState, j *job) bool {
+	return d.hasEvacuatedServer(p) && (j.Timeout > 0 || now.Sub(d.evacuationsChangedAt) < evacuationGrace)
 }
 
 // hasServerFor reports whether tasks of a job may be started on any backend server.
--- a/core/home/home.go
+++ b/core/home/home.go
@@ -49,6 +49,8 @@
 //
 // The agents of evacuated data centres offer no capacity, so that the dispatchers there share those of the other data
 // centres. Only as many agents change their home as these need; those of evacuated data centres keep theirs.
+//
+// An entry without a data centre serves the agents of all of them.
 func Rank(agent, region, dataCentre string, evacuations evacuation.State, entries []Entry) []Entry {
 	if evacuations.Has(dataCentre) {
 		evacuations = evacuation.State{}
@@ -63,7 +65,7 @@
 	weights := map[string]float64{} // weight of the dispatchers by data centre of the region
 	regionWeight := 0.0
 	for _, e := range entries {
-		if e.Region == region {
+		if e.Region == region && e.DataCentre != "" {
 			weights[e.DataCentre] += 0 // counts the data centre even if it has no dispatcher
 		}
 		if isDispatcher[e.Name] {
@@ -74,12 +76,12 @@
 	// The agents of a region are assumed to be spread evenly over its data centres that are not evacuated.
 	serving := 0
 	for dataCentre := range weights {
-		if !evacuations.Has(dataCentre) {
+		if dataCentre != "" && !evacuations.Has(dataCentre) {
 			serving++
 		}
 	}
 	fairWeight := regionWeight / float64(max(serving, 1))
-	stays := uniform.FromString(agent) < weights[dataCentre]/fairWeight
+	stays := dataCentre != "" && uniform.FromString(agent) < weights[dataCentre]/fairWeight
 	tier := func(e Entry) int {
 		switch {
 		case e.Region != region:
@@ -92,7 +94,7 @@
 		return 1
 	}
 	weight := func(e Entry) float64 {
-		if tier(e) == 1 && !evacuations.Has(e.DataCentre) {
+		if tier(e) == 1 && e.DataCentre != "" && !evacuations.Has(e.DataCentre) {
 			// Only the weight above the data centre's share counts for agents from elsewhere.
 			return e.Weight * max(1-fairWeight/weights[e.DataCentre], minWeight)
 		}
