--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -23,9 +23,9 @@
 	minRetryDelay = 100 * time.Millisecond
 	retryDelay    = time.Second
 	maxRetryShift = 10
-	// homeChangeDelay is how long an agent that has a home prefers another entry before it moves there. The entries that
-	// it knows change several times while entries start or are lost.
-	homeChangeDelay = 2 * time.Second
+	// evacuationMoveWindow is how long after a change of the evacuations an agent may first prefer another home because of
+	// it, as it reconsiders the choice every 1.5 s at least.
+	evacuationMoveWindow = 2 * homeCheckInterval
 	// forgetUnlistedAfter is how long an entry is remembered that its home no longer lists.
 	forgetUnlistedAfter = 10 * time.Minute
 	// directoryTimeout limits a read of the store.
@@ -46,6 +46,7 @@
 type preference struct {
 	name  string
 	since time.Time
+	delay time.Duration // until the agent moves there
 }
 
 // triggerHomeCheck makes maintainHome reconsider the home without waiting for the next interval.
@@ -109,6 +110,7 @@
 			p.Close()
 			continue
 		}
+		a.awaitEvacuations(ctx)
 		return a.setHome(p, e)
 	}
 	return false
@@ -140,9 +142,12 @@
 		return current != ""
 	}
 	if a.preferred.name != candidates[0].Name {
-		a.preferred = preference{name: candidates[0].Name, since: now}
+		changed := now.Sub(a.evacuationsChangedAt) < evacuationMoveWindow
+		a.preferred = preference{
+			name: candidates[0].Name, since: now, delay: home.MoveDelay(a.options.Name, changed),
+		}
 	}
-	return now.Sub(a.preferred.since) < homeChangeDelay
+	return now.Sub(a.preferred.since) < a.preferred.delay
 }
 
 // candidates returns the entries that may be tried now, in order of preference.
@@ -253,7 +258,7 @@
 	a.peers[p.Name], a.usedAt[p.Name] = p, a.options.Now()
 	a.log(event.EntryConnected).Str("Peer", p.Name).Str("Incarnation", p.Incarnation).Send()
 	a.performActions(a.supervisor.Connect(a.options.Now(), p.Name))
-	p.Evacuations(a.evacuations.State()) // the entry may have started while the store was away
+	p.Evacuations(a.evacuations.State(), 0) // the entry may have started while the store was away
 }
 
 // Disconnected implements inner.Handler.
@@ -265,6 +270,7 @@
 	}
 	delete(a.peers, p.Name)
 	delete(a.usedAt, p.Name)
+	delete(a.asksReaders, p.Name)
 	a.log(event.EntryLost).Str("Peer", p.Name).Str("State", "Closed").Int("Running", a.supervisor.RunCount(p.Name)).Send()
 	a.performActions(a.supervisor.Disconnect(a.options.Now(), p.Name))
 	a.triggerHomeCheck()
