Bound the runs that an entry sends to an agent, and the calls that it makes

Cause: crowd.TestLargeJobs found a real fault beside load. Jobs of 4,096 tasks of one thousandth of a core all fitted on one backend server, and the entry sent its agent 16,000 starts within 0.2 s. The agent handled them in the goroutine that reads its session, in time that grew with the square of the number of runs, and started a goroutine for each. Calls waited for one of eight connections and timed out unsent, which counted as unanswered: each raised the token, listed the runs again and was stopped again (45,000 stops in 90 s). The session lapsed after 521 ms, and came back after 30 s. Beside that, the entry created all tasks of a job before it refused it.

Change: an entry keeps at most 256 runs on a backend server, 192 of them for jobs of more than 160 tasks, and large jobs that wait for a place do not keep others from being tried. An agent makes six starts and stops at a time; the time-out begins with the call. A start that had to wait too long is late and is repeated. The tasks of a job are created when it is accepted, and the search for orphans runs once for all starts of a message.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -35,6 +35,9 @@
 	// whereas a longer wait would make a short task late.
 	startTimeout = 60 * time.Millisecond
 	stopTimeout  = 100 * time.Millisecond
+	// maxCalls is the number of starts and stops that are under way at once. Others wait here, where their time-outs have
+	// not begun, and hold calls never wait for them.
+	maxCalls = 6
 	// holdMargin is added to the long-poll time of a hold call to get its time-out. It is short because the agent does
 	// not learn which runs have ended while a call is unanswered.
 	holdMargin = 80 * time.Millisecond
@@ -130,6 +133,7 @@
 	homeCheckNeeded chan struct{} // buffered signal to reconsider the choice of the home
 	serverKnown     chan struct{} // buffered signal that a backend server was announced or restored
 	saving          chan struct{} // holds an element during a save
+	underWay        chan struct{} // holds an element for each start and stop that is under way
 	calls           sync.WaitGroup
 	startedAt       time.Time
 
@@ -169,6 +173,7 @@
 		homeCheckNeeded: make(chan struct{}, 1),
 		serverKnown:     make(chan struct{}, 1),
 		saving:          make(chan struct{}, 1),
+		underWay:        make(chan struct{}, maxCalls),
 		startedAt:       options.Now(),
 		supervisor:      supervise.New(options.MaxCapacityAge),
 		peers:           map[string]*inner.Peer{},
@@ -249,15 +254,20 @@
 	}
 }
 
-func (a *Agent) start(c supervise.CallStart) {
-	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
-	defer cancel()
-	result, clock := supervise.Late, time.Duration(0)
-	// The process may have been frozen since the decision. A backend server that restarted under its ID meanwhile would
-	// take the end of the lease for a time on its new clock.
-	if c.Age(a.options.Now()) <= startTimeout {
-		result, clock = a.options.Server.Start(ctx, c)
+// await waits until a start or stop may be made, for the given time at most.
+func (a *Agent) await(limit time.Duration) (done func(), ok bool) {
+	timeout := time.NewTimer(limit)
+	defer timeout.Stop()
+	select {
+	case a.underWay <- struct{}{}:
+		return func() { <-a.underWay }, true
+	case <-timeout.C:
+		return func() {}, false
 	}
+}
+
+func (a *Agent) start(c supervise.CallStart) {
+	result, clock := a.callStart(c)
 	a.metrics.recordStart(result)
 	number := event.TaskStarted
 	if result != supervise.Accepted {
@@ -267,10 +277,33 @@
 	a.withSupervisor(func(now time.Time) []supervise.Action { return a.supervisor.StartAnswered(now, c, result, clock) })
 }
 
-func (a *Agent) stop(c supervise.CallStop) {
+// callStart makes the call that starts a run. The supervisor repeats a start that was late.
+func (a *Agent) callStart(c supervise.CallStart) (supervise.StartResult, time.Duration) {
+	done, ok := a.await(startTimeout - c.Age(a.options.Now()))
+	defer done()
+	// The process may have been frozen since the decision. A backend server that restarted under its ID meanwhile would
+	// take the end of the lease for a time on its new clock.
+	if !ok || c.Age(a.options.Now()) > startTimeout {
+		return supervise.Late, 0
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	return a.options.Server.Start(ctx, c)
+}
+
+func (a *Agent) callStop(c supervise.CallStop) (answered bool, clock time.Duration) {
+	done, ok := a.await(stopTimeout)
+	defer done()
+	if !ok {
+		return false, 0
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	answered, clock := a.options.Server.Stop(ctx, c)
+	return a.options.Server.Stop(ctx, c)
+}
+
+func (a *Agent) stop(c supervise.CallStop) {
+	answered, clock := a.callStop(c)
 	a.metrics.stopped.Inc(1)
 	line := a.logRun(event.TaskStopped, c.Task, c.Number).Uint64("Token", c.Token).Bool("Answered", answered)
 	if c.Unrequested {
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -121,6 +121,7 @@
 	waitingWork    coreTime // of its waiting tasks
 	size           coreTime // predicted for all its tasks when it arrived
 	answered       bool
+	large          bool // it has more than largeJob tasks
 	late           bool // it can no longer meet its target
 	queued         bool
 	sequence       uint64
@@ -294,7 +295,7 @@
 		if !s.degraded() {
 			p.Healthy = true
 			// Nothing fits on a backend server that has shrunk below what is in use in any resource.
-			if free := s.free(); free.Valid() {
+			if free := s.free(); free.Valid() && s.places(false) > 0 {
 				p.Free = p.Free.Plus(d.pool(s.info.Pool).usableCapacity(free))
 			}
 		}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -22,13 +22,8 @@
 		return nil
 	}
 	j := d.newJob(now, b)
-	if t := d.findGivenUp(now, j); t != nil {
-		d.answer(now, j, d.crashOutcome(now, j, t))
-		return d.takeActions()
-	}
 	canStart := d.hasCapacity(now, b)
-	if reason, ok := d.admit(now, j, canStart); !ok {
-		d.answer(now, j, d.notRunOutcome(now, j, reason))
+	if !d.accept(now, j, canStart) {
 		return d.takeActions()
 	}
 	d.jobs[j.ID] = j
@@ -41,22 +36,38 @@
 	return d.takeActions()
 }
 
+// accept decides about an arriving job. It creates the tasks of an accepted job, and answers one that is not accepted.
+func (d *Dispatcher) accept(now time.Time, j *job, canStart bool) bool {
+	if d.GivenUp(now, j.Job) {
+		d.addTasks(now, j)
+		d.answer(now, j, d.crashOutcome(now, j, d.findGivenUp(now, j)))
+		return false
+	}
+	if reason, ok := d.admit(now, j, canStart); !ok {
+		d.answer(now, j, d.notRunOutcome(now, j, reason))
+		return false
+	}
+	d.addTasks(now, j)
+	return true
+}
+
+// newJob returns a job without its tasks. They are added when it is accepted: a caller may ask for thousands with a short
+// request, and refusals must cost little.
 func (d *Dispatcher) newJob(now time.Time, b batch.Job) *job {
 	d.sequence++
 	b.Priority = min(max(b.Priority, 0), batch.MaxPriority)
-	j := &job{Job: b, submittedAt: now, sequence: d.sequence}
+	j := &job{Job: b, submittedAt: now, sequence: d.sequence, large: isLarge(b)}
 	r := d.route(b.Route)
 	suspect := d.hasSuspect(now, b)
 	for i, st := range b.Steps {
 		s := &step{Step: st, unfinished: st.Count, pendingDependencies: len(st.After)}
-		s.tasks = make([]*task, st.Count)
 		d.pool(b.Pool).observeDemand(st)
-		for k := range s.tasks {
-			id := batch.TaskID{Job: b.ID, Step: i, Index: k}
-			s.tasks[k] = &task{id: id, suspect: suspect}
-		}
 		j.unfinished += st.Count
-		j.size += coreTime(st.Count) * predictWork(r, s)
+		work := coreTime(st.Count) * predictWork(r, s)
+		j.size += work
+		if len(st.After) == 0 && !suspect {
+			j.waitingWork += work
+		}
 		j.steps = append(j.steps, s)
 		for _, dependency := range st.After {
 			j.steps[dependency].dependents = append(j.steps[dependency].dependents, i)
@@ -72,12 +83,22 @@
 	if b.Timeout > 0 {
 		j.startDeadline = earlier(j.startDeadline, now.Add(b.Timeout-runTime))
 	}
-	for _, s := range j.steps {
+	return j
+}
+
+// addTasks creates the tasks of a job. Those of the steps without dependencies wait for placement.
+func (d *Dispatcher) addTasks(now time.Time, j *job) {
+	suspect := d.hasSuspect(now, j.Job)
+	j.waitingWork = 0
+	for i, s := range j.steps {
+		s.tasks = make([]*task, s.Count)
+		for k := range s.tasks {
+			s.tasks[k] = &task{id: batch.TaskID{Job: j.ID, Step: i, Index: k}, suspect: suspect}
+		}
 		if s.pendingDependencies == 0 {
-			j.unblock(r, s)
+			j.unblock(d.route(j.Route), s)
 		}
 	}
-	return j
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -162,13 +183,13 @@
 // that is due for a probe has capacity for one task. Without this, an entry whose backend servers are all degraded would
 // forward every job and never learn that they have recovered.
 func (d *Dispatcher) stepHasCapacity(now time.Time, j batch.Job, st batch.Step) bool {
-	remaining := st.Count
+	remaining, large := st.Count, isLarge(j)
 	for _, s := range d.sortedServers {
 		if !s.usable() || s.info.Pool != j.Pool || (st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) ||
 			(s.needsSlack() && !d.inTimeOn(s, j, st) && d.hasFastServer(j.Pool, st, nil)) {
 			continue
 		}
-		fitting := s.free().FitCount(st.Demand)
+		fitting := min(s.free().FitCount(st.Demand), s.places(large))
 		if s.degraded() {
 			if now.Before(s.nextProbe) || len(s.runs) > 0 {
 				continue
@@ -387,12 +408,7 @@
 		d.answer(now, next, d.notRunOutcome(now, next, batch.DeadlinePassed))
 		return
 	}
-	if t := d.findGivenUp(now, next); t != nil {
-		d.answer(now, next, d.crashOutcome(now, next, t))
-		return
-	}
-	if reason, ok := d.admit(now, next, d.hasCapacity(now, next.Job)); !ok {
-		d.answer(now, next, d.notRunOutcome(now, next, reason))
+	if !d.accept(now, next, d.hasCapacity(now, next.Job)) {
 		return
 	}
 	d.jobs[next.ID] = next
--- /dev/null
+++ b/core/dispatch/places.go
@@ -0,0 +1,34 @@
+package dispatch
+
+import "dogwoodglade/core/batch"
+
+const (
+	// maxRuns is the number of runs of this entry on a backend server at a time, whatever they demand: about as many as an
+	// agent starts within the time-out of a call. Tasks that demand next to nothing would fit thousands of times, and the
+	// agent would lose its session while it starts them.
+	maxRuns = 256
+	// maxLargeJobRuns is the part of maxRuns for tasks of large jobs, so that others start beside them.
+	maxLargeJobRuns = 192
+	// largeJob is the number of tasks above which a job is large.
+	largeJob = 160
+)
+
+// places returns how many more tasks of a job the backend server may be sent, whatever they demand.
+func (s *server) places(large bool) int {
+	if large {
+		return max(maxLargeJobRuns-len(s.runs), 0)
+	}
+	return max(maxRuns-len(s.runs), 0)
+}
+
+func isLarge(j batch.Job) bool { return j.TaskCount() > largeJob }
+
+// hasPlaces reports whether a backend server has a place for a task of a job.
+func (d *Dispatcher) hasPlaces(j *job) bool {
+	for _, s := range d.sortedServers {
+		if d.usableFor(s, j) && s.info.Pool == j.Pool && s.places(j.large) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/dispatch/places_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"dogwoodglade/core/batch"
+	"dogwoodglade/core/resource"
+	"dogwoodglade/core/supervise"
+)
+
+func tinyTasks(id batch.JobID, count int) batch.Job {
+	return batch.Job{
+		ID: id, Route: "r", Pool: "pool", Attempts: 2, Stretch: 2, Target: time.Second,
+		Steps: []batch.Step{{Count: count, Demand: resource.Amount{Processor: 1}, Estimate: time.Millisecond}},
+	}
+}
+
+func startedRuns(actions []Action) []supervise.RunID {
+	var ids []supervise.RunID
+	for _, a := range actions {
+		if s, ok := a.(*StartRuns); ok {
+			for _, x := range s.Starts {
+				ids = append(ids, x.RunID)
+			}
+		}
+	}
+	return ids
+}
+
+// Guards against an agent that loses its session because it is sent thousands of tasks at once that demand next to
+// nothing, and against ordinary jobs that wait behind them.
+func TestTinyTasksAreStartedInParts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New()
+	d.Connect(now, "agent")
+	report := supervise.Report{
+		Offered: true, Server: supervise.Server{ID: "i-1", Pool: "pool", Capacity: resource.Amount{Processor: 16000}},
+	}
+	d.HandleReport(now, "agent", report)
+	first := startedRuns(d.Submit(now, tinyTasks("large", batch.MaxTasks)))
+	if len(first) == 0 || len(first) > maxLargeJobRuns {
+		t.Fatalf("%d tasks of a large job were started at once, want at most %d", len(first), maxLargeJobRuns)
+	}
+	for i := range 2 * lookAhead {
+		if got := startedRuns(d.Submit(now, tinyTasks(batch.JobID("large-"+string(rune('a'+i))), batch.MaxTasks))); len(got) > 0 {
+			t.Fatalf("%d tasks of another large job were started", len(got))
+		}
+	}
+	if got := startedRuns(d.Submit(now, tinyTasks("small", 2))); len(got) != 2 {
+		t.Errorf("%d of 2 tasks of a small job were started beside large ones", len(got))
+	}
+	for _, id := range first {
+		report.Ended = append(report.Ended, supervise.RunEnd{RunID: id, End: supervise.Done, RunTime: time.Millisecond})
+	}
+	// The tasks of the small job still hold two places.
+	if got := startedRuns(d.HandleReport(now, "agent", report)); len(got) != len(first)-2 {
+		t.Errorf("%d tasks were started after %d had ended, want %d", len(got), len(first), len(first)-2)
+	}
+}
+
+// Guards against refusals that cost as much as a job of thousands of tasks.
+func TestRefusedJobHasNoTasks(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New()
+	d.Tick(now)
+	b := tinyTasks("large", batch.MaxTasks)
+	allocations := testing.AllocsPerRun(10, func() { d.Submit(now.Add(time.Minute), b) })
+	if allocations > 100 {
+		t.Errorf("a refusal for lack of a backend server took %.0f allocations, want at most 100", allocations)
+	}
+}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -113,7 +113,11 @@
 			heap.Fix(&p.queue, 0)
 			continue
 		}
-		d.placeJob(now, j)
+		// Large jobs that wait for a place do not count as tried, so that others behind them start.
+		hasPlaces := !j.large || d.hasPlaces(j)
+		if hasPlaces {
+			d.placeJob(now, j)
+		}
 		heap.Pop(&p.queue)
 		if len(j.waiting) == 0 {
 			j.queued = false
@@ -121,7 +125,7 @@
 		}
 		// The free capacity is too small for the next task of this job, but another job may have a smaller one.
 		skipped = append(skipped, j)
-		if !j.onlySuspectsWait() {
+		if hasPlaces && !j.onlySuspectsWait() {
 			tried++
 		}
 		if tried >= lookAhead || d.isFull(p.name) {
@@ -155,7 +159,8 @@
 // isFull reports whether no backend server of a pool has capacity for a small task.
 func (d *Dispatcher) isFull(pool string) bool {
 	for _, s := range d.sortedServers {
-		if s.connected && !s.evacuated && (s.offered || s.released) && s.info.Pool == pool && s.free().Processor >= minFreeProcessor {
+		if s.connected && !s.evacuated && (s.offered || s.released) && s.info.Pool == pool &&
+			s.free().Processor >= minFreeProcessor && s.places(false) > 0 {
 			return false
 		}
 	}
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -237,7 +237,8 @@
 	// A task that has failed on or was moved from every backend server may use any of them again.
 	avoid := len(t.failedOn)+len(t.movedFrom) < usable
 	for _, s := range d.sortedServers {
-		if !d.usableFor(s, j) || s.info.Pool != j.Pool || !st.Demand.Fits(s.free()) || now.Before(s.backoffUntil) {
+		if !d.usableFor(s, j) || s.info.Pool != j.Pool || !st.Demand.Fits(s.free()) || s.places(j.large) == 0 ||
+			now.Before(s.backoffUntil) {
 			continue
 		}
 		if (st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) ||
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -12,7 +12,7 @@
 	if !ok {
 		return nil
 	}
-	free := s.server.Capacity.Minus(s.inUse(""))
+	free, orphans := s.server.Capacity.Minus(s.inUse("")), s.hasOrphans(now)
 	for _, x := range starts {
 		until := c.expiresAt
 		if x.Until > 0 && ClockTime(x.Until).Before(until) {
@@ -28,7 +28,7 @@
 			refusal = "NoServer"
 		case s.evacuated:
 			refusal = refusalEvacuated
-		case s.hasOrphans(now):
+		case orphans:
 			refusal = "Orphans"
 		case s.leaseUntil.After(until.Add(stopWindow)):
 			refusal = "Expiring" // the lease of the other runs would outlast its limit
