Accept pending connections before a listener is closed at a planned stop

Cause: closing a listener resets the connections that were not accepted yet.

Change: Shutdown waits until no connection has been accepted for 10 ms, for 100 ms at most.

--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -121,7 +121,33 @@
 }
 
 // Shutdown stops accepting connections and waits until all requests are answered, or until the context ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.acceptPending()
+	return s.http.Shutdown(ctx)
+}
+
+const (
+	// acceptPause and maxAcceptTime limit how long Shutdown waits for connections that the kernel holds.
+	acceptPause   = 10 * time.Millisecond
+	maxAcceptTime = 100 * time.Millisecond
+)
+
+// acceptPending waits until no connection has been accepted for acceptPause. Closing the listener resets those that have
+// not been accepted, which may be many after a suspension of the process.
+func (s *Server) acceptPending() {
+	accepted := func() connlimit.ID {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.nextID
+	}
+	for begin := time.Now(); time.Since(begin) < maxAcceptTime; {
+		before := accepted()
+		time.Sleep(acceptPause)
+		if accepted() == before {
+			return
+		}
+	}
+}
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if c := connOf(r.Context()); c != nil {
--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"dogwoodglade/core/event"
+	"dogwoodglade/internal/memnet"
 	"dogwoodglade/io/httpserver"
 )
 
@@ -265,3 +268,53 @@
 		}
 	}
 }
+
+// slowListener accepts a connection some time after it was opened.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	time.Sleep(5 * time.Millisecond)
+	return c, err
+}
+
+// Guards against requests that are reset at a planned stop because their connections had not been accepted yet.
+func TestShutdownServesPendingConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := memnet.New()
+		listener, err := network.Host("entry").Listen("entry:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		registry, report := metrics.NewRegistry(), func(event.Number, string, int) {}
+		server, cleanUp := httpserver.New(slowListener{listener}, httpserver.Options{
+			Name: "Test", MaxConnections: 100, Bodies: httpserver.NewBodies(1<<20, report, registry), Report: report,
+			Metrics: registry, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }),
+		})
+		defer cleanUp()
+		const count = 6
+		served := make(chan bool, count)
+		for range count {
+			go func() {
+				c, err := network.Host("client").Dial(context.Background(), "tcp", "entry:1")
+				if err != nil {
+					served <- false
+					return
+				}
+				defer c.Close()
+				_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+				text, _ := io.ReadAll(c)
+				served <- strings.HasSuffix(string(text), "served")
+			}()
+		}
+		synctest.Wait()
+		if err := server.Shutdown(t.Context()); err != nil {
+			t.Error(err)
+		}
+		for range count {
+			if !<-served {
+				t.Error("a request was not served, whose connection was open before the stop")
+			}
+		}
+	})
+}
