--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -301,7 +301,7 @@
 					served <- false
 					return
 				}
-				defer c.Close()
+				defer func() { _ = c.Close() }()
 				_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 				text, _ := io.ReadAll(c)
 				served <- strings.HasSuffix(string(text), "served")
