--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -1,6 +1,6 @@
 // Package connlimit decides which connections a listener keeps when it has as many as it may have.
 //
-// A new connection takes the place of the one that is worth least to its client: first one that has not sent a complete
+// A new connection takes the place of the one that its client needs least: first one that has not sent a complete
 // request, or has not read its response, for some time, then the one that has been idle for the longest time, then any
 // that has not sent a complete request. Connections whose request is being served are never closed. If all are, the new
 // one is refused. A sixteenth of the places is not for serving: a request on them gets a response that says so.
--- a/core/connlimit/connlimit_test.go
+++ b/core/connlimit/connlimit_test.go
@@ -19,7 +19,7 @@
 	// Output: 2 true
 }
 
-// Guards against the close of a connection that is worth more to its client than another one, above all of one whose
+// Guards against the close of a connection that its client needs more than another one, above all of one whose
 // request is being served.
 func TestVictim(t *testing.T) {
 	const newOne = 9
--- a/soak/evacuate.go
+++ b/soak/evacuate.go
@@ -10,7 +10,7 @@
 const (
 	// evacuateDataCentre writes the operators' row that evacuates a data centre, and removes it at the end.
 	evacuateDataCentre kind = "Evacuate"
-	// evacuateTimeout corresponds to evacuate_ms: nothing starts in a data centre that was evacuated this long ago. If the
+	// evacuateTimeout is the bound of an evacuation: nothing starts in a data centre that was evacuated this long ago. If the
 	// store is disturbed, maxStretch is added.
 	evacuateTimeout = 5 * time.Second
 	// evacuateStretch is the factor on the duration of evacuateDataCentre. Most of them then outlast evacuateTimeout.
