Extend leases by suspensions, and bound the exemption of refusing pools to a session

Cause, as a review of found: (a) after a suspension of the host the estimate of the backend server's clock could stay ahead by 100 to 220 ms, because the response to a call that may wait corrects it only by the wait. (b) What the home had said about refused overload held without end, also for another home or backend server. (c) The time of a suspension counted towards the end of leases, so that runs counted as ended while their lease continued.

Change: (a) the first calls after a pause of more than maxStep do not wait. (b) Keep-alives have the pool's name in place of a flag; it holds for the session of the home and for backend servers of that pool. Of two versions side by side, each ignores the other's field and keeps to the age. (c) A pause beyond maxStep is added to the end of the leases. After a pause of the agent alone, runs at a silent backend server are reported later by that time.

Tests: TestLeadAfterSuspensionIsCorrected, TestLeaseOutlastsSuspension and the new case of TestRefusingPools failed before; the cases of TestRestoredCapacityOfRefusingServer for another pool and a later session are new. TestSilentServer ticked every 200 ms, which now counts as suspensions; it ticks every 50 ms as agents do, with the same bounds.

--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -289,7 +289,7 @@
 	if a.peers[p.Name] == p {
 		a.supervisor.ExtendSession(p.Name, supervise.ClockTime(k.Until))
 		a.supervisor.LimitRuns(p.Name, k.Jobs)
-		a.performActions(a.supervisor.SetRefusesOverload(p.Name, k.RefusesOverload))
+		a.performActions(a.supervisor.SetRefusingPool(p.Name, k.RefusingPool))
 		if k.Draining && a.draining[p.Name] != p.Incarnation {
 			a.draining[p.Name] = p.Incarnation
 			a.avoidUntil[p.Name] = a.options.Now().Add(retryDelay)
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -417,8 +417,9 @@
 // sendKeepAlive extends the session of an agent. The expiry is relative to the agent's clock in its latest report, so
 // that a delayed message does not extend the session.
 func (e *Entry) sendKeepAlive(a *agentSession) {
-	k := inner.KeepAlive{
-		Draining: e.releasingAgents, RefusesOverload: slices.Contains(e.config.RefusingPools, a.pool),
+	k := inner.KeepAlive{Draining: e.releasingAgents}
+	if slices.Contains(e.config.RefusingPools, a.pool) {
+		k.RefusingPool = a.pool
 	}
 	if a.agentClock > 0 {
 		k.Until = a.agentClock + supervise.SessionLease
--- a/core/supervise/clock_test.go
+++ b/core/supervise/clock_test.go
@@ -47,6 +47,61 @@
 	}
 }
 
+// Guards against a lead of the estimate that remains after a suspension, because a call that may wait shows only that the
+// clock has advanced by less than the wait.
+func TestLeadAfterSuspensionIsCorrected(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, call := startedRun(t, now)
+	clock := time.Minute
+	s.StartAnswered(now, call, supervise.Accepted, clock)
+	response := supervise.HoldResponse{
+		Incarnation: 1, Running: []supervise.RunningTask{{Task: call.Task, Number: call.Number}},
+	}
+	hold := func() supervise.Hold {
+		s.ExtendSession("entry-1", now.Add(supervise.SessionLease))
+		h, _ := s.NextHold(now, supervise.HoldWait)
+		return h
+	}
+	answer := func(h supervise.Hold) {
+		now, clock = now.Add(h.Wait+time.Millisecond), clock+h.Wait+time.Millisecond
+		response.Clock = clock
+		s.HoldAnswered(now, h, response)
+	}
+	answer(hold())
+	now = now.Add(3 * time.Second) // suspended
+	h := hold()
+	if h.Wait != 0 {
+		t.Errorf("the first call after a suspension may wait for %v", h.Wait)
+	}
+	answer(h)
+	h = hold()
+	if lead := h.Until - clock - supervise.ServerLease; lead > 5*time.Millisecond || h.Wait != supervise.HoldWait {
+		t.Errorf("the second call extends the lease by %v too much, and may wait for %v", lead, h.Wait)
+	}
+}
+
+// Guards against runs that count as ended while they continue: a lease lasts through a suspension of the host.
+func TestLeaseOutlastsSuspension(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, call := startedRun(t, now)
+	s.StartAnswered(now, call, supervise.Accepted, time.Minute)
+	h, _ := s.NextHold(now, supervise.HoldWait)
+	s.Tick(now)
+	now = now.Add(5 * time.Second) // suspended
+	s.HoldFailed(now, h)
+	s.Tick(now)
+	if s.TotalRunCount() != 1 {
+		t.Error("the run was given up right after the suspension")
+	}
+	for end := now.Add(supervise.MaxRunAfterAgentExit + 50*time.Millisecond); now.Before(end); {
+		now = now.Add(50 * time.Millisecond)
+		s.Tick(now)
+	}
+	if s.TotalRunCount() != 0 {
+		t.Error("the run was not given up when its lease had expired after the suspension")
+	}
+}
+
 // Guards against an estimate of the backend server's clock that stays ahead although responses show lower readings.
 func TestClockEstimateAheadIsCorrected(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -118,15 +173,26 @@
 	s.SetHome("entry-1")
 	h, _ := s.NextHold(now, 0)
 	s.HoldAnswered(now, h, supervise.HoldResponse{Incarnation: 1, Clock: time.Hour})
-	s.SetRefusesOverload("entry-2", true)
+	s.SetRefusingPool("entry-2", "p")
 	if s.Report(now, "entry-1").Offered {
 		t.Error("the backend server is offered on the word of an entry that is not its home")
 	}
-	if !reports(s.SetRefusesOverload("entry-1", true), "entry-1") || !s.Report(now, "entry-1").Offered {
+	s.SetRefusingPool("entry-1", "other")
+	if s.Report(now, "entry-1").Offered {
+		t.Error("the backend server is offered because those of another pool refuse what does not fit")
+	}
+	if !reports(s.SetRefusingPool("entry-1", "p"), "entry-1") || !s.Report(now, "entry-1").Offered {
 		t.Error("the backend server is not offered although it refuses what does not fit")
 	}
-	s.SetRefusesOverload("entry-1", false)
+	s.SetRefusingPool("entry-1", "")
 	if s.Report(now, "entry-1").Offered {
 		t.Error("the backend server is still offered after the configuration has changed")
 	}
+	s.SetRefusingPool("entry-1", "p")
+	s.Connect(now, "entry-1")
+	s.ExtendSession("entry-1", now.Add(time.Second))
+	s.SetHome("entry-1")
+	if s.Report(now, "entry-1").Offered {
+		t.Error("the backend server is still offered in a later session of its home")
+	}
 }
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -215,10 +215,19 @@
 }
 
 // noteTime records that the supervisor is at work. The clock of the backend server stops while the host is suspended, and
-// the agent's does not, so only maxStep of a longer pause counts for the estimate. After a pause of the agent alone, the
-// estimate is too low until the next response.
+// the agent's does not, so only maxStep of a longer pause counts for the estimate, and leases last longer by the rest.
+// After a pause of the agent alone, the estimate is too low until the next response.
 func (s *Supervisor) noteTime(now time.Time) {
-	s.clockAt = s.clockAt.Add(s.pause(now))
+	if pause := s.pause(now); pause > 0 {
+		s.pausedAt = now
+		s.clockAt = s.clockAt.Add(pause)
+		if s.leasesEndBy.After(s.activeAt) {
+			s.leasesEndBy = s.leasesEndBy.Add(pause)
+		}
+		if s.leaseUntil.After(s.activeAt) {
+			s.leaseUntil = s.leaseUntil.Add(pause)
+		}
+	}
 	s.activeAt = now
 }
 
@@ -251,6 +260,7 @@
 
 // extendLeases records the time after which a lease granted until now has certainly expired, on the agent's clock.
 func (s *Supervisor) extendLeases(now time.Time) {
+	s.noteTime(now)
 	if until := now.Add(MaxRunAfterAgentExit); until.After(s.leasesEndBy) {
 		s.leasesEndBy = until
 	}
@@ -283,7 +293,8 @@
 	if s.runsListed && len(s.runs) > 0 && !s.left && !s.hasOrphans(now) && !s.silent() {
 		h.Renew, h.Until = true, s.grantLease(now)
 	}
-	if !s.runsListed || s.left || s.hasOrphans(now) {
+	// After a pause the estimate of the clock may be ahead by maxStep. The response corrects it by the time that it takes.
+	if !s.runsListed || s.left || s.hasOrphans(now) || s.pause(now) > 0 || s.pausedAt.After(s.answeredAt) {
 		h.Wait = 0
 	}
 	return h
--- a/core/supervise/start_test.go
+++ b/core/supervise/start_test.go
@@ -46,7 +46,10 @@
 // has lost power, and against runs that are given up because their backend server was silent for a shorter time than
 // its lease.
 func TestSilentServer(t *testing.T) {
-	const callTimeout = 200 * time.Millisecond
+	const (
+		callTimeout  = 200 * time.Millisecond
+		tickInterval = 50 * time.Millisecond // a longer one would count as a suspension of the host
+	)
 	for _, c := range []struct {
 		silence time.Duration
 		lost    bool
@@ -60,11 +63,17 @@
 		silentFrom := start.Add(300 * time.Millisecond)
 		leaseEnd := time.Minute + supervise.ServerLease
 		var lostAfter time.Duration
+		tickAfter := func(now time.Time) {
+			for d := tickInterval; d <= callTimeout; d += tickInterval {
+				s.Tick(now.Add(d))
+			}
+		}
 		for now := start; now.Before(silentFrom.Add(c.silence + time.Second)); now = now.Add(callTimeout) {
 			s.ExtendSession("entry-1", now.Add(supervise.SessionLease))
 			h, _ := s.NextHold(now, supervise.HoldWait)
 			clock := time.Minute + now.Sub(start)
 			if silent := !now.Before(silentFrom) && now.Before(silentFrom.Add(c.silence)); silent {
+				tickAfter(now)
 				s.HoldFailed(now.Add(callTimeout), h)
 			} else {
 				response := supervise.HoldResponse{Incarnation: 1, Clock: clock}
@@ -75,6 +84,7 @@
 					leaseEnd = max(leaseEnd, h.Until)
 				}
 				s.HoldAnswered(now, h, response)
+				tickAfter(now)
 			}
 			s.Tick(now.Add(callTimeout))
 			for _, e := range s.Report(now.Add(callTimeout), "entry-1").Ended {
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -332,6 +332,9 @@
 	expiresAt time.Time
 	confirmed bool // the entry has acknowledged a report; until then it may be unreachable, and its requests are refused
 	ended     []RunEnd
+	// refusingPool is the pool of this agent if its backend servers refuse runs beyond their capacity, as the entry knows
+	// from the configuration.
+	refusingPool string
 
 	progressSentAt time.Time // when progress was last sent
 }
@@ -367,7 +370,6 @@
 	restored             bool      // known only from the state of an earlier agent; has not responded yet
 	awaitingAnnouncement bool      // it restarted and has not announced its capacity and labels since
 	maxCapacityAge       time.Duration
-	refusesOverload      bool      // it refuses runs beyond its capacity
 	capacityAt           time.Time // when the capacity was that of the latest announcement; later if that is unknown
 	fencedHolds          int       // consecutive Hold calls refused because of their token
 	leftID               string
@@ -381,6 +383,7 @@
 	clock                time.Duration // reading of the backend server's clock on which serverClock is based
 	clockAt              time.Time     // when the reading was received, on the agent's clock
 	activeAt             time.Time     // when the supervisor last handled an event that advances the estimate
+	pausedAt             time.Time     // end of the latest pause before such an event
 	leasesEndBy          time.Time     // when every lease on the backend server has expired, on the agent's clock
 	leaseUntil           time.Time     // end of the latest lease, on the agent's clock
 
@@ -476,17 +479,27 @@
 // runs beyond it.
 func (s *Supervisor) capacityKnown(now time.Time) bool {
 	return !s.awaitingAnnouncement &&
-		(s.maxCapacityAge == 0 || s.refusesOverload || now.Sub(s.capacityAt) < s.maxCapacityAge-clockSlack)
+		(s.maxCapacityAge == 0 || s.refusesOverload(now) || now.Sub(s.capacityAt) < s.maxCapacityAge-clockSlack)
 }
 
-// SetRefusesOverload records what the home knows from the configuration: whether the backend server refuses runs beyond
-// its capacity. If so, the age of the capacity does not matter, and a restarted agent need not wait for an announcement.
-func (s *Supervisor) SetRefusesOverload(entry string, refuses bool) []Action {
-	if entry != s.home || s.refusesOverload == refuses {
+// refusesOverload reports whether the backend server refuses runs beyond its capacity, as the home has said in the present
+// session. If so, the age of the capacity does not matter, and a restarted agent need not wait for an announcement.
+func (s *Supervisor) refusesOverload(now time.Time) bool {
+	c, ok := s.sessions[s.home]
+	return ok && c.alive(now) && c.refusingPool != "" && c.refusingPool == s.server.Pool
+}
+
+// SetRefusingPool records the pool whose backend servers refuse runs beyond their capacity, according to an entry. It is
+// empty if they do not.
+func (s *Supervisor) SetRefusingPool(entry, pool string) []Action {
+	c, ok := s.sessions[entry]
+	if !ok || c.refusingPool == pool {
 		return nil
 	}
-	s.refusesOverload = refuses
-	s.reportAll()
+	c.refusingPool = pool
+	if entry == s.home {
+		s.reportAll()
+	}
 	return s.takeActions()
 }
 
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -102,8 +102,9 @@
 	// Jobs has the time limit of each job whose runs may continue for less time than the session, on the agent's clock.
 	Jobs     map[batch.JobID]time.Duration `cbor:",omitempty"`
 	Complete bool                          // whether Entries has all entries that can be reached; false while the sender is starting
-	// RefusesOverload reports whether the backend server refuses runs beyond its capacity, according to the configuration.
-	RefusesOverload bool `cbor:",omitempty"`
+	// RefusingPool is the pool of the receiver's backend server if the configuration says that its backend servers refuse
+	// runs beyond their capacity.
+	RefusingPool string `cbor:",omitempty"`
 	// Evacuations are absent if the sender has sent them lately, or knows nothing about them.
 	Evacuations *Evacuations `cbor:",omitempty"`
 	// StoreSeen is a time on the agent's clock at which the evacuations were still as sent; 0 if that is not known.
