Hold the room of moved tasks, and judge moves off leaving backend servers as placing does

Cause: nothing kept the room that a move relied on, so a later job could take it; the moved tasks of late jobs came after all that could meet their targets; the room ignored MaxPerServer, suspects and the pause after a refusal; moves counted towards maxRestarts; a run without progress was judged at the notice by its estimate alone; the least difference between two clocks never aged; the useful time of a job counted one step; each report looked at all backend servers.

Change: the dispatcher reserves the room on one backend server, chosen as placing chooses it, until the task starts or needs no run. A job with a moved task keeps the target start of its submission. Runs without progress wait 300 ms for it if the task can still be moved then. Differences between clocks count for 5 to 10 s. Reports cost nothing for this while no backend server leaves.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -89,7 +89,8 @@
 	failures    int
 	server      *server
 	failedOn    []*server
-	movedFrom   []*server // its run was stopped there, to start it elsewhere
+	movedFrom   []*server // its run was stopped there because it was slow or hung
+	reservedOn  *server   // holds room for it, as its run is or was stopped because its backend server leaves
 	stopping    bool
 	suspect     bool          // a backend server crashed under a task of the job
 	waitingWork coreTime      // predicted when the task began to wait; 0 if it is not waiting
@@ -145,6 +146,7 @@
 	servers              map[string]*server // by agent
 	sortedServers        []*server          // sorted by agent
 	jobs                 map[batch.JobID]*job
+	leaving              map[*server]struct{} // have announced when they leave
 	pools                map[string]*poolState
 	sortedPools          []*poolState // sorted by name
 	routes               map[string]*routeState
@@ -164,6 +166,7 @@
 func New() *Dispatcher {
 	return &Dispatcher{
 		servers: map[string]*server{},
+		leaving: map[*server]struct{}{},
 		jobs:    map[batch.JobID]*job{},
 		pools:   map[string]*poolState{},
 		routes:  map[string]*routeState{},
--- a/core/dispatch/evacuate.go
+++ b/core/dispatch/evacuate.go
@@ -33,6 +33,7 @@
 		switch evacuated := state.Has(s.dataCentre); {
 		case evacuated:
 			s.evacuated, s.readmitAt = true, time.Time{}
+			s.releaseAll()
 		case s.evacuated && s.readmitAt.IsZero():
 			returning = append(returning, s)
 		}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -89,18 +89,33 @@
 
 // criticalPath predicts the run time of the longest chain of dependent steps.
 func (d *Dispatcher) criticalPath(j *job) time.Duration {
+	longest, _ := d.paths(j, -1, 0)
+	return longest
+}
+
+// paths predicts the run time of the longest chain of dependent steps, and that of the longest one after a step whose run
+// time is given. No step is meant by -1.
+func (d *Dispatcher) paths(j *job, step int, runTime time.Duration) (longest, after time.Duration) {
 	r := d.route(j.Route)
 	ends := make([]time.Duration, len(j.steps))
-	var longest time.Duration
+	fromStep := make([]time.Duration, len(j.steps)) // of the chains after the step up to the end of each; -1 if there is none
 	for i, s := range j.steps {
+		own := r.predictRunTime(s.Estimate)
+		fromStep[i] = -1
+		if i == step {
+			own, fromStep[i] = runTime, 0
+		}
 		var start time.Duration
 		for _, dependency := range s.After {
 			start = max(start, ends[dependency])
+			if fromStep[dependency] >= 0 {
+				fromStep[i] = max(fromStep[i], fromStep[dependency]+own)
+			}
 		}
-		ends[i] = start + r.predictRunTime(s.Estimate)
-		longest = max(longest, ends[i])
+		ends[i] = start + own
+		longest, after = max(longest, ends[i]), max(after, fromStep[i])
 	}
-	return longest
+	return longest, after
 }
 
 // unblock makes the tasks of a step ready for placement.
@@ -226,6 +241,7 @@
 func (d *Dispatcher) startTask(now time.Time, j *job, st *step, t *task, s *server) {
 	t.state, t.server, t.stopping = placed, s, false
 	t.percent, t.progressAge, t.startedAt = 0, 0, now
+	t.release()
 	t.attempt++
 	j.lastServer = s
 	if j.firstStart.IsZero() {
@@ -305,6 +321,7 @@
 
 func (d *Dispatcher) taskDone(now time.Time, j *job, st *step, t *task) {
 	t.state = done
+	t.release()
 	st.unfinished--
 	j.unfinished--
 	if j.unfinished == 0 {
@@ -346,6 +363,7 @@
 	j.waitingWork, j.waiting = 0, nil
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
+			t.release()
 			if t.server != nil && t.state == placed {
 				d.addStop(t.server, supervise.RunID{Task: t.id, Attempt: t.attempt})
 			}
--- a/core/dispatch/leave.go
+++ b/core/dispatch/leave.go
@@ -2,11 +2,10 @@
 
 import (
 	"cmp"
-	"maps"
+	"container/heap"
 	"slices"
 	"time"
 
-	"dogwoodglade/core/resource"
 	"dogwoodglade/core/supervise"
 )
 
@@ -15,6 +14,9 @@
 	leaveSlack = 20 * time.Millisecond
 	// moveTime is the time from the decision to move a run until its task starts elsewhere: the stop and the messages.
 	moveTime = supervise.StopTime + overheadAllowance
+	// progressTime is how long after its start request a run has shown progress if it is going to take less than 20 s:
+	// backend servers tell it every 150 ms at least, and an agent reports as often.
+	progressTime = 300 * time.Millisecond
 )
 
 // RunsMoved reports that runs are stopped because their backend server leaves before they can end.
@@ -29,16 +31,23 @@
 
 // observeLeaving records when the backend server leaves. The time counts from the agent's clock in the report, so that a
 // report that was delayed extends nothing.
-func (s *server) observeLeaving(now time.Time, r supervise.Report) {
-	delay := now.Sub(supervise.ClockTime(r.Clock))
-	if !s.delayKnown || delay < s.leastDelay {
-		s.delayKnown, s.leastDelay = true, delay
-	}
+func (d *Dispatcher) observeLeaving(now time.Time, s *server, r supervise.Report) {
+	s.clockDelay = s.clockDelay.With(now, now.Sub(supervise.ClockTime(r.Clock)))
 	switch {
 	case !r.Server.Leaving:
-		s.leavesAt = time.Time{}
+		d.setLeavesAt(s, time.Time{})
 	case r.LeavesIn > 0:
-		s.leavesAt = supervise.ClockTime(r.Clock + r.LeavesIn).Add(s.leastDelay)
+		d.setLeavesAt(s, supervise.ClockTime(r.Clock+r.LeavesIn).Add(s.clockDelay.Least()))
+	}
+}
+
+// setLeavesAt sets when a backend server leaves; zero if it does not or that is not known.
+func (d *Dispatcher) setLeavesAt(s *server, at time.Time) {
+	s.leavesAt = at
+	if at.IsZero() {
+		delete(d.leaving, s)
+	} else {
+		d.leaving[s] = struct{}{}
 	}
 }
 
@@ -51,26 +60,28 @@
 // their jobs can still be served. The others are left: when capacity becomes free, they are considered again.
 func (d *Dispatcher) moveLeaving(now time.Time) {
 	var moving []movable
-	var room map[*server]resource.Amount
-	for _, s := range d.sortedServers {
-		if !s.leavesSoon(now) {
-			continue
-		}
-		if room == nil {
-			room = d.roomSoon(now)
+	for s := range d.leaving {
+		if s.leavesSoon(now) {
+			moving = append(moving, d.movableRuns(now, s)...)
 		}
-		moving = append(moving, d.movableRuns(now, s, room)...)
+	}
+	if len(moving) == 0 {
+		return
 	}
 	// The job that has to start first comes first.
 	slices.SortFunc(moving, func(a, b movable) int {
 		return cmp.Or(a.latestStart.Compare(b.latestStart), a.id.Task.Compare(b.id.Task))
 	})
+	room := d.roomSoon(now)
 	moved := map[*server]int{}
 	for _, m := range moving {
-		s := m.task.server
-		if reserve(room, m) {
-			d.moveRun(s, m.job, m.task, m.id)
-			moved[s]++
+		if target := d.chooseRoom(now, room, m); target != nil {
+			room[target] = room[target].Minus(m.step.Demand)
+			target.reserve(m.task, m.step.Demand)
+			moved[m.task.server]++
+			m.task.stopping = true
+			d.addStop(m.task.server, m.id)
+			d.bringForward(m.job)
 		}
 	}
 	for _, s := range d.sortedServers {
@@ -82,6 +93,18 @@
 	}
 }
 
+// bringForward puts a job with a moved task before the jobs that arrived later, also if it can no longer meet its target:
+// its target start is that of its submission.
+func (d *Dispatcher) bringForward(j *job) {
+	if !j.late {
+		return
+	}
+	j.late = false
+	if j.queued {
+		heap.Init(&d.pool(j.Pool).queue)
+	}
+}
+
 // movable is a run that cannot end before its backend server leaves.
 type movable struct {
 	id          supervise.RunID
@@ -91,32 +114,30 @@
 	latestStart time.Time // of a new run that can still serve the job
 }
 
-// movableRuns returns the runs on a leaving backend server that cannot end there and whose jobs can still be served. It
-// reserves room for those that are being moved already.
-func (d *Dispatcher) movableRuns(now time.Time, s *server, room map[*server]resource.Amount) []movable {
+// movableRuns returns the runs on a leaving backend server that cannot end there and whose jobs can still be served.
+func (d *Dispatcher) movableRuns(now time.Time, s *server) []movable {
 	var found []movable
-	for _, id := range slices.SortedFunc(maps.Keys(s.runs), compareRuns) {
-		t, j := s.runs[id], d.jobs[id.Task.Job]
-		if j.answered || t.state != placed {
+	for id, t := range s.runs {
+		j := d.jobs[id.Task.Job]
+		if j.answered || t.state != placed || t.stopping || (t.suspect && j.activeSuspects > 1) || d.awaitsCrash(j) {
 			continue
 		}
 		m := movable{id: id, job: j, step: j.steps[id.Task.Step], task: t}
-		if t.stopping {
-			reserve(room, m)
-			continue
-		}
 		runTime := d.leastRunTime(s, t)
-		m.latestStart = j.usefulUntil(runTime).Add(-runTime)
+		m.latestStart = d.latestUsefulStart(j, id.Task.Step, runTime)
 		endsInTime := !t.startedAt.Add(runTime + leaveSlack).After(s.leavesAt)
-		if !endsInTime && !now.Add(moveTime).After(m.latestStart) && len(t.movedFrom) < maxRestarts {
+		if !endsInTime && !now.Add(moveTime).After(m.latestStart) && !awaitsProgress(now, t, m.latestStart) {
 			found = append(found, m)
 		}
 	}
 	return found
 }
 
-func compareRuns(a, b supervise.RunID) int {
-	return cmp.Or(a.Task.Compare(b.Task), cmp.Compare(a.Attempt, b.Attempt))
+// awaitsProgress reports whether a run without progress may show some before it has to be moved. Until then only the
+// estimate tells how long it takes.
+func awaitsProgress(now time.Time, t *task, latestStart time.Time) bool {
+	end := t.startedAt.Add(progressTime)
+	return t.percent == 0 && now.Before(end) && !end.Add(moveTime).After(latestStart)
 }
 
 // leastRunTime predicts the run time of a task in its present run, by the most favourable reading of its progress, which
@@ -130,50 +151,14 @@
 	return time.Duration(float64(d.route(j.Route).predictRunTime(j.steps[t.id.Step].Estimate)) * s.slowdown())
 }
 
-// usefulUntil returns until when the answer of a job whose longest task takes the given time is of use to its caller.
-func (j *job) usefulUntil(runTime time.Duration) time.Time {
-	target := time.Duration(j.Stretch*float64(runTime)) + j.Target
+// latestUsefulStart returns when a task of a step whose run takes the given time has to start for the answer of the job to
+// be of use to its caller. The later steps take their time as well.
+func (d *Dispatcher) latestUsefulStart(j *job, step int, runTime time.Duration) time.Time {
+	longest, after := d.paths(j, step, runTime)
+	target := time.Duration(j.Stretch*float64(longest)) + j.Target
 	until := j.submittedAt.Add(lateFactor * target)
 	if j.Timeout > 0 {
 		until = earlier(until, j.submittedAt.Add(j.Timeout))
 	}
-	return until
-}
-
-// roomSoon returns the capacity of each usable backend server that is free when a run that is stopped now has ended. The
-// tasks of moved runs come first in the queue.
-func (d *Dispatcher) roomSoon(now time.Time) map[*server]resource.Amount {
-	room := map[*server]resource.Amount{}
-	for _, s := range d.sortedServers {
-		if !s.usable() || s.degraded() {
-			continue
-		}
-		free := s.free()
-		for id, t := range s.runs {
-			if t.stopping || !t.startedAt.Add(d.leastRunTime(s, t)).After(now.Add(moveTime)) {
-				free = free.Plus(d.jobs[id.Task.Job].steps[id.Task.Step].Demand)
-			}
-		}
-		room[s] = free
-	}
-	return room
-}
-
-// reserve takes the room for a task from one of the backend servers that it may run on. It reports false if none has room.
-func reserve(room map[*server]resource.Amount, m movable) bool {
-	var best *server
-	for s, free := range room {
-		if s.info.Pool != m.job.Pool || !m.step.Demand.Fits(free) || slices.Contains(m.task.failedOn, s) ||
-			(m.step.Label != "" && !slices.Contains(s.info.Labels, m.step.Label)) {
-			continue
-		}
-		if best == nil || s.agent < best.agent {
-			best = s
-		}
-	}
-	if best == nil {
-		return false
-	}
-	room[best] = room[best].Minus(m.step.Demand)
-	return true
+	return until.Add(-runTime - after)
 }
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -91,7 +91,9 @@
 	capacity      resource.Amount
 	used          resource.Amount // by runs of this entry
 	usedByOthers  resource.Amount // by runs of other entries
-	lostRunsEndBy time.Time       // when lost runs cannot exist any more
+	reserved      resource.Amount // held for the tasks in reservedFor
+	reservedFor   map[*task]resource.Amount
+	lostRunsEndBy time.Time // when lost runs cannot exist any more
 	runs          map[supervise.RunID]*task
 	suspects      int  // among the tasks of runs
 	processEnded  bool // it has crashed, and its runs have not been reported as ended
@@ -99,10 +101,9 @@
 	evacuated     bool // gets no starts: its data centre is evacuated, or was until readmitAt has not come yet
 	// sessionChangedAt is when the latest session with the agent began or ended.
 	sessionChangedAt time.Time
-	readmitAt        time.Time     // zero if its data centre is still evacuated
-	leavesAt         time.Time     // when it leaves at the earliest, as announced; zero if it does not or that is not known
-	leastDelay       time.Duration // least difference between this clock and the agent's in its reports
-	delayKnown       bool
+	readmitAt        time.Time  // zero if its data centre is still evacuated
+	leavesAt         time.Time  // when it leaves at the earliest, as announced; zero if it does not or that is not known
+	clockDelay       leastDelay // between the agent's clock in its reports and this one
 
 	backoffUntil time.Time // no start requests are sent before this time, after a refusal
 
@@ -131,7 +132,14 @@
 	return s.usable() || (s.connected && s.released && !s.evacuated && (j.started() || d.draining))
 }
 
-func (s *server) free() resource.Amount { return s.capacity.Minus(s.used).Minus(s.usedByOthers) }
+// free returns the free capacity that is not held for a moved task. It is negative while the room that is held is only
+// about to become free.
+func (s *server) free() resource.Amount {
+	return s.capacity.Minus(s.used).Minus(s.usedByOthers).Minus(s.reserved)
+}
+
+// freeFor returns the free capacity for a task.
+func (s *server) freeFor(t *task) resource.Amount { return s.free().Plus(s.reservedFor[t]) }
 
 // slowdown returns the run times relative to other backend servers.
 func (s *server) slowdown() float64 { return math.Exp(s.logSlowdown) }
@@ -149,7 +157,7 @@
 func (d *Dispatcher) Connect(now time.Time, agent string) []Action {
 	s, ok := d.servers[agent]
 	if !ok {
-		s = &server{agent: agent, runs: map[supervise.RunID]*task{}}
+		s = &server{agent: agent, runs: map[supervise.RunID]*task{}, reservedFor: map[*task]resource.Amount{}}
 		d.servers[agent] = s
 		d.sortedServers = append(d.sortedServers, s)
 		slices.SortFunc(d.sortedServers, func(a, b *server) int { return cmp.Compare(a.agent, b.agent) })
@@ -157,7 +165,9 @@
 	d.markLost(s, now.Add(supervise.MaxRunAfterAgentLoss))
 	s.connected, s.offered, s.released, s.processEnded = true, false, false, false
 	s.sessionChangedAt = now
-	s.leavesAt, s.delayKnown = time.Time{}, false
+	s.clockDelay = leastDelay{}
+	d.setLeavesAt(s, time.Time{})
+	s.releaseAll()
 	return d.takeActions()
 }
 
@@ -166,6 +176,8 @@
 	if s, ok := d.servers[agent]; ok && s.connected {
 		s.connected, s.offered, s.released = false, false, false
 		s.sessionChangedAt = now
+		d.setLeavesAt(s, time.Time{})
+		s.releaseAll()
 		d.markLost(s, runsEndBy)
 		d.updatePoolCapacity()
 		d.place(now)
@@ -178,6 +190,7 @@
 	for _, t := range s.runs {
 		if t.state == placed {
 			t.state = lost
+			t.release()
 			s.lostRunsEndBy = runsEndBy
 		}
 	}
@@ -194,7 +207,7 @@
 		d.runEnded(now, s, e)
 	}
 	if s.info.ID != r.Server.ID || s.info.Incarnation != r.Server.Incarnation {
-		s.leavesAt = time.Time{}
+		d.setLeavesAt(s, time.Time{})
 		s.logSlowdown, s.failureShare, s.consecutiveFailures, s.consecutiveSlowRuns = 0, 0, 0, 0
 		s.quarantined, s.hangs, s.probeDelay = false, false, 0
 		s.logSteadySlowdown, s.steadyRuns = 0, 0
@@ -204,7 +217,10 @@
 	s.offered, s.released, s.info = r.Offered, r.Released, r.Server
 	s.processEnded = r.ProcessEnded
 	s.capacity, s.usedByOthers = r.Server.Capacity, r.UsedByOthers
-	s.observeLeaving(now, r)
+	d.observeLeaving(now, s, r)
+	if !s.usable() {
+		s.releaseAll()
+	}
 	if changed {
 		d.updatePoolCapacity()
 	}
@@ -234,15 +250,11 @@
 	}
 	var bestScore float64
 	degraded, usable := d.countDegraded()
-	// A task that has failed on or was moved from every backend server may use any of them again.
-	avoid := len(t.failedOn)+len(t.movedFrom) < usable
 	for _, s := range d.sortedServers {
-		if !d.usableFor(s, j) || s.info.Pool != j.Pool || !st.Demand.Fits(s.free()) || now.Before(s.backoffUntil) {
+		if !d.usableFor(s, j) || s.info.Pool != j.Pool || !st.Demand.Fits(s.freeFor(t)) || now.Before(s.backoffUntil) {
 			continue
 		}
-		if (st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) ||
-			(avoid && (slices.Contains(t.failedOn, s) || slices.Contains(t.movedFrom, s))) ||
-			(st.MaxPerServer > 0 && tasksOn(st, s) >= st.MaxPerServer) || (t.suspect && s.suspects > 0) {
+		if !mayRunOn(s, st, t, usable) {
 			constrained = true
 			continue
 		}
@@ -266,17 +278,31 @@
 	return best, constrained
 }
 
+// mayRunOn reports whether the constraints of a task allow a backend server, given how many are usable.
+func mayRunOn(s *server, st *step, t *task, usable int) bool {
+	// A task that has failed on or was moved from every backend server may use any of them again.
+	avoid := len(t.failedOn)+len(t.movedFrom) < usable
+	switch {
+	case st.Label != "" && !slices.Contains(s.info.Labels, st.Label),
+		avoid && (slices.Contains(t.failedOn, s) || slices.Contains(t.movedFrom, s)),
+		st.MaxPerServer > 0 && tasksOn(st, s) >= st.MaxPerServer && t.reservedOn != s,
+		t.suspect && s.suspects > 0:
+		return false
+	}
+	return true
+}
+
 // mayProbe reports whether a task of the job may be the next probe of a degraded backend server.
 func (s *server) mayProbe(now time.Time, j *job) bool {
 	return !now.Before(s.nextProbe) && len(s.runs) == 0 &&
 		(j.late || now.Add(probeSlack).Before(j.targetStart) || now.After(s.nextProbe.Add(probeInterval)))
 }
 
-// tasksOn returns the number of tasks of a step that may be running on a backend server.
+// tasksOn returns the number of tasks of a step that may be running on a backend server, or for which it holds room.
 func tasksOn(st *step, s *server) int {
 	n := 0
 	for _, t := range st.tasks {
-		if t.server == s && (t.state == placed || t.state == lost) {
+		if (t.server == s && (t.state == placed || t.state == lost)) || t.reservedOn == s {
 			n++
 		}
 	}
@@ -300,7 +326,7 @@
 // score ranks the backend servers that have capacity for a task; the lowest is chosen. Faster ones come first, and
 // among equally fast ones the less loaded, so that a loss affects few tasks.
 func (d *Dispatcher) score(s *server, st *step, t *task) float64 {
-	used := float64(s.capacity.Processor-s.free().Processor) / float64(max(s.capacity.Processor, 1))
+	used := float64(s.capacity.Processor-s.freeFor(t).Processor) / float64(max(s.capacity.Processor, 1))
 	score := s.slowdown() + used/4 + failureCost*s.failureShare
 	if st.Rack != "" && !slices.Contains(s.info.Labels, st.Rack) {
 		score++
