Use backend servers that are slow from their first runs on

Cause: until 20 runs were known, a permanently slow backend server was taken as faulty when its first runs took twice as long as those of the others, and got only probes for seconds. A slow one that had become fast was never used again if all jobs of the pool were too long to be in time there by its last run times. The slack of a job with dependent steps was computed from one step instead of its longest chain, so that it was taken as late on slow backend servers where it is in time.

Change: while its speed is not known, a backend server whose runs so far are slow on average is degraded only above maxSteadySlowdown.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -62,7 +62,7 @@
 			j.steps[dependency].dependents = append(j.steps[dependency].dependents, i)
 		}
 	}
-	runTime := d.criticalPath(j)
+	runTime := d.criticalPath(b)
 	target := time.Duration(b.Stretch*float64(runTime)) + b.Target
 	j.targetStart = now.Add(target - runTime - overheadAllowance)
 	if j.targetStart.Before(now) {
@@ -88,11 +88,11 @@
 }
 
 // criticalPath predicts the run time of the longest chain of dependent steps.
-func (d *Dispatcher) criticalPath(j *job) time.Duration {
+func (d *Dispatcher) criticalPath(j batch.Job) time.Duration {
 	r := d.route(j.Route)
-	ends := make([]time.Duration, len(j.steps))
+	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
-	for i, s := range j.steps {
+	for i, s := range j.Steps {
 		var start time.Duration
 		for _, dependency := range s.After {
 			start = max(start, ends[dependency])
@@ -225,6 +225,7 @@
 
 func (d *Dispatcher) startTask(now time.Time, j *job, st *step, t *task, s *server) {
 	t.state, t.server, t.stopping = placed, s, false
+	s.lastStart = now
 	t.percent, t.progressAge, t.startedAt = 0, 0, now
 	t.attempt++
 	j.lastServer = s
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -109,6 +109,7 @@
 	logSlowdown       float64 // natural logarithm of run times relative to other backend servers
 	logSteadySlowdown float64 // the same over many more runs, which tells a slow backend server from a faulty one
 	steadyRuns        int     // observed for it
+	lastStart         time.Time
 
 	failureShare        float64 // share of recent runs that failed, counting one failure per job
 	consecutiveFailures int     // consecutive failures, each of a different job
@@ -141,7 +142,7 @@
 
 // degraded reports whether the backend server gets only probes.
 func (s *server) degraded() bool {
-	return s.excluded() || s.slowdown() > degradedFactor*s.usualSlowdown() || s.failureShare > maxFailureShare
+	return s.excluded() || s.slowdown() > s.degradedSlowdown() || s.failureShare > maxFailureShare
 }
 
 // Connect handles a new session with an agent. Runs of an earlier session may continue until the agent offers its
@@ -251,7 +252,8 @@
 		if s.degraded() && float64(degraded) <= maxDegradedShare*float64(usable) && !s.mayProbe(now, j) {
 			continue
 		}
-		if s.needsSlack() && !d.fastEnough(now, j, st, s) && d.hasFastServer(j.Pool, st.Step, t.failedOn) {
+		if s.needsSlack() && !d.fastEnough(now, j, st, s) && !s.mayMeasure(now, j) &&
+			d.hasFastServer(j.Pool, st.Step, t.failedOn) {
 			constrained = true
 			continue
 		}
--- a/core/dispatch/slow.go
+++ b/core/dispatch/slow.go
@@ -44,7 +44,18 @@
 
 // needsSlack reports whether the backend server is slow and works, so that only some jobs are in time there. A degraded
 // one gets only probes, which must not be prevented: it would never recover.
-func (s *server) needsSlack() bool { return s.slow() && !s.degraded() }
+func (s *server) needsSlack() bool {
+	return (s.slow() || s.slowdown() > degradedFactor) && !s.degraded()
+}
+
+// degradedSlowdown returns the slowdown above which the backend server is degraded. One that was slow from its first runs
+// on may be so for good. Taken as degraded, it would idle for seconds, because it would learn that from probes only.
+func (s *server) degradedSlowdown() float64 {
+	if s.steadyRuns < minSteadyRuns && s.logSteadySlowdown > math.Log(slowFactor) {
+		return maxSteadySlowdown
+	}
+	return degradedFactor * s.usualSlowdown()
+}
 
 // extraRunTime returns how much longer a task of a step is predicted to run on the backend server than on a typical one.
 func (d *Dispatcher) extraRunTime(s *server, route string, st batch.Step) time.Duration {
@@ -55,7 +66,7 @@
 // the step if it were empty. The given backend servers are left out.
 func (d *Dispatcher) hasFastServer(pool string, st batch.Step, except []*server) bool {
 	return slices.ContainsFunc(d.sortedServers, func(s *server) bool {
-		return s.usable() && s.info.Pool == pool && !s.slow() && !s.degraded() && st.Demand.Fits(s.capacity) &&
+		return s.usable() && s.info.Pool == pool && !s.needsSlack() && !s.degraded() && st.Demand.Fits(s.capacity) &&
 			(st.Label == "" || slices.Contains(s.info.Labels, st.Label)) && !slices.Contains(except, s)
 	})
 }
@@ -73,7 +84,15 @@
 
 // inTimeOn reports whether a job that arrives now is in time if a task of the step starts on the backend server at once.
 func (d *Dispatcher) inTimeOn(s *server, j batch.Job, st batch.Step) bool {
-	runTime := d.route(j.Route).predictRunTime(st.Estimate)
-	slack := time.Duration((j.Stretch-1)*float64(runTime)) + j.Target - overheadAllowance
+	slack := time.Duration((j.Stretch-1)*float64(d.criticalPath(j))) + j.Target - overheadAllowance
 	return d.extraRunTime(s, j.Route, st) <= slack
 }
+
+// mayMeasure reports whether a task of the job may be placed on a slow backend server on which it is not in time, because no
+// task has run there for so long that its speed may have changed. Without this, it would not be used again if all jobs of
+// the pool are too long for it.
+func (s *server) mayMeasure(now time.Time, j *job) bool {
+	idle := now.Sub(s.lastStart)
+	return len(s.runs) == 0 && idle >= maxProbeInterval &&
+		(j.late || now.Add(probeSlack).Before(j.targetStart) || idle >= 2*maxProbeInterval)
+}
