Limit the loads that entries send before the regular interval

Cause: an entry whose queue began and ended all the time sent its load to all others up to 40 times a second, four times as often as the regular loads; at 55 entries that is 2,160 messages a second from each. PassedOn also counted jobs whose forward could not be sent.

The metric Batch.PromptLoads counts them. PassedOn is counted once the forward was sent.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -495,8 +495,11 @@
 		return false
 	}
 	e.logRefusedByPeer(c, batch.Overloaded)
+	if !e.forward(c, to) {
+		return false
+	}
 	e.metrics.passedOn.Inc(1)
-	return e.forward(c, to)
+	return true
 }
 
 // WithdrawJob implements inner.BatchEntryHandler.
--- a/batchentry/crossed_message_test.go
+++ b/batchentry/crossed_message_test.go
@@ -74,11 +74,17 @@
 func (r *peerRecorder) connect(s *testSite) *inner.Peer { return r.connectAs(s, "first") }
 
 func (r *peerRecorder) connectAs(s *testSite, incarnation string) *inner.Peer {
+	s.t.Helper()
+	return r.connectWith(s, incarnation, r)
+}
+
+// connectWith connects with a handler that records here.
+func (r *peerRecorder) connectWith(s *testSite, incarnation string, handler inner.BatchEntryHandler) *inner.Peer {
 	s.t.Helper()
 	p, err := inner.Dial(s.t.Context(), s.network.Host(r.name).Dial, "entry-1:1", inner.Local{
 		Identity: inner.Identity{Role: inner.RoleEntry, Name: r.name, Incarnation: incarnation, Address: r.name + ":1"},
 		Clock:    event.NewRecorder(r.name, 1, time.Now), Metrics: metrics.NewRegistry(),
-	}, r)
+	}, handler)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -139,8 +139,7 @@
 	entryListVersion int             // version of the list of entries that is sent to agents
 	listComplete     bool            // the list has all entries that can be reached
 	sentCores        float64         // cores of usable backend servers in the load that was last sent
-	sentLoad         dispatch.Load
-	loadSentAt       time.Time // when a load was last sent to all entries
+	sentLoads        overflow.SentLoads
 	lastSession      uint64
 	lastForward      uint64                  // number of the latest forward to another entry
 	checkedAt        time.Time               // when the time limits and the callers' connections were last checked
@@ -276,7 +275,7 @@
 		}
 		e.expireWithdrawn(now)
 		e.reassignStranded(now)
-		if now.Sub(e.loadSentAt) >= loadInterval-tickInterval/2 || e.coresChanged() {
+		if _, sentAt := e.sentLoads.Latest(); now.Sub(sentAt) >= loadInterval-tickInterval/2 || e.coresChanged() {
 			e.sendLoad()
 		}
 		if now.Sub(lastExpiry) >= expiryInterval {
--- a/batchentry/measure.go
+++ b/batchentry/measure.go
@@ -22,20 +22,22 @@
 	submitted metrics.Counter
 	forwarded metrics.Counter
 	passedOn  metrics.Counter // forwarded again, or first forwarded, after a refusal as Overloaded
-	cancelled metrics.Counter
-	rejected  metrics.Counter // requests that were rejected before a job was created
-	crashes   metrics.Counter // of backend servers while tasks ran on them
-	moved     metrics.Counter // runs that were stopped because their backend server left
-	givenUp   metrics.Counter // jobs that failed or were refused because of crashes
-	waited    metrics.Histogram
-	taken     metrics.Histogram
-	queue     metrics.GaugeFloat64
-	open      metrics.Gauge
-	waiting   metrics.Gauge
-	cores     metrics.GaugeFloat64
-	free      metrics.GaugeFloat64
-	agents    metrics.Gauge
-	entries   metrics.Gauge
+	// promptLoads counts the loads to all other entries that were sent before the regular interval.
+	promptLoads metrics.Counter
+	cancelled   metrics.Counter
+	rejected    metrics.Counter // requests that were rejected before a job was created
+	crashes     metrics.Counter // of backend servers while tasks ran on them
+	moved       metrics.Counter // runs that were stopped because their backend server left
+	givenUp     metrics.Counter // jobs that failed or were refused because of crashes
+	waited      metrics.Histogram
+	taken       metrics.Histogram
+	queue       metrics.GaugeFloat64
+	open        metrics.Gauge
+	waiting     metrics.Gauge
+	cores       metrics.GaugeFloat64
+	free        metrics.GaugeFloat64
+	agents      metrics.Gauge
+	entries     metrics.Gauge
 	// The ages in milliseconds of the oldest agent report and the oldest entry load in use.
 	agentAge metrics.Gauge
 	entryAge metrics.Gauge
@@ -49,27 +51,28 @@
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
 	return entryMetrics{
-		registry:  r,
-		submitted: metrics.GetOrRegisterCounter("Batch.Submitted", r),
-		forwarded: metrics.GetOrRegisterCounter("Batch.Forwarded", r),
-		passedOn:  metrics.GetOrRegisterCounter("Batch.PassedOn", r),
-		cancelled: metrics.GetOrRegisterCounter("Batch.Cancelled", r),
-		rejected:  metrics.GetOrRegisterCounter("Batch.Rejected", r),
-		crashes:   metrics.GetOrRegisterCounter("Batch.Crashes", r),
-		moved:     metrics.GetOrRegisterCounter("Batch.Moved", r),
-		givenUp:   metrics.GetOrRegisterCounter("Batch.GivenUp", r),
-		waited:    histogram("Batch.WaitedMicroseconds"),
-		taken:     histogram("Batch.TakenMicroseconds"),
-		queue:     metrics.GetOrRegisterGaugeFloat64("Batch.QueuedCoreSeconds", r),
-		open:      metrics.GetOrRegisterGauge("Batch.Open", r),
-		waiting:   metrics.GetOrRegisterGauge("Batch.Waiting", r),
-		cores:     metrics.GetOrRegisterGaugeFloat64("Batch.Cores", r),
-		free:      metrics.GetOrRegisterGaugeFloat64("Batch.FreeCores", r),
-		agents:    metrics.GetOrRegisterGauge("Batch.Agents", r),
-		entries:   metrics.GetOrRegisterGauge("Batch.Entries", r),
-		agentAge:  metrics.GetOrRegisterGauge("Batch.OldestAgentMilliseconds", r),
-		entryAge:  metrics.GetOrRegisterGauge("Batch.OldestEntryMilliseconds", r),
-		version:   metrics.GetOrRegisterGauge("Batch.ConfigurationVersion", r),
+		registry:    r,
+		submitted:   metrics.GetOrRegisterCounter("Batch.Submitted", r),
+		forwarded:   metrics.GetOrRegisterCounter("Batch.Forwarded", r),
+		passedOn:    metrics.GetOrRegisterCounter("Batch.PassedOn", r),
+		promptLoads: metrics.GetOrRegisterCounter("Batch.PromptLoads", r),
+		cancelled:   metrics.GetOrRegisterCounter("Batch.Cancelled", r),
+		rejected:    metrics.GetOrRegisterCounter("Batch.Rejected", r),
+		crashes:     metrics.GetOrRegisterCounter("Batch.Crashes", r),
+		moved:       metrics.GetOrRegisterCounter("Batch.Moved", r),
+		givenUp:     metrics.GetOrRegisterCounter("Batch.GivenUp", r),
+		waited:      histogram("Batch.WaitedMicroseconds"),
+		taken:       histogram("Batch.TakenMicroseconds"),
+		queue:       metrics.GetOrRegisterGaugeFloat64("Batch.QueuedCoreSeconds", r),
+		open:        metrics.GetOrRegisterGauge("Batch.Open", r),
+		waiting:     metrics.GetOrRegisterGauge("Batch.Waiting", r),
+		cores:       metrics.GetOrRegisterGaugeFloat64("Batch.Cores", r),
+		free:        metrics.GetOrRegisterGaugeFloat64("Batch.FreeCores", r),
+		agents:      metrics.GetOrRegisterGauge("Batch.Agents", r),
+		entries:     metrics.GetOrRegisterGauge("Batch.Entries", r),
+		agentAge:    metrics.GetOrRegisterGauge("Batch.OldestAgentMilliseconds", r),
+		entryAge:    metrics.GetOrRegisterGauge("Batch.OldestEntryMilliseconds", r),
+		version:     metrics.GetOrRegisterGauge("Batch.ConfigurationVersion", r),
 
 		evacuations: newEvacuationMetrics(r),
 	}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -18,8 +18,6 @@
 	pullTimeout = time.Second
 	// promptLoadChange is the relative change of an entry's cores after which it sends its load at the next tick.
 	promptLoadChange = 0.25
-	// minLoadInterval is the least time between two loads to the same entry, other than the first of a session.
-	minLoadInterval = 25 * time.Millisecond
 )
 
 func (e *Entry) load() inner.EntryLoad {
@@ -71,31 +69,39 @@
 	return math.Abs(cores-e.sentCores) > promptLoadChange*max(cores, e.sentCores)
 }
 
-// sendLoad sends the load of this entry to the others. The jobs that it has forwarded continue there, so those of callers
-// that have left are withdrawn first.
+// sendLoad sends the load of this entry to the others.
 func (e *Entry) sendLoad() {
+	now := e.options.Now()
+	e.sentLoads = e.sentLoads.WithRegular(now, e.broadcastLoad(now))
+}
+
+// sendChangedLoad sends the load before the next interval if the other entries would choose differently by it.
+func (e *Entry) sendChangedLoad(now time.Time) {
+	if e.sentLoads.MaySendPrompt(now, e.dispatcher.Load()) {
+		e.sentLoads = e.sentLoads.WithPrompt(now, e.broadcastLoad(now))
+		e.metrics.promptLoads.Inc(1)
+	}
+}
+
+// broadcastLoad sends the load of this entry to the others and returns it. The jobs that it has forwarded continue there, so
+// those of callers that have left are withdrawn first.
+func (e *Entry) broadcastLoad(now time.Time) dispatch.Load {
 	e.dropDepartedCallers()
-	l, now := e.load(), e.options.Now()
+	l := e.load()
 	l.Evacuations = e.loadEvacuations.next(now, e.evacuations.State())
-	e.sentCores, e.sentLoad, e.loadSentAt = l.Load.Total().Cores, l.Load, now
+	e.sentCores = l.Load.Total().Cores
 	for _, x := range e.entries {
 		x.loadSentAt = now
 		e.sendToEntry(x, func(p *inner.Peer) bool { return p.Load(x.withSessionFields(l, now)) })
 	}
-}
-
-// sendChangedLoad sends the load before the next interval if the other entries would choose differently by it.
-func (e *Entry) sendChangedLoad(now time.Time) {
-	if now.Sub(e.loadSentAt) >= minLoadInterval && overflow.Differs(e.sentLoad, e.dispatcher.Load()) {
-		e.sendLoad()
-	}
+	return l.Load
 }
 
 // sendFreshLoad sends the load to an entry whose job is refused, so that it chooses again by the present load. It echoes
 // no clock reading, because callers may have left since the latest check, and an echo would let their runs continue.
 func (e *Entry) sendFreshLoad(x *entrySession) {
 	now := e.options.Now()
-	if now.Sub(x.loadSentAt) < minLoadInterval {
+	if now.Sub(x.loadSentAt) < overflow.MinLoadInterval {
 		return
 	}
 	x.loadSentAt = now
--- a/core/overflow/refusal.go
+++ b/core/overflow/refusal.go
@@ -8,13 +8,9 @@
 	"dogwoodglade/core/dispatch"
 )
 
-const (
-	// maxOffers limits how many entries a job is offered to before its caller is told that it is refused. Each offer costs
-	// two messages and a round trip, and under a general overload the last ones fail as well.
-	maxOffers = 3
-	// minWaitChange is the change of a predicted wait that other entries have to know at once.
-	minWaitChange = 2 * forwardCost
-)
+// maxOffers limits how many entries a job is offered to before its caller is told that it is refused. Each offer costs
+// two messages and a round trip, and under a general overload the last ones fail as well.
+const maxOffers = 3
 
 // Refusals are the entries that have refused a job as Overloaded. The entry that received the job from its caller keeps
 // them. It offers the job to no entry twice, so that a job cannot circulate.
@@ -53,15 +49,3 @@
 	}
 	return all.Pools[need.pool].Cores
 }
-
-// Differs reports whether a load differs so much from the one that was last reported that other entries would choose
-// differently: jobs have begun to wait in a pool or wait no more, or the predicted wait has changed much.
-func Differs(reported, current dispatch.Load) bool {
-	for name, l := range current.Pools {
-		before := reported.Pools[name]
-		if (before.Queued > 0) != (l.Queued > 0) || (before.PredictedWait()-l.PredictedWait()).Abs() > minWaitChange {
-			return true
-		}
-	}
-	return false
-}
--- a/core/overflow/refusal_test.go
+++ b/core/overflow/refusal_test.go
@@ -60,22 +60,3 @@
 		t.Errorf("passed on %d jobs, want 3", passedOn)
 	}
 }
-
-// Guards against entries that choose by a load of before a queue emptied or grew, and against a message for each run.
-func TestDiffers(t *testing.T) {
-	for _, c := range []struct {
-		name              string
-		reported, current dispatch.Load
-		want              bool
-	}{
-		{"free capacity changes", load(100, 50, 0), load(100, 20, 0), false},
-		{"the queue changes little", load(100, 0, 10), load(100, 0, 13), false},
-		{"the queue empties", load(100, 0, 1), load(100, 10, 0), true},
-		{"jobs begin to wait", load(100, 5, 0), load(100, 0, 1), true},
-		{"the queue grows much", load(100, 0, 5), load(100, 0, 11), true},
-	} {
-		if got := overflow.Differs(c.reported, c.current); got != c.want {
-			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
-		}
-	}
-}
--- a/internal/batchplay/batchplay.go
+++ b/internal/batchplay/batchplay.go
@@ -26,8 +26,6 @@
 	// agents, in ticks.
 	loadTicks   = 2
 	reportTicks = 3
-	// minLoadInterval is the least time between two loads that an entry sends.
-	minLoadInterval = 25 * time.Millisecond
 	// minProgressAge is the age of a run from which agents report its progress.
 	minProgressAge = 80 * time.Millisecond
 	// settleTime is how long a simulation continues after the last job was submitted.
@@ -93,8 +91,7 @@
 	Entry
 	dispatcher *dispatch.Dispatcher
 	peers      *overflow.Peers
-	reported   dispatch.Load // to the other entries
-	reportedAt time.Time
+	sent       overflow.SentLoads // to the other entries
 }
 
 // New returns a simulation at its start. The home of each agent is the one that home.Rank gives it.
@@ -187,15 +184,15 @@
 
 func (sim *Simulation) sendLoads() {
 	for _, e := range sim.entries {
+		e.sent = e.sent.WithRegular(sim.now, e.dispatcher.Load())
 		sim.sendLoad(e)
 	}
 }
 
 func (sim *Simulation) sendLoad(e *entry) {
-	e.reported, e.reportedAt = e.dispatcher.Load(), sim.now
+	l, _ := e.sent.Latest()
 	for _, other := range sim.entries {
 		if other != e {
-			l := e.reported
 			sim.after(sim.delay(e.DataCentre, other.DataCentre), func() { other.peers.RecordReport(sim.now, e.Name, l) })
 		}
 	}
@@ -203,7 +200,8 @@
 
 // sendChangedLoad sends the load of an entry before the next interval if the other entries would choose differently.
 func (sim *Simulation) sendChangedLoad(e *entry) {
-	if sim.now.Sub(e.reportedAt) >= minLoadInterval && overflow.Differs(e.reported, e.dispatcher.Load()) {
+	if l := e.dispatcher.Load(); e.sent.MaySendPrompt(sim.now, l) {
+		e.sent = e.sent.WithPrompt(sim.now, l)
 		sim.sendLoad(e)
 	}
 }
