--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -73,7 +73,7 @@
 			j.steps[dependency].dependents = append(j.steps[dependency].dependents, i)
 		}
 	}
-	runTime := d.criticalPath(j)
+	runTime := d.criticalPath(b)
 	target := time.Duration(b.Stretch*float64(runTime)) + b.Target
 	j.targetStart = now.Add(target - runTime - overheadAllowance)
 	if j.targetStart.Before(now) {
@@ -109,18 +109,18 @@
 }
 
 // criticalPath predicts the run time of the longest chain of dependent steps.
-func (d *Dispatcher) criticalPath(j *job) time.Duration {
+func (d *Dispatcher) criticalPath(j batch.Job) time.Duration {
 	longest, _ := d.paths(j, -1, 0)
 	return longest
 }
 
 // paths predicts the run time of the longest chain of dependent steps, and that of the longest one after a step whose run
 // time is given. No step is meant by -1.
-func (d *Dispatcher) paths(j *job, step int, runTime time.Duration) (longest, after time.Duration) {
+func (d *Dispatcher) paths(j batch.Job, step int, runTime time.Duration) (longest, after time.Duration) {
 	r := d.route(j.Route)
-	ends := make([]time.Duration, len(j.steps))
-	fromStep := make([]time.Duration, len(j.steps)) // of the chains after the step up to the end of each; -1 if there is none
-	for i, s := range j.steps {
+	ends := make([]time.Duration, len(j.Steps))
+	fromStep := make([]time.Duration, len(j.Steps)) // of the chains after the step up to the end of each; -1 if there is none
+	for i, s := range j.Steps {
 		own := r.predictRunTime(s.Estimate)
 		fromStep[i] = -1
 		if i == step {
@@ -261,6 +261,7 @@
 
 func (d *Dispatcher) startTask(now time.Time, j *job, st *step, t *task, s *server) {
 	t.state, t.server, t.stopping = placed, s, false
+	s.lastStart = now
 	t.percent, t.progressAge, t.startedAt = 0, 0, now
 	t.release()
 	t.attempt++
--- a/core/dispatch/leave.go
+++ b/core/dispatch/leave.go
@@ -154,7 +154,7 @@
 // latestUsefulStart returns when a task of a step whose run takes the given time has to start for the answer of the job to
 // be of use to its caller. The later steps take their time as well.
 func (d *Dispatcher) latestUsefulStart(j *job, step int, runTime time.Duration) time.Time {
-	longest, after := d.paths(j, step, runTime)
+	longest, after := d.paths(j.Job, step, runTime)
 	target := time.Duration(j.Stretch*float64(longest)) + j.Target
 	until := j.submittedAt.Add(lateFactor * target)
 	if j.Timeout > 0 {
