Apply parts of the overload policy by the configuration in force

Cause: displacement, the guarantees, passing on and loads before their interval applied everywhere, and no one could see which of them a deployment uses.

Change: site.Configuration.OverloadRules derives from the routes of a pool whether jobs may be displaced (routes of different priorities) and whether routes are guarded (several routes). Entries apply it with each configuration, log it with 6003 and show it as gauges, beside the entries that dispatch and the slow backend servers. An entry that is the only one that dispatches sends no loads before their interval: nobody chooses by them.

All configurations so far have three priorities in one pool, so that the decisions about refusals there do not change.

--- a/batchentry/configuration.go
+++ b/batchentry/configuration.go
@@ -187,11 +187,17 @@
 		return
 	}
 	e.config = next
+	rules := next.OverloadRules()
+	e.dispatcher.SetOverloadRules(rules)
+	displacing, guarded := countRules(rules)
+	e.metrics.displacingPools.Update(displacing)
+	e.metrics.guardedPools.Update(guarded)
 	if previous == 0 {
 		close(e.configured)
 	}
 	e.log(event.TablesAdopted).Uint64("Version", next.Version).Uint64("Previous", previous).
-		Int("Routes", len(next.Routes)).Int("Skipped", next.Skipped).Str("Peer", source).Send()
+		Int("Routes", len(next.Routes)).Int("Skipped", next.Skipped).Str("Peer", source).
+		Int64("DisplacingPools", displacing).Int64("GuardedPools", guarded).Send()
 	e.sendLoad()
 }
 
--- a/batchentry/measure.go
+++ b/batchentry/measure.go
@@ -41,6 +41,11 @@
 	entryAge metrics.Gauge
 	version  metrics.Gauge
 
+	displacingPools  metrics.Gauge // pools in which more urgent jobs may displace others
+	guardedPools     metrics.Gauge // pools in which no route may starve
+	dispatchingPeers metrics.Gauge // other entries to which refused jobs may be passed on
+	slowServers      metrics.Gauge // backend servers that are permanently slow
+
 	evacuations evacuationMetrics
 }
 
@@ -71,6 +76,11 @@
 		entryAge:  metrics.GetOrRegisterGauge("Batch.OldestEntryMilliseconds", r),
 		version:   metrics.GetOrRegisterGauge("Batch.ConfigurationVersion", r),
 
+		displacingPools:  metrics.GetOrRegisterGauge("Batch.DisplacingPools", r),
+		guardedPools:     metrics.GetOrRegisterGauge("Batch.GuardedPools", r),
+		dispatchingPeers: metrics.GetOrRegisterGauge("Batch.DispatchingPeers", r),
+		slowServers:      metrics.GetOrRegisterGauge("Batch.SlowServers", r),
+
 		evacuations: newEvacuationMetrics(r),
 	}
 }
@@ -92,6 +102,8 @@
 	m.agents.Update(int64(len(e.agents)))
 	m.entries.Update(int64(len(e.entries)))
 	m.version.Update(int64(e.config.Version))
+	m.dispatchingPeers.Update(int64(e.peers.Dispatchers()))
+	m.slowServers.Update(int64(e.dispatcher.SlowServers()))
 	m.evacuations.update(now, e.evacuations)
 	var agentAge, entryAge time.Duration
 	for _, a := range e.agents {
@@ -104,6 +116,19 @@
 	m.entryAge.Update(entryAge.Milliseconds())
 }
 
+// countRules returns in how many pools jobs may be displaced, and in how many the routes are guarded.
+func countRules(rules map[string]overload.Rules) (displacing, guarded int64) {
+	for _, r := range rules {
+		if r.Displace {
+			displacing++
+		}
+		if r.GuardRoutes {
+			guarded++
+		}
+	}
+	return displacing, guarded
+}
+
 // recordRefusal counts a refusal for overload by cause and priority.
 func (m entryMetrics) recordRefusal(cause overload.Cause, priority int) {
 	metrics.GetOrRegisterCounter(fmt.Sprintf("Batch.Refused.%s.%d", cause, priority), m.registry).Inc(1)
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -84,9 +84,10 @@
 	}
 }
 
-// sendChangedLoad sends the load before the next interval if the other entries would choose differently by it.
+// sendChangedLoad sends the load before the next interval if the other entries would choose differently by it. They have
+// no choice while this entry is the only one that dispatches.
 func (e *Entry) sendChangedLoad(now time.Time) {
-	if now.Sub(e.loadSentAt) >= minLoadInterval && overflow.Differs(e.sentLoad, e.dispatcher.Load()) {
+	if e.peers.Dispatchers() > 0 && now.Sub(e.loadSentAt) >= minLoadInterval && overflow.Differs(e.sentLoad, e.dispatcher.Load()) {
 		e.sendLoad()
 	}
 }
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -148,6 +148,7 @@
 	pools         map[string]*poolState
 	sortedPools   []*poolState // sorted by name
 	routes        map[string]*routeState
+	rules         map[string]overload.Rules // by pool; nil before the first configuration
 	crashes       crashMemory
 	evacuations   evacuation.State
 	sequence      uint64
--- a/core/dispatch/overload.go
+++ b/core/dispatch/overload.go
@@ -14,6 +14,14 @@
 	inFavourOf batch.JobID // job for which a waiting one was displaced
 }
 
+// SetOverloadRules sets which parts of the overload policy the configuration in force calls for, by pool.
+func (d *Dispatcher) SetOverloadRules(rules map[string]overload.Rules) {
+	d.rules = rules
+	for _, p := range d.sortedPools {
+		p.policy.SetRules(rules[p.name])
+	}
+}
+
 // decide carries out the decision of the pool's policy about an arriving job.
 func (d *Dispatcher) decide(now time.Time, j *job, canStart bool) (batch.Reason, bool) {
 	p := d.pool(j.Pool)
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -28,6 +28,9 @@
 	p, ok := d.pools[name]
 	if !ok {
 		p = &poolState{name: name, policy: overload.New()}
+		if d.rules != nil {
+			p.policy.SetRules(d.rules[name])
+		}
 		d.pools[name] = p
 		// Sorted, so that the same events lead to the same actions.
 		d.sortedPools = append(d.sortedPools, p)
--- a/core/dispatch/slow.go
+++ b/core/dispatch/slow.go
@@ -42,6 +42,17 @@
 		s.logSteadySlowdown < math.Log(maxSteadySlowdown)
 }
 
+// SlowServers returns the number of connected backend servers that are slow.
+func (d *Dispatcher) SlowServers() int {
+	n := 0
+	for _, s := range d.sortedServers {
+		if s.usable() && s.slow() {
+			n++
+		}
+	}
+	return n
+}
+
 // needsSlack reports whether the backend server is slow and works, so that only some jobs are in time there. A degraded
 // one gets only probes, which must not be prevented: it would never recover.
 func (s *server) needsSlack() bool { return s.slow() && !s.degraded() }
--- a/core/overflow/overflow.go
+++ b/core/overflow/overflow.go
@@ -78,6 +78,10 @@
 	}
 }
 
+// Dispatchers returns the number of peers that dispatch to backend servers. Without any, no job can be passed on, and no
+// entry has to choose between this one and another.
+func (p *Peers) Dispatchers() int { return len(p.names) }
+
 // demand is what a job needs.
 type demand struct {
 	pool          string
--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -70,8 +70,9 @@
 	// displaceShare is the part of its slack, the time until its target start, after which a waiting job is no longer
 	// displaced. An early refusal leaves its caller time to try again.
 	displaceShare = 0.2
-	// maxDisplaceShare is the share of refusals from which no job is displaced. In a lasting overload the queue is full of
-	// jobs that are better left to complete.
+	// maxDisplaceShare is the share of refusals, before the weights of priority and size, from which no job is displaced.
+	// When half of the arriving jobs are refused, most of those that wait were chosen already: displacing them exchanges
+	// one refusal for another, and its caller is told later.
 	maxDisplaceShare = 0.5
 	// minWait and maxWait are the predicted waits between which the share of the arriving work that is refused rises
 	// from 0 to 1. Short jobs thus meet their short targets.
@@ -134,7 +135,7 @@
 // mayDisplace reports whether jobs may be displaced at the predicted wait. No job is less urgent than one of the least
 // urgent priority.
 func (p *Policy) mayDisplace(s schedule) bool {
-	return shedShare(s.wait()) < maxDisplaceShare && p.rank(s.arriving.Priority) < len(p.priorities)-1
+	return p.rules.Displace && shedShare(s.wait()) < maxDisplaceShare && p.rank(s.arriving.Priority) < len(p.priorities)-1
 }
 
 // findVictims returns the positions of waiting jobs that are refused in favour of the arriving one. They are less urgent,
--- a/core/overload/policy.go
+++ b/core/overload/policy.go
@@ -67,6 +67,7 @@
 
 // Policy is what a pool has learned about its routes. It is not safe for concurrent use.
 type Policy struct {
+	rules      Rules
 	routes     map[string]*route
 	priorities []int // of the routes, increasing
 	total      share
@@ -104,7 +105,10 @@
 }
 
 // New returns the policy of a pool.
-func New() *Policy { return &Policy{routes: map[string]*route{}} }
+func New() *Policy { return &Policy{rules: allRules, routes: map[string]*route{}} }
+
+// SetRules sets the rules that the configuration in force calls for.
+func (p *Policy) SetRules(r Rules) { p.rules = r }
 
 // observe counts an arriving job.
 func (p *Policy) observe(now time.Time, j Job) {
@@ -214,7 +218,7 @@
 		return false
 	}
 	served := r.total.served(now)
-	return served < ofPool*p.total.served(now) || r.sizes[r.sizeOf(j.Size)].served(now) < ofRoute*served
+	return p.rules.GuardRoutes && served < ofPool*p.total.served(now) || r.sizes[r.sizeOf(j.Size)].served(now) < ofRoute*served
 }
 
 // collect adds the share of a job that is to be refused, and reports whether the shares add up to a refusal. They are
--- a/core/site/site_test.go
+++ b/core/site/site_test.go
@@ -1,8 +1,10 @@
 package site_test
 
 import (
+	"maps"
 	"testing"
 
+	"dogwoodglade/core/overload"
 	"dogwoodglade/core/route"
 	"dogwoodglade/core/site"
 )
@@ -44,3 +46,22 @@
 		}
 	}
 }
+
+// Guards against parts of the overload policy that apply to a pool because of routes of other pools, of routes that serve
+// no jobs, or of priorities that are not told apart.
+func TestOverloadRules(t *testing.T) {
+	withPriority := func(name, pool string, priority int, unsupported string) site.Route {
+		return site.Route{Route: route.New(name, pool), Priority: priority, UnsupportedFeature: unsupported}
+	}
+	c := site.Configuration{Routes: []site.Route{
+		withPriority("a", "shared", 0, ""), withPriority("b", "shared", 2, ""),
+		withPriority("c", "single", 1, ""), withPriority("d", "single", 0, "advice"),
+		withPriority("e", "equal", 10, ""), withPriority("f", "equal", 12, ""),
+	}}
+	want := map[string]overload.Rules{
+		"shared": {Displace: true, GuardRoutes: true}, "single": {}, "equal": {GuardRoutes: true},
+	}
+	if got := c.OverloadRules(); !maps.Equal(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
