--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -75,9 +75,10 @@
 	e.sentLoads = e.sentLoads.WithRegular(now, e.broadcastLoad(now))
 }
 
-// sendChangedLoad sends the load before the next interval if the other entries would choose differently by it.
+// sendChangedLoad sends the load before the next interval if the other entries would choose differently by it. They have
+// no choice while this entry is the only one that dispatches.
 func (e *Entry) sendChangedLoad(now time.Time) {
-	if e.sentLoads.MaySendPrompt(now, e.dispatcher.Load()) {
+	if e.peers.Dispatchers() > 0 && e.sentLoads.MaySendPrompt(now, e.dispatcher.Load()) {
 		e.sentLoads = e.sentLoads.WithPrompt(now, e.broadcastLoad(now))
 		e.metrics.promptLoads.Inc(1)
 	}
