Forward no jobs to an entry that has missed two loads

Cause: an entry that loses power was chosen for forwards until its latest load was 500 ms old. The origin then answers the jobs as Unknown, and short ones cannot be submitted again in time.

Change: a load counts for 250 ms. Loads are sent every 100 ms.

--- a/core/overflow/overflow.go
+++ b/core/overflow/overflow.go
@@ -27,8 +27,9 @@
 	// degradedWait is added to the predicted wait at an entry whose backend servers are all degraded and get only
 	// probes. A job is better off in the queue of another entry, and most jobs can wait that long.
 	degradedWait = 300 * time.Millisecond
-	// maxReportAge is the age beyond which a report is ignored.
-	maxReportAge = 500 * time.Millisecond
+	// maxReportAge is the age beyond which a report is ignored. Reports are sent every 100 ms. A job that is forwarded to
+	// an entry that has lost power is answered as Unknown, and its caller has lost the time until it submits it again.
+	maxReportAge = 250 * time.Millisecond
 	// queueShare is the weight, as a share of its cores, with which a peer without free capacity is drawn if nothing
 	// waits there. It falls by a factor of e for each queueScale of predicted wait. Reports are old compared with the
 	// time in which queues change: at the crest of a load, all entries together would fill the peer with the shortest
--- a/core/overflow/overflow_test.go
+++ b/core/overflow/overflow_test.go
@@ -52,6 +52,8 @@
 		{"shorter queue at a peer", load(100, 0, 30), map[string]dispatch.Load{"b": load(100, 0, 10)}, 0, "b"},
 		{"local queue, free capacity at a peer", load(100, 50, 1), map[string]dispatch.Load{"b": load(100, 50, 0)}, 0, "b"},
 		{"old report", load(100, 20, 30), map[string]dispatch.Load{"b": load(100, 100, 0)}, time.Second, ""},
+		{"two reports missed", load(100, 20, 30), map[string]dispatch.Load{"b": load(100, 100, 0)}, 300 * time.Millisecond, ""},
+		{"one report missed", load(100, 20, 30), map[string]dispatch.Load{"b": load(100, 100, 0)}, 200 * time.Millisecond, "b"},
 		{"draining peer", load(100, 20, 30), map[string]dispatch.Load{"b": draining}, 0, ""},
 		{"local entry drains", draining, map[string]dispatch.Load{"b": load(100, 0, 30)}, 0, "b"},
 		{"no local server", load(0, 0, 0), map[string]dispatch.Load{"b": load(100, 0, 30)}, 0, "b"},
