Report the free capacity of slow backend servers apart

Cause: loads counted the free capacity of permanently slow backend servers like that of others, so that entries forwarded jobs for capacity on which they would be late. A refusal whose job was passed on kept its reservation for the retry of a caller who was never refused, which delayed the retries of others.

Change: PoolLoad has the free capacity of slow backend servers in a field of its own, with the slowdown of the slowest; FreeFor counts it for the jobs that are in time there. Older entries do not read the field. The entry that passes on a job that it refused itself gives the reservation back; that of another entry that refused a forwarded job stays, as it is not told.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -312,6 +312,7 @@
 		c, ok := e.calls[action.Job]
 		open := ok && c.forwardedTo == "" && !c.held
 		if open && e.passOnOwn(c, action) {
+			e.dispatcher.ReleaseRetry(action)
 			return
 		}
 		e.logAnswer(action)
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -55,6 +55,9 @@
 	Cause         overload.Cause // why the job was refused as Overloaded on arrival, or displaced
 	Priority      int
 	InFavourOf    batch.JobID // job for which it was displaced, if it was
+
+	pool     string
+	reserved time.Duration // for the retry of its caller, if it was refused
 }
 
 // HealthChanged reports that a backend server has become degraded or has recovered.
@@ -129,7 +132,8 @@
 	resubmission   *batch.Job // the job as submitted again while its runs are being stopped
 	resubmittedAt  time.Time
 	refusal        refusalCause
-	tooLargeSince  time.Time // when a waiting job ceased to fit on any usable backend server; zero if it fits
+	reserved       time.Duration // for the retry of its caller
+	tooLargeSince  time.Time     // when a waiting job ceased to fit on any usable backend server; zero if it fits
 }
 
 // started reports whether a start request was sent that may have taken effect.
@@ -258,10 +262,14 @@
 // PoolLoad is the load of an entry in one pool.
 type PoolLoad struct {
 	Cores   float64         // cores of usable backend servers, weighted by speed and success rate
-	Free    resource.Amount // free capacity, in multiples of the typical task
+	Free    resource.Amount // free capacity, in multiples of the typical task, without that of slow backend servers
 	Largest resource.Amount // largest amount of each resource on any one backend server
 	Queued  float64         // core-seconds of waiting work
 	Healthy bool            `json:"Sound"` // whether at least one usable backend server is not degraded
+
+	FreeSlow resource.Amount `json:",omitzero"` // free capacity of slow backend servers
+	Slowdown float64         `json:",omitzero"` // of the slowest of them that has any
+	hasFast  bool            // there is a usable backend server that is neither slow nor degraded
 }
 
 // PredictedWait predicts how long a job that arrives now waits for a backend server.
@@ -273,7 +281,7 @@
 	for _, p := range l.Pools {
 		sum.Cores += p.Cores
 		sum.Queued += p.Queued
-		sum.Free = sum.Free.Plus(p.Free)
+		sum.Free = sum.Free.Plus(p.Free).Plus(p.FreeSlow)
 	}
 	return sum
 }
@@ -295,7 +303,7 @@
 			p.Healthy = true
 			// Nothing fits on a backend server that has shrunk below what is in use in any resource.
 			if free := s.free(); free.Valid() {
-				p.Free = p.Free.Plus(d.pool(s.info.Pool).usableCapacity(free))
+				p = p.withFree(s, d.pool(s.info.Pool).usableCapacity(free))
 			}
 		}
 		p.Largest.Processor = max(p.Largest.Processor, s.capacity.Processor)
@@ -303,6 +311,11 @@
 		p.Largest.Accelerators = max(p.Largest.Accelerators, s.capacity.Accelerators)
 		l.Pools[s.info.Pool] = p
 	}
+	for name, p := range l.Pools {
+		if !p.hasFast {
+			l.Pools[name] = p.withoutSlow()
+		}
+	}
 	return l
 }
 
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -215,9 +215,14 @@
 	if !p.served() {
 		wait, busy = unservedRetryAfter, unservedRetrySpread
 	}
+	j.reserved = busy
 	return batch.NotRun{Reason: reason, RetryAfter: p.retries.Reserve(now, wait, busy)}
 }
 
+// ReleaseRetry gives back what a refusal has reserved for the retry of its caller. The job goes on at another entry, so that
+// its caller is not told of the refusal.
+func (d *Dispatcher) ReleaseRetry(a Answer) { d.pool(a.pool).retries.Release(a.reserved) }
+
 // refuse ends a waiting job with the outcome NotRun.
 func (d *Dispatcher) refuse(now time.Time, j *job, reason batch.Reason) {
 	d.finish(now, j, d.notRunOutcome(now, j, reason))
@@ -361,6 +366,7 @@
 		Job: j.ID, Route: j.Route, Outcome: o, Elapsed: now.Sub(j.submittedAt),
 		PredictedWait: d.PredictedWait(j.Pool), Agent: j.decidingAgent,
 		Cause: j.refusal.cause, Priority: j.Priority, InFavourOf: j.refusal.inFavourOf,
+		pool: j.Pool, reserved: j.reserved,
 	}
 	a.Waited = a.Elapsed
 	if j.started() {
--- a/core/dispatch/slow.go
+++ b/core/dispatch/slow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/resource"
 )
 
 const (
@@ -96,3 +97,44 @@
 	return len(s.runs) == 0 && idle >= maxProbeInterval &&
 		(j.late || now.Add(probeSlack).Before(j.targetStart) || idle >= 2*maxProbeInterval)
 }
+
+// withFree returns the load with the free capacity of a backend server.
+func (l PoolLoad) withFree(s *server, free resource.Amount) PoolLoad {
+	switch {
+	case !s.needsSlack():
+		l.Free, l.hasFast = l.Free.Plus(free), true
+	case free.Processor > 0:
+		l.FreeSlow, l.Slowdown = l.FreeSlow.Plus(free), max(l.Slowdown, s.slowdown())
+	}
+	return l
+}
+
+// withoutSlow returns the load of a pool in which all backend servers are slow, so that any job may use them.
+func (l PoolLoad) withoutSlow() PoolLoad {
+	l.Free, l.FreeSlow, l.Slowdown = l.Free.Plus(l.FreeSlow), resource.Amount{}, 0
+	return l
+}
+
+// FreeFor returns the free capacity on which a job is in time: that of slow backend servers only if all its steps could run
+// on the slowest of them, by their estimates.
+func (l PoolLoad) FreeFor(j batch.Job) resource.Amount {
+	if l.Slowdown == 0 {
+		return l.Free
+	}
+	var longest, extra time.Duration
+	for _, st := range j.Steps {
+		longest = max(longest, st.Estimate)
+		extra += time.Duration(float64(st.Estimate) * (l.Slowdown - 1))
+	}
+	if slack := time.Duration((j.Stretch-1)*float64(longest)) + j.Target - overheadAllowance; extra > slack {
+		return l.Free
+	}
+	return l.Free.Plus(l.FreeSlow)
+}
+
+// Without returns the load without free capacity that a job will use, first that of fast backend servers.
+func (l PoolLoad) Without(used resource.Amount) PoolLoad {
+	fast := used.Min(l.Free)
+	l.Free, l.FreeSlow = l.Free.Minus(fast), l.FreeSlow.Minus(used.Minus(fast))
+	return l
+}
--- a/core/dispatch/speed_test.go
+++ b/core/dispatch/speed_test.go
@@ -106,3 +106,48 @@
 		t.Errorf("got a task of %d jobs of 40 after it had become fast, want 20", used)
 	}
 }
+
+// Guards against entries that forward jobs for the free capacity of backend servers on which they would be late.
+func TestLoadSeparatesSlowServers(t *testing.T) {
+	r := newSpeedRig()
+	for range 40 {
+		r.play(40*time.Millisecond, 2.4)
+	}
+	l := r.Load().Pools["pool"]
+	if l.Free.Processor != 2000 || l.FreeSlow.Processor != 1000 || l.Slowdown < 1.75 {
+		t.Errorf("got %+v, want 2 free cores, and 1 of a slow backend server", l)
+	}
+	for _, agent := range []string{"fast-1", "fast-2"} {
+		r.Disconnect(r.now, agent, r.now)
+	}
+	if l := r.Load().Pools["pool"]; l.Free.Processor != 1000 || l.FreeSlow.Processor != 0 {
+		t.Errorf("got %+v without the fast backend servers, want 1 free core", l)
+	}
+}
+
+// Guards against callers who are told to wait for the retries of others that do not come: the refused job was passed on.
+func TestReleasedRetryDoesNotDelayOthers(t *testing.T) {
+	retryAfter := func(release bool) time.Duration {
+		r := newSpeedRig()
+		long := smallJob
+		long.Steps = []batch.Step{{Count: 30, Demand: resource.Amount{Processor: 1000}, Estimate: 500 * time.Millisecond}}
+		var latest time.Duration
+		for i := range 20 {
+			long.ID = batch.JobID(time.Duration(i).String())
+			for _, a := range r.Submit(r.now, long) {
+				answer, ok := a.(dispatch.Answer)
+				if !ok {
+					continue
+				}
+				latest = answer.Outcome.(batch.NotRun).RetryAfter
+				if release {
+					r.ReleaseRetry(answer)
+				}
+			}
+		}
+		return latest
+	}
+	if kept, released := retryAfter(false), retryAfter(true); released <= 0 || released >= kept {
+		t.Errorf("got a retry after %v with releases and %v without, want less", released, kept)
+	}
+}
--- a/core/overflow/overflow.go
+++ b/core/overflow/overflow.go
@@ -80,6 +80,7 @@
 
 // demand is what a job needs.
 type demand struct {
+	job           batch.Job
 	pool          string
 	initialDemand resource.Amount // of the steps without dependencies
 	largestTask   resource.Amount // largest amount of each resource in any task
@@ -87,7 +88,7 @@
 }
 
 func demandOf(j batch.Job) demand {
-	need := demand{pool: j.Pool}
+	need := demand{job: j, pool: j.Pool}
 	for _, s := range j.Steps {
 		need.largestTask.Processor = max(need.largestTask.Processor, s.Demand.Processor)
 		need.largestTask.Memory = max(need.largestTask.Memory, s.Demand.Memory)
@@ -103,7 +104,7 @@
 // canStartNow reports whether the initial steps of a job can start at an entry without waiting.
 func canStartNow(all dispatch.Load, need demand) bool {
 	l := all.Pools[need.pool]
-	return l.Queued <= 0 && need.initialDemand.Fits(l.Free) && need.largestTask.Fits(l.Largest)
+	return l.Queued <= 0 && need.initialDemand.Fits(l.FreeFor(need.job)) && need.largestTask.Fits(l.Largest)
 }
 
 // predictWait predicts how long a job waits at an entry.
@@ -156,7 +157,7 @@
 	l := all.Pools[need.pool]
 	w := queueShare * l.Cores * math.Exp(-float64(wait)/float64(queueScale))
 	if l.Queued <= 0 {
-		w += float64(l.Free.Processor) / 1000
+		w += float64(l.FreeFor(need.job).Processor) / 1000
 	}
 	if !canStartNow(all, need) {
 		w *= partialWeight
@@ -169,7 +170,7 @@
 	if !canStartNow(all, need) {
 		return 0
 	}
-	return float64(max(all.Pools[need.pool].Free.Processor, 1)) / 1000
+	return float64(max(all.Pools[need.pool].FreeFor(need.job).Processor, 1)) / 1000
 }
 
 // draw chooses among the peers with a positive weight, other than the excepted ones, with a probability proportional to
@@ -210,7 +211,7 @@
 func (p *Peers) MarkFull(name, pool string) {
 	if x, ok := p.byName[name]; ok {
 		l := x.load.Pools[pool]
-		l.Free = resource.Amount{}
+		l.Free, l.FreeSlow = resource.Amount{}, resource.Amount{}
 		x.load.Pools[pool] = l
 	}
 }
@@ -221,7 +222,7 @@
 	all := p.byName[name].load
 	l := all.Pools[need.pool]
 	if canStartNow(all, need) {
-		l.Free = l.Free.Minus(need.initialDemand)
+		l = l.Without(need.initialDemand)
 	} else {
 		l.Queued += need.work
 	}
--- a/core/overflow/overflow_test.go
+++ b/core/overflow/overflow_test.go
@@ -128,3 +128,30 @@
 		t.Errorf("got %q after b was lost", to)
 	}
 }
+
+// Guards against jobs that are forwarded to an entry for the free capacity of slow backend servers, on which they would be
+// late, and against short ones that wait while only such capacity is free.
+func TestFreeCapacityOfSlowServers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	slow := load(100, 0, 0)
+	pool := slow.Pools["pool"]
+	pool.FreeSlow, pool.Slowdown = cores(30), 2.4
+	slow.Pools["pool"] = pool
+	for _, c := range []struct {
+		estimate time.Duration
+		want     string
+	}{{50 * time.Millisecond, "b"}, {100 * time.Millisecond, ""}} {
+		p := overflow.New()
+		p.RecordReport(now, "b", slow)
+		j := batch.Job{
+			ID: "1", Pool: "pool", Stretch: 1.6, Target: 60 * time.Millisecond,
+			Steps: []batch.Step{{Count: 8, Demand: resource.Amount{Processor: 3000}, Estimate: c.estimate}},
+		}
+		if got, _ := p.ChooseWithCapacity(now, j); got != c.want {
+			t.Errorf("estimate %v: got %q, want %q", c.estimate, got, c.want)
+		}
+		if got, _ := p.ChooseWithCapacity(now, j); got != "" {
+			t.Errorf("estimate %v: got %q for a second job, which does not fit", c.estimate, got)
+		}
+	}
+}
--- a/core/overload/retry.go
+++ b/core/overload/retry.go
@@ -30,3 +30,6 @@
 	r.next = now.Add(delay)
 	return delay
 }
+
+// Release gives back the time that Reserve reserved for a caller who was not refused in the end.
+func (r *Retries) Release(work time.Duration) { r.next = r.next.Add(-work) }
--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -24,6 +24,11 @@
 	return Amount{a.Processor - b.Processor, a.Memory - b.Memory, a.Accelerators - b.Accelerators}
 }
 
+// Min returns the smaller amount of each resource.
+func (a Amount) Min(b Amount) Amount {
+	return Amount{min(a.Processor, b.Processor), min(a.Memory, b.Memory), min(a.Accelerators, b.Accelerators)}
+}
+
 // Times returns the amount multiplied by n.
 func (a Amount) Times(n int) Amount {
 	return Amount{n * a.Processor, n * a.Memory, n * a.Accelerators}
