--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -241,6 +241,7 @@
 			delete(a.avoidUntil, name)
 			delete(a.failedDials, name)
 			delete(a.draining, name)
+			delete(a.asksReaders, name)
 		}
 	}
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -292,6 +292,7 @@
 		d.taskDone(now, j, st, t)
 		return
 	case supervise.Failed:
+		t.release() // it avoids backend servers now, or is a suspect
 		d.recordFailure(now, s, t)
 		t.failures++
 		t.failedOn = append(t.failedOn, s)
@@ -301,6 +302,7 @@
 			return
 		}
 	case supervise.Crashed:
+		t.release()
 		t.failedOn = append(t.failedOn, s)
 		if d.crashes.recent(now, t.id).total() >= maxCrashes {
 			j.decidingAgent = s.agent
