--- a/core/overflow/overflow_test.go
+++ b/core/overflow/overflow_test.go
@@ -128,3 +128,22 @@
 		t.Errorf("got %q after b was lost", to)
 	}
 }
+
+// Guards against an entry that sends its load more often although it is the only one that dispatches, and against one that
+// does not although another dispatches.
+func TestDispatchers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := overflow.New()
+	p.RecordReport(now, "b", dispatch.Load{})
+	if got := p.Dispatchers(); got != 0 {
+		t.Errorf("%d entries dispatch, want none: the only one has no backend server", got)
+	}
+	p.RecordReport(now, "b", load(100, 20, 0))
+	if got := p.Dispatchers(); got != 1 {
+		t.Errorf("%d entries dispatch, want 1", got)
+	}
+	p.Remove("b")
+	if got := p.Dispatchers(); got != 0 {
+		t.Errorf("%d entries dispatch, want none: the only one is lost", got)
+	}
+}
