Serve callers that can be in time first after a restart

Cause: after an outage, callers that lost their connection return together with those that come for the first time, three times the usual number for a second. They were queued alike, and answered so late that it was of little use to them, while others were refused. Besides, the entry that started first refused nearly all jobs by the cores of its first agent alone, and entries without agents forwarded theirs into its queue.

Change: a caller with less time left than the time-out of its route returns. Its job starts after all that can be in time, does not count in their predicted wait, waits 200 ms at most, and is refused at once if the queue is not short or if it would expire there (AlreadyLate). While backend servers arrive after a restart or an outage, decisions use the cores expected at the end of that. An entry that has just started keeps its jobs rather than forward them to a longer queue.

--- a/batchentry/call.go
+++ b/batchentry/call.go
@@ -159,7 +159,7 @@
 	// was submitted again waits here until its earlier runs have ended.
 	bound := len(c.origins) > 0 || e.dispatcher.Stopping(c.job.ID)
 	if !bound && !e.dispatcher.CanStartNow(now, c.job) && !e.dispatcher.GivenUp(now, c.job) &&
-		e.forward(c, e.peers.Choose(now, e.dispatcher.Load(), c.job)) {
+		e.forward(c, e.peers.Choose(now, e.dispatcher.LocalLoad(now), c.job)) {
 		return
 	}
 	e.dispatch(now, c)
@@ -371,7 +371,7 @@
 			continue
 		}
 		// The job goes on elsewhere for the callers of this entry, and for the entries that forwarded it.
-		to := e.peers.Choose(now, e.dispatcher.Load(), c.job)
+		to := e.peers.Choose(now, e.dispatcher.LocalLoad(now), c.job)
 		if _, isOrigin := c.origins[to]; to == "" || isOrigin || !e.dispatcher.Withdraw(id) {
 			continue
 		}
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -65,8 +65,10 @@
 	Stretch  float64       // target time from submission to answer, as a multiple of the job's run time; see Target
 	Target   time.Duration // added to Stretch times the run time
 	Timeout  time.Duration `json:"Patience"` // how long the caller waits for the answer
-	Spec     string        // passed to every task unchanged
-	Steps    []Step
+	// Returning means that the caller has submitted the job before, and lost time with that.
+	Returning bool   `json:",omitempty"`
+	Spec      string // passed to every task unchanged
+	Steps     []Step
 }
 
 // WithTimeout returns a copy of the job with the given Timeout.
--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -262,6 +262,9 @@
 	Largest resource.Amount // largest amount of each resource on any one backend server
 	Queued  float64         // core-seconds of waiting work
 	Healthy bool            `json:"Sound"` // whether at least one usable backend server is not degraded
+	// Arrival is how long until the entry is likely to have its first backend server; 0 if it has one or expects none. It is
+	// for the decisions of the entry itself.
+	Arrival time.Duration `json:"-"`
 }
 
 // PredictedWait predicts how long a job that arrives now waits for a backend server.
@@ -278,6 +281,19 @@
 	return sum
 }
 
+// LocalLoad returns the current load for the decisions of the entry itself.
+func (d *Dispatcher) LocalLoad(now time.Time) Load {
+	l := d.Load()
+	for _, p := range d.sortedPools {
+		if arrival := d.untilFirstServer(now, p); arrival > 0 {
+			pool := l.Pools[p.name]
+			pool.Arrival = arrival
+			l.Pools[p.name] = pool
+		}
+	}
+	return l
+}
+
 // Load returns the current load. It includes the pools that have backend servers or waiting jobs.
 func (d *Dispatcher) Load() Load {
 	l := Load{Pools: make(map[string]PoolLoad, len(d.pools)), Draining: d.draining}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -44,7 +44,7 @@
 func (d *Dispatcher) newJob(now time.Time, b batch.Job) *job {
 	d.sequence++
 	b.Priority = min(max(b.Priority, 0), batch.MaxPriority)
-	j := &job{Job: b, submittedAt: now, sequence: d.sequence}
+	j := &job{Job: b, submittedAt: now, sequence: d.sequence, late: b.Returning}
 	r := d.route(b.Route)
 	suspect := d.hasSuspect(now, b)
 	for i, st := range b.Steps {
@@ -211,7 +211,7 @@
 
 func (d *Dispatcher) notRunOutcome(now time.Time, j *job, reason batch.Reason) batch.Outcome {
 	p := d.pool(j.Pool)
-	wait, busy := p.wait(), min(overload.DrainTime(j.waitingWork.seconds(), p.cores), time.Second)
+	wait, busy := p.expectedWait(now), min(overload.DrainTime(j.waitingWork.seconds(), p.expectedCores(now)), time.Second)
 	if !p.served() {
 		wait, busy = unservedRetryAfter, unservedRetrySpread
 	}
@@ -411,6 +411,7 @@
 		}
 		d.endUnserved(now, p)
 		d.endTooLarge(now, p)
+		d.endHopeless(now, p)
 	}
 	for _, s := range d.sortedServers {
 		if len(s.runs) > 0 && !s.lostRunsEndBy.IsZero() && now.After(s.lostRunsEndBy) {
@@ -486,6 +487,26 @@
 	return true
 }
 
+// maxReturningWait limits how long a returning caller waits for its first start. It was admitted to a queue that was
+// shorter than that, and what is left of its time is better spent on another attempt.
+const maxReturningWait = 200 * time.Millisecond
+
+// endHopeless refuses the waiting jobs of returning callers that would probably expire, because jobs that can be in time
+// keep arriving. Their callers need not wait for that.
+func (d *Dispatcher) endHopeless(now time.Time, p *poolState) {
+	wait := p.expectedWait(now)
+	for _, j := range slices.Clone(p.queue.jobs) {
+		if !j.Returning || j.answered || j.started() {
+			continue
+		}
+		expires := p.served() && overload.ExpiresLate(wait, j.startDeadline.Sub(now))
+		if expires || now.Sub(j.submittedAt) >= maxReturningWait {
+			j.refusal = refusalCause{cause: overload.AlreadyLate}
+			d.refuse(now, j, batch.Overloaded)
+		}
+	}
+}
+
 // expireJobs ends the jobs whose answer would come too late for the caller.
 func (d *Dispatcher) expireJobs(now time.Time) {
 	var expired []*job
--- a/core/dispatch/overload.go
+++ b/core/dispatch/overload.go
@@ -18,7 +18,7 @@
 func (d *Dispatcher) decide(now time.Time, j *job, canStart bool) (batch.Reason, bool) {
 	p := d.pool(j.Pool)
 	queue := &queueView{pool: p}
-	c := overload.Capacity{Cores: p.cores, Fits: canStart}
+	c := overload.Capacity{Cores: p.expectedCores(now), Fits: canStart}
 	switch decision := p.policy.Decide(now, j.describe(), queue, c).(type) {
 	case overload.Refuse:
 		j.refusal = refusalCause{cause: decision.Cause}
@@ -43,6 +43,17 @@
 // Work implements overload.Queue.
 func (q *queueView) Work() float64 { return q.pool.queued.seconds() }
 
+// ReturningWork implements overload.Queue.
+func (q *queueView) ReturningWork() float64 {
+	var total coreTime
+	for _, j := range q.pool.queue.jobs {
+		if j.Returning && !j.answered {
+			total += j.waitingWork
+		}
+	}
+	return total.seconds()
+}
+
 // WorkAhead implements overload.Queue.
 func (q *queueView) WorkAhead(arriving overload.Job) float64 {
 	var total coreTime
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -22,6 +22,8 @@
 	policy        *overload.Policy
 	retries       overload.Retries
 	servedAt      time.Time // when this or another entry last had a usable backend server; zero if never
+	risingSince   time.Time // when its first backend server arrived after a restart or an outage; zero if never
+	arrivedAt     time.Time // when its latest backend server arrived
 }
 
 func (d *Dispatcher) pool(name string) *poolState {
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dogwoodglade/core/batch"
+	"dogwoodglade/core/overload"
 )
 
 // queue is a heap of the jobs with waiting tasks, ordered by the latest start that meets the target. Jobs that can
@@ -50,11 +51,6 @@
 	return last
 }
 
-// lateWaitFactor decides whether a job that can no longer meet its target stays in the queue: the time until its
-// startDeadline must be at least this many times the predicted wait. Under overload, jobs that are placed ahead of it
-// keep arriving.
-const lateWaitFactor = 3
-
 const (
 	// lookAhead is the number of jobs that are tried when the first ones do not fit into the free capacity. Tasks
 	// differ in size; if only the first job were tried, a tenth of the processors would be idle under overload.
@@ -103,7 +99,7 @@
 			// The job can no longer meet its target. It moves behind all jobs that can, in order of arrival, unless
 			// it would probably expire there: jobs that arrive later and can meet their targets are placed first. How
 			// long it waits is not known while the pool has no backend server.
-			if p.served() && p.wait()*lateWaitFactor > j.startDeadline.Sub(now) {
+			if p.served() && overload.ExpiresLate(p.expectedWait(now), j.startDeadline.Sub(now)) {
 				heap.Pop(&p.queue)
 				j.queued = false
 				d.refuse(now, j, batch.Overloaded)
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -206,7 +206,10 @@
 	s.capacity, s.usedByOthers = r.Server.Capacity, r.UsedByOthers
 	s.observeLeaving(now, r)
 	if changed {
+		p := d.pool(s.info.Pool)
+		before := p.cores
 		d.updatePoolCapacity()
+		d.noteArrival(now, p, before)
 	}
 	if r.Offered {
 		// An agent offers its backend server only when no run of an earlier session remains there.
--- a/core/overflow/overflow.go
+++ b/core/overflow/overflow.go
@@ -110,6 +110,9 @@
 // predictWait predicts how long a job waits at an entry.
 func predictWait(all dispatch.Load, need demand) time.Duration {
 	l := all.Pools[need.pool]
+	if l.Arrival > 0 && !all.Draining {
+		return l.Arrival
+	}
 	if all.Draining || l.Cores <= 0 || !need.largestTask.Fits(l.Largest) {
 		return overload.NoServerWait
 	}
--- a/core/overflow/overflow_test.go
+++ b/core/overflow/overflow_test.go
@@ -35,6 +35,7 @@
 	small.Pools["pool"] = dispatch.PoolLoad{Cores: 100, Free: cores(100), Largest: cores(2), Healthy: true}
 	failing := load(100, 0, 0)
 	failing.Pools["pool"] = dispatch.PoolLoad{Cores: 10, Largest: cores(32)}
+	starting := dispatch.Load{Pools: map[string]dispatch.PoolLoad{"pool": {Arrival: 150 * time.Millisecond}}}
 	for _, c := range []struct {
 		name  string
 		local dispatch.Load
@@ -62,6 +63,8 @@
 		{"all local servers fail", failing, map[string]dispatch.Load{"b": load(100, 0, 20)}, 0, "b"},
 		{"all of the peer's servers fail", load(100, 0, 20), map[string]dispatch.Load{"b": failing}, 0, ""},
 		{"all servers fail everywhere", failing, map[string]dispatch.Load{"b": failing}, 0, ""},
+		{"first local server soon, queue at a peer", starting, map[string]dispatch.Load{"b": load(32, 0, 31)}, 0, ""},
+		{"first local server soon, free capacity at a peer", starting, map[string]dispatch.Load{"b": load(32, 32, 0)}, 0, "b"},
 		{"no peers", load(0, 0, 0), nil, 0, ""},
 	} {
 		p := overflow.New()
--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -8,6 +8,10 @@
 // waiting jobs that are less urgent, if that costs callers less. Only a job without a started task that arrived a
 // moment ago is displaced; its route is then refused less.
 //
+// After an outage, the callers that could not be served return together with those that come for the first time. The
+// former are late already. They are admitted while the queue is short, and otherwise refused, so that the others are in
+// time.
+//
 // The package is pure: it is given the time, the queue and the capacity, and its caller carries the decision out.
 package overload
 
@@ -62,8 +66,10 @@
 const (
 	TooLate   Cause = "TooLate"   // the job would start after its latest start
 	NotInTime Cause = "NotInTime" // it would not start in time for its target
-	Share     Cause = "Share"     // a share of the jobs that would have to wait is refused
-	Displaced Cause = "Displaced" // it waited and gave way to a more urgent one
+	// AlreadyLate means that its caller has lost time with an earlier submission, and the queue has jobs that can be in time.
+	AlreadyLate Cause = "AlreadyLate"
+	Share       Cause = "Share"     // a share of the jobs that would have to wait is refused
+	Displaced   Cause = "Displaced" // it waited and gave way to a more urgent one
 )
 
 const (
@@ -79,10 +85,21 @@
 	maxWait = 200 * time.Millisecond
 )
 
+// lateWaitFactor is how many times the predicted wait a late job must have left until its latest start. Under overload,
+// jobs that start ahead of it keep arriving.
+const lateWaitFactor = 3
+
+// ExpiresLate reports whether a job that can no longer meet its target would probably expire in the queue, given the
+// predicted wait of the queue and the time left until the latest start of the job.
+func ExpiresLate(wait, left time.Duration) bool { return wait*lateWaitFactor > left }
+
 // Queue is the queue of a pool.
 type Queue interface {
 	// Work returns the core-seconds of all waiting jobs.
 	Work() float64
+	// ReturningWork returns the core-seconds of the waiting jobs of callers that have submitted them before. They start
+	// after all that can be in time.
+	ReturningWork() float64
 	// WorkAhead returns the core-seconds of the waiting jobs that start before an arriving one.
 	WorkAhead(j Job) float64
 	// Jobs returns the waiting jobs in the order in which they start. It is called only if one may be displaced.
@@ -96,10 +113,20 @@
 		return Admit{}
 	}
 	s := schedule{now: now, arriving: j, cores: c.Cores, work: queue.Work()}
+	if !j.Late && s.wait() > minWait {
+		s.work -= queue.ReturningWork()
+	}
 	if now.Add(s.wait()).After(j.LatestStart) {
 		p.lose(now, j)
 		return Refuse{Cause: TooLate}
 	}
+	if j.Late {
+		if s.wait() <= minWait && !ExpiresLate(s.wait(), j.LatestStart.Sub(now)) {
+			return Wait{}
+		}
+		p.lose(now, j)
+		return Refuse{Cause: AlreadyLate}
+	}
 	if s.wait() > minWait {
 		s.workAhead = queue.WorkAhead(j)
 	}
--- a/core/overload/overload_test.go
+++ b/core/overload/overload_test.go
@@ -26,6 +26,8 @@
 
 func (q sortedQueue) Work() float64 { return sumWork(q) }
 
+func (q sortedQueue) ReturningWork() float64 { return 0 }
+
 func (q sortedQueue) WorkAhead(j overload.Job) float64 { return sumWork(ahead(q, j)) }
 
 func (q sortedQueue) Jobs() []overload.Job { return q }
@@ -70,6 +72,10 @@
 	waited := job("usual", 1, now.Add(-60*time.Millisecond), 130*time.Millisecond, 0.1)
 	late := fresh
 	late.Late = true
+	returning := urgent
+	returning.Late = true
+	expiring := returning
+	expiring.LatestStart = now.Add(20 * time.Millisecond)
 	unknown := fresh
 	unknown.Route = "accepted without a decision"
 	// A job that ends the prediction that the urgent one is in time.
@@ -128,6 +134,22 @@
 			false,
 			overload.Refuse{Cause: overload.NotInTime},
 		},
+		{
+			"it returns, and the queue is short", returning, []overload.Job{fresh}, false, overload.Wait{},
+		},
+		{
+			"it returns, and the queue has jobs that can be in time", returning,
+			[]overload.Job{ahead},
+			false,
+			overload.Refuse{Cause: overload.AlreadyLate},
+		},
+		{
+			"it returns, and would expire in a short queue", expiring,
+			[]overload.Job{fresh},
+			false,
+			overload.Refuse{Cause: overload.AlreadyLate},
+		},
+		{"it returns and fits", returning, []overload.Job{ahead}, true, overload.Admit{}},
 		{
 			"its latest start comes before its turn", job("urgent", 0, now, -450*time.Millisecond, 0.1),
 			[]overload.Job{ahead},
--- a/internal/batchplay/batchplay.go
+++ b/internal/batchplay/batchplay.go
@@ -254,7 +254,7 @@
 func (sim *Simulation) assign(j *Job) {
 	e := j.entry
 	if !e.dispatcher.CanStartNow(sim.now, j.job) {
-		if to := e.peers.Choose(sim.now, e.dispatcher.Load(), j.job); to != "" {
+		if to := e.peers.Choose(sim.now, e.dispatcher.LocalLoad(sim.now), j.job); to != "" {
 			sim.forward(j, to)
 			return
 		}
