Bound the calls to the store when all processes start at once

Cause: an agent that found no entry with the first read of the directory read it again at once, because entries are up some 100 ms after the agents. All agents of a site did so together.

Change: it reads the directory again 0.5 to 1.5 s after the first read.

--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -30,7 +30,8 @@
 	forgetUnlistedAfter = 10 * time.Minute
 	// directoryTimeout limits a read of the store.
 	directoryTimeout = time.Second
-	// directoryReadInterval is the minimum time between reads of the store while no entry can be reached.
+	// directoryReadInterval is the mean time between reads of the store while no entry can be reached. It varies by half, so
+	// that the agents of a site that start at once do not go on to read at once.
 	directoryReadInterval = time.Second
 )
 
@@ -59,11 +60,11 @@
 // maintainHome keeps the agent connected to the first reachable entry in its order of preference.
 func (a *Agent) maintainHome(ctx context.Context) {
 	a.readDirectory(ctx)
-	var lastRead time.Time
+	nextRead := nextDirectoryRead()
 	for ctx.Err() == nil {
 		connected := a.connectToBestHome(ctx)
-		if !connected && time.Since(lastRead) > directoryReadInterval {
-			lastRead = time.Now()
+		if !connected && time.Now().After(nextRead) {
+			nextRead = nextDirectoryRead()
 			a.readDirectory(ctx)
 			continue
 		}
@@ -79,6 +80,11 @@
 	}
 }
 
+// nextDirectoryRead returns when the directory may be read again after a read that begins now.
+func nextDirectoryRead() time.Time {
+	return time.Now().Add(directoryReadInterval/2 + rand.N(directoryReadInterval))
+}
+
 // connectToBestHome connects to the first entry in the order of preference that responds. It keeps the current home if
 // no entry that ranks higher responds, or if that entry has been preferred only for a short time. It reports whether the
 // agent has a home.
--- a/batchentry/site_test.go
+++ b/batchentry/site_test.go
@@ -43,6 +43,7 @@
 	changed      chan struct{}
 	silenced     chan struct{} // closed when the calls in progress lose their responses
 	polls        int           // calls of WaitForChange
+	calls        atomic.Int64  // of any kind, other than reads of the evacuations by agents
 }
 
 func newFakeStore() *fakeStore {
@@ -78,6 +79,7 @@
 }
 
 func (d *fakeStore) Configuration(ctx context.Context) (site.Configuration, evacuation.State, error) {
+	d.calls.Add(1)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.unresponsive {
@@ -92,6 +94,7 @@
 func (d *fakeStore) WaitForChange(
 	ctx context.Context, after evacuation.State, wait time.Duration,
 ) (batchentry.Edits, error) {
+	d.calls.Add(1)
 	d.mu.Lock()
 	d.polls++
 	defer time.Sleep(d.delay)
@@ -164,6 +167,7 @@
 }
 
 func (d *fakeStore) Register(_ context.Context, e home.Entry) error {
+	d.calls.Add(1)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.entries = append(d.entries, e)
@@ -171,12 +175,14 @@
 }
 
 func (d *fakeStore) Entries(context.Context) ([]home.Entry, error) {
+	d.calls.Add(1)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.Clone(d.entries), d.check()
 }
 
 func (d *fakeStore) SaveServer(_ context.Context, agent string, s supervise.Server) error {
+	d.calls.Add(1)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.servers[agent] = s
@@ -184,6 +190,7 @@
 }
 
 func (d *fakeStore) Server(_ context.Context, agent string) (supervise.Server, error) {
+	d.calls.Add(1)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.servers[agent], d.check()
