--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -278,6 +278,9 @@
 	FreeSlow resource.Amount `json:",omitzero"` // free capacity of slow backend servers
 	Slowdown float64         `json:",omitzero"` // of the slowest of them that has any
 	hasFast  bool            // there is a usable backend server that is neither slow nor degraded
+	// Arrival is how long until the entry is likely to have its first backend server; 0 if it has one or expects none. It is
+	// for the decisions of the entry itself.
+	Arrival time.Duration `json:"-"`
 }
 
 // PredictedWait predicts how long a job that arrives now waits for a backend server.
@@ -294,6 +297,19 @@
 	return sum
 }
 
+// LocalLoad returns the current load for the decisions of the entry itself.
+func (d *Dispatcher) LocalLoad(now time.Time) Load {
+	l := d.Load()
+	for _, p := range d.sortedPools {
+		if arrival := d.untilFirstServer(now, p); arrival > 0 {
+			pool := l.Pools[p.name]
+			pool.Arrival = arrival
+			l.Pools[p.name] = pool
+		}
+	}
+	return l
+}
+
 // Load returns the current load. It includes the pools that have backend servers or waiting jobs.
 func (d *Dispatcher) Load() Load {
 	l := Load{Pools: make(map[string]PoolLoad, len(d.pools)), Draining: d.draining}
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -223,7 +223,10 @@
 		s.releaseAll()
 	}
 	if changed {
+		p := d.pool(s.info.Pool)
+		before := p.cores
 		d.updatePoolCapacity()
+		d.noteArrival(now, p, before)
 	}
 	if r.Offered {
 		// An agent offers its backend server only when no run of an earlier session remains there.
