Take a short wait for a return only beside callers who wait for the whole time-out

Cause: a customer whose callers all wait for less than the time-out of their route, or a time-out that a new configuration has raised, would have put their jobs last.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -56,8 +56,11 @@
 func (d *Dispatcher) newJob(now time.Time, b batch.Job) *job {
 	d.sequence++
 	b.Priority = min(max(b.Priority, 0), batch.MaxPriority)
-	j := &job{Job: b, submittedAt: now, sequence: d.sequence, large: isLarge(b), late: b.Returning}
 	r := d.route(b.Route)
+	b.Returning = r.returns(now, b)
+	j := &job{
+		Job: b, submittedAt: now, sequence: d.sequence, large: isLarge(b), late: b.Returning, last: b.Returning,
+	}
 	suspect := d.hasSuspect(now, b)
 	for i, st := range b.Steps {
 		s := &step{Step: st, unfinished: st.Count, pendingDependencies: len(st.After)}
--- a/core/dispatch/route.go
+++ b/core/dispatch/route.go
@@ -30,6 +30,9 @@
 type routeState struct {
 	runTimeRatio float64 // typical run time relative to the estimate
 	runs         int     // observed so far
+
+	firstCallerAt      time.Time // when a job last arrived whose caller has not submitted it before
+	firstCallerVersion uint64    // of the configuration, of that job
 }
 
 func (d *Dispatcher) route(name string) *routeState {
