Share the harness of the agent's tests, and test small jobs behind large ones

Cause: three tests of batchagent started an agent beside an entry with the same 25 lines each. The test of tiny tasks did not cover a small job that has to wait: it passed when large jobs without a place counted as tried.

Change: playAgent starts the agent in all three; their checks are unchanged. TestTinyTasksAreStartedInParts fills all places and checks that the small job gets the first ones that become free, behind 33 large jobs; it fails if large jobs count as tried, and if the bound is missing.

Result: go test of batchagent (3 times) and of the test passes.

--- a/batchagent/crowded_test.go
+++ b/batchagent/crowded_test.go
@@ -2,55 +2,18 @@
 
 import (
 	"context"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-	"github.com/rs/zerolog"
-
-	"dogwoodglade/batchagent"
-	"dogwoodglade/core/batch"
-	"dogwoodglade/core/event"
-	"dogwoodglade/core/resource"
 	"dogwoodglade/core/supervise"
-	"dogwoodglade/internal/memnet"
-	"dogwoodglade/io/inner"
 )
 
-// batchEntry starts many runs at once when the agent first offers its backend server.
-type batchEntry struct {
-	inner.BatchEntryHandler
-	runs    int
-	started bool
-}
-
-func (e *batchEntry) Connected(*inner.Peer)    {}
-func (e *batchEntry) Disconnected(*inner.Peer) {}
-
-func (e *batchEntry) Report(p *inner.Peer, r supervise.Report) {
-	p.KeepAlive(inner.KeepAlive{Until: r.Clock + supervise.SessionLease})
-	if !r.Offered || e.started {
-		return
-	}
-	e.started = true
-	var starts []supervise.Start
-	for i := range e.runs {
-		starts = append(starts, supervise.Start{RunID: supervise.RunID{Task: batch.TaskID{Job: "1", Index: i}, Attempt: 1}})
-	}
-	p.UpdateRuns(starts, nil)
-}
-
 // slowServer takes 30 ms for a start. Its client has eight connections, and a call waits for a free one.
 type slowServer struct {
-	silentServer
-	began       time.Time
+	listeningServer
 	connections chan struct{}
-
-	mu         sync.Mutex
-	accepted   map[batch.TaskID]int
-	unanswered int
+	unsent      int
 }
 
 func (s *slowServer) Start(ctx context.Context, c supervise.CallStart) (supervise.StartResult, time.Duration) {
@@ -59,55 +22,27 @@
 	case <-ctx.Done():
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.unanswered++
+		s.unsent++
 		return supervise.Unanswered, 0
 	}
 	time.Sleep(30 * time.Millisecond)
 	<-s.connections
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.accepted[c.Task]++
-	return supervise.Accepted, time.Since(s.began)
-}
-
-func (s *slowServer) Hold(_ context.Context, h supervise.Hold) (supervise.HoldResponse, error) {
-	time.Sleep(h.Wait)
-	return supervise.HoldResponse{Incarnation: 1, Clock: time.Since(s.began)}, nil
+	return s.listeningServer.Start(ctx, c)
 }
 
 // Guards against starts that time out before they are sent, because others are under way: they would count as carried
 // out, and each raises the token and makes the agent list the runs.
 func TestManyStartsDoNotTimeOutUnsent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := memnet.New()
-		listener, err := network.Host("entry-1").Listen("entry-1:1")
-		if err != nil {
-			t.Fatal(err)
-		}
-		e := &batchEntry{runs: 40}
-		stopEntry := inner.Serve(listener, inner.Local{
-			Identity: inner.Identity{Role: inner.RoleEntry, Name: "entry-1", Incarnation: "1", Address: "entry-1:1"},
-			Clock:    event.NewRecorder("entry-1", 1, time.Now), Metrics: metrics.NewRegistry(),
-		}, e)
-		defer stopEntry()
+		e := &startingEntry{runs: 40}
 		b := &slowServer{
-			began: time.Now().Add(-time.Minute), connections: make(chan struct{}, 8), accepted: map[batch.TaskID]int{},
+			listeningServer: listeningServer{began: time.Now().Add(-time.Minute)}, connections: make(chan struct{}, 8),
 		}
-		a, stop := batchagent.New(batchagent.Options{
-			Name: "agent-1", Seeds: []string{"entry-1:1"}, Directory: &directory{}, Server: b, Logger: zerolog.Nop(),
-			Dial: network.Host("agent-1").Dial, Now: time.Now,
-		})
-		defer stop()
-		synctest.Wait()
-		a.HandleAnnouncement(supervise.Server{
-			ID: "i-1", Pool: "p", Incarnation: 1, Sequence: 1, Capacity: resource.Amount{Processor: 4000}, Clock: time.Minute,
-		})
-		time.Sleep(2 * time.Second)
-		synctest.Wait()
+		playAgent(t, e, b, time.Now)
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		if len(b.accepted) != e.runs || b.unanswered > 0 {
-			t.Errorf("%d of %d starts arrived, %d timed out before they were sent", len(b.accepted), e.runs, b.unanswered)
+		if b.starts < e.runs || b.unsent > 0 {
+			t.Errorf("%d of %d starts arrived, %d timed out before they were sent", b.starts, e.runs, b.unsent)
 		}
 	})
 }
--- a/batchagent/freeze_test.go
+++ b/batchagent/freeze_test.go
@@ -43,10 +43,11 @@
 	c.armed = true
 }
 
-// startingEntry starts one run when the agent first offers its backend server.
+// startingEntry starts runs when the agent first offers its backend server.
 type startingEntry struct {
 	inner.BatchEntryHandler
-	clock   *freezingClock
+	clock   *freezingClock // nil if it does not freeze
+	runs    int
 	started bool
 }
 
@@ -58,8 +59,14 @@
 	if r.Offered && !e.started {
 		e.started = true
 		time.Sleep(time.Millisecond)
-		e.clock.arm()
-		p.UpdateRuns([]supervise.Start{{RunID: supervise.RunID{Task: batch.TaskID{Job: "1"}, Attempt: 1}}}, nil)
+		if e.clock != nil {
+			e.clock.arm()
+		}
+		var starts []supervise.Start
+		for i := range e.runs {
+			starts = append(starts, supervise.Start{RunID: supervise.RunID{Task: batch.TaskID{Job: "1", Index: i}, Attempt: 1}})
+		}
+		p.UpdateRuns(starts, nil)
 	}
 }
 
@@ -87,29 +94,10 @@
 // has restarted under its ID takes a lease on the earlier clock for one that lasts.
 func TestStartIsNotSentAfterFreeze(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network, clock := memnet.New(), &freezingClock{}
-		listener, err := network.Host("entry-1").Listen("entry-1:1")
-		if err != nil {
-			t.Fatal(err)
-		}
-		e := &startingEntry{clock: clock}
-		stopEntry := inner.Serve(listener, inner.Local{
-			Identity: inner.Identity{Role: inner.RoleEntry, Name: "entry-1", Incarnation: "1", Address: "entry-1:1"},
-			Clock:    event.NewRecorder("entry-1", 1, time.Now), Metrics: metrics.NewRegistry(),
-		}, e)
-		defer stopEntry()
+		clock := &freezingClock{}
+		e := &startingEntry{clock: clock, runs: 1}
 		b := &listeningServer{began: time.Now().Add(-time.Minute)}
-		a, stop := batchagent.New(batchagent.Options{
-			Name: "agent-1", Seeds: []string{"entry-1:1"}, Directory: &directory{}, Server: b, Logger: zerolog.Nop(),
-			Dial: network.Host("agent-1").Dial, Now: clock.now,
-		})
-		defer stop()
-		synctest.Wait()
-		a.HandleAnnouncement(supervise.Server{
-			ID: "i-1", Pool: "p", Incarnation: 1, Sequence: 1, Capacity: resource.Amount{Processor: 4000}, Clock: time.Minute,
-		})
-		time.Sleep(2 * time.Second)
-		synctest.Wait()
+		playAgent(t, e, b, clock.now)
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		if !e.started || b.starts > 0 {
@@ -117,3 +105,29 @@
 		}
 	})
 }
+
+// playAgent runs an agent with an entry and a backend server for 2 s.
+func playAgent(t *testing.T, e inner.BatchEntryHandler, b batchagent.Server, now func() time.Time) {
+	t.Helper()
+	network := memnet.New()
+	listener, err := network.Host("entry-1").Listen("entry-1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stopEntry := inner.Serve(listener, inner.Local{
+		Identity: inner.Identity{Role: inner.RoleEntry, Name: "entry-1", Incarnation: "1", Address: "entry-1:1"},
+		Clock:    event.NewRecorder("entry-1", 1, time.Now), Metrics: metrics.NewRegistry(),
+	}, e)
+	defer stopEntry()
+	a, stop := batchagent.New(batchagent.Options{
+		Name: "agent-1", Seeds: []string{"entry-1:1"}, Directory: &directory{}, Server: b, Logger: zerolog.Nop(),
+		Dial: network.Host("agent-1").Dial, Now: now,
+	})
+	defer stop()
+	synctest.Wait()
+	a.HandleAnnouncement(supervise.Server{
+		ID: "i-1", Pool: "p", Incarnation: 1, Sequence: 1, Capacity: resource.Amount{Processor: 4000}, Clock: time.Minute,
+	})
+	time.Sleep(2 * time.Second)
+	synctest.Wait()
+}
--- a/batchagent/stale_renewal_test.go
+++ b/batchagent/stale_renewal_test.go
@@ -7,15 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-	"github.com/rs/zerolog"
-
-	"dogwoodglade/batchagent"
-	"dogwoodglade/core/event"
-	"dogwoodglade/core/resource"
 	"dogwoodglade/core/supervise"
-	"dogwoodglade/internal/memnet"
-	"dogwoodglade/io/inner"
 )
 
 // renewedServer is a backend server that lets its agent freeze between the decision to renew the lease and the call.
@@ -82,29 +74,9 @@
 // end of a lease on the earlier clock for one that lasts.
 func TestRenewalIsNotSentAfterFreeze(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network, clock := memnet.New(), &countingClock{}
-		listener, err := network.Host("entry-1").Listen("entry-1:1")
-		if err != nil {
-			t.Fatal(err)
-		}
-		e := &startingEntry{clock: &freezingClock{}}
-		stopEntry := inner.Serve(listener, inner.Local{
-			Identity: inner.Identity{Role: inner.RoleEntry, Name: "entry-1", Incarnation: "1", Address: "entry-1:1"},
-			Clock:    event.NewRecorder("entry-1", 1, time.Now), Metrics: metrics.NewRegistry(),
-		}, e)
-		defer stopEntry()
+		clock := &countingClock{}
 		b := &renewedServer{began: time.Now().Add(-time.Minute), clock: clock}
-		a, stop := batchagent.New(batchagent.Options{
-			Name: "agent-1", Seeds: []string{"entry-1:1"}, Directory: &directory{}, Server: b, Logger: zerolog.Nop(),
-			Dial: network.Host("agent-1").Dial, Now: clock.now,
-		})
-		defer stop()
-		synctest.Wait()
-		a.HandleAnnouncement(supervise.Server{
-			ID: "i-1", Pool: "p", Incarnation: 1, Sequence: 1, Capacity: resource.Amount{Processor: 4000}, Clock: time.Minute,
-		})
-		time.Sleep(2 * time.Second)
-		synctest.Wait()
+		playAgent(t, &startingEntry{clock: &freezingClock{}, runs: 1}, b, clock.now)
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		if !b.armed || b.stale > 0 {
--- a/core/dispatch/places_test.go
+++ b/core/dispatch/places_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,19 +44,19 @@
 		t.Fatalf("%d tasks of a large job were started at once, want at most %d", len(first), maxLargeJobRuns)
 	}
 	for i := range 2 * lookAhead {
-		if got := startedRuns(d.Submit(now, tinyTasks(batch.JobID("large-"+string(rune('a'+i))), batch.MaxTasks))); len(got) > 0 {
-			t.Fatalf("%d tasks of another large job were started", len(got))
-		}
+		d.Submit(now, tinyTasks(batch.JobID(fmt.Sprint(i)), batch.MaxTasks))
 	}
-	if got := startedRuns(d.Submit(now, tinyTasks("small", 2))); len(got) != 2 {
-		t.Errorf("%d of 2 tasks of a small job were started beside large ones", len(got))
+	filler := startedRuns(d.Submit(now, tinyTasks("filler", maxRuns-len(first))))
+	if len(filler) != maxRuns-len(first) {
+		t.Fatalf("%d tasks of a job that is not large were started beside large ones", len(filler))
 	}
-	for _, id := range first {
+	d.Submit(now, tinyTasks("small", 2))
+	for _, id := range filler[:2] {
 		report.Ended = append(report.Ended, supervise.RunEnd{RunID: id, End: supervise.Done, RunTime: time.Millisecond})
 	}
-	// The tasks of the small job still hold two places.
-	if got := startedRuns(d.HandleReport(now, "agent", report)); len(got) != len(first)-2 {
-		t.Errorf("%d tasks were started after %d had ended, want %d", len(got), len(first), len(first)-2)
+	got := startedRuns(d.HandleReport(now, "agent", report))
+	if len(got) != 2 || got[0].Task.Job != "small" {
+		t.Errorf("started %v in the places of two ended runs, want the two tasks of the small job", got)
 	}
 }
 
