batchagent: Read the evacuations before the first offer after a restart

Cause: a restarted agent counted its unknown knowledge as fresh for 2.5 s, so it offered its backend server at once, also to an entry that is cut off from the store and knows no evacuation. That entry also waited 2.5 s before it asked agents to read.

Change: unknown knowledge is old. The first message of an entry that knows the state ends the wait after one round trip. An entry that knows nothing asks agents with its next keep-alive.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -135,7 +135,6 @@
 	saving          chan struct{} // holds an element during a save
 	underWay        chan struct{} // holds an element for each start and stop that is under way
 	calls           sync.WaitGroup
-	startedAt       time.Time
 
 	mu                   sync.Mutex // guards the fields below
 	supervisor           *supervise.Supervisor
@@ -177,7 +176,6 @@
 		serverKnown:     make(chan struct{}, 1),
 		saving:          make(chan struct{}, 1),
 		underWay:        make(chan struct{}, maxCalls),
-		startedAt:       options.Now(),
 		supervisor:      supervise.New(options.MaxCapacityAge),
 		peers:           map[string]*inner.Peer{},
 		known:           map[string]knownEntry{},
--- a/batchagent/evacuation.go
+++ b/batchagent/evacuation.go
@@ -89,12 +89,8 @@
 
 // evacuationsAreOld reports whether an evacuation may have been ordered too long ago to start a task without knowing it.
 func (a *Agent) evacuationsAreOld() bool {
-	now := a.options.Now()
-	age, known := a.evacuations.Age(now)
-	if !known {
-		age = now.Sub(a.startedAt)
-	}
-	return !a.stopping && age > evacuation.MaxAge
+	age, known := a.evacuations.Age(a.options.Now())
+	return !a.stopping && (!known || age > evacuation.MaxAge)
 }
 
 // awaitEvacuations learns the evacuations before the agent has a home again, as that entry may know nothing and starts
--- a/batchentry/evacuation.go
+++ b/batchentry/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -83,7 +84,7 @@
 func (e *Entry) chooseReaders(now time.Time) {
 	age, known := e.evacuations.Age(now)
 	if !known {
-		age = now.Sub(e.startedAt)
+		age = math.MaxInt64 // an evacuation may have been ordered long before this entry started
 	}
 	for _, name := range e.readers.Next(now, age, slices.Collect(maps.Keys(e.agents))) {
 		e.agents[name].readStore = true
