batchagent: Let only entries that were the home finish their jobs

Cause: an agent without a home reported Released to any entry that it had just connected to. While it still waited for the evacuations, that entry could start tasks of begun jobs on it.

Change: Released is sent only to entries that have been the home in the present session.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -151,10 +151,16 @@
 	stopping             bool
 	evacuations          evacuation.Knowledge
 	evacuationsChangedAt time.Time
+	sessions             map[string]*entrySession
 	asksReaders          map[string]bool // whether each entry asks for reads of the evacuations, by name
 	readFailed           bool            // the latest read of the evacuations failed
 }
 
+// entrySession is what the agent remembers about the present connection to an entry.
+type entrySession struct {
+	wasHome bool
+}
+
 // New starts an agent. Stop drains it; the returned function stops it immediately.
 func New(options Options) (*Agent, func()) {
 	if options.Metrics == nil {
@@ -184,6 +190,7 @@
 		draining:        map[string]string{},
 		usedAt:          map[string]time.Time{},
 		asksReaders:     map[string]bool{},
+		sessions:        map[string]*entrySession{},
 	}
 	for _, seed := range options.Seeds {
 		a.known[seed] = knownEntry{Entry: home.Entry{Name: seed, Address: seed}}
@@ -456,6 +463,7 @@
 	if p, ok := a.peers[entry]; ok {
 		delete(a.peers, entry)
 		delete(a.usedAt, entry)
+		delete(a.sessions, entry)
 		go p.Close()
 		a.triggerHomeCheck()
 	}
@@ -473,7 +481,8 @@
 	if p, ok := a.peers[entry]; ok {
 		now := a.options.Now()
 		r := a.supervisor.Report(now, entry)
-		r.Released = r.Released && now.Sub(a.usedAt[entry]) <= previousHomeLinger
+		// An entry that is about to become the home may not start tasks before awaitEvacuations has returned.
+		r.Released = r.Released && a.sessions[entry].wasHome && now.Sub(a.usedAt[entry]) <= previousHomeLinger
 		p.Report(r)
 	}
 }
--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -191,6 +191,7 @@
 	if a.supervisor.Home() != p.Name {
 		a.log(event.HomeChosen).Str("Peer", p.Name).Str("Previous", a.supervisor.Home()).Send()
 	}
+	a.sessions[p.Name].wasHome = true
 	a.changeHome(p.Name)
 	return true
 }
@@ -255,7 +256,7 @@
 	}
 	a.closePeer(p.Name)
 	delete(a.failedDials, p.Name)
-	a.peers[p.Name], a.usedAt[p.Name] = p, a.options.Now()
+	a.peers[p.Name], a.usedAt[p.Name], a.sessions[p.Name] = p, a.options.Now(), &entrySession{}
 	a.log(event.EntryConnected).Str("Peer", p.Name).Str("Incarnation", p.Incarnation).Send()
 	a.performActions(a.supervisor.Connect(a.options.Now(), p.Name))
 	p.Evacuations(a.evacuations.State(), 0) // the entry may have started while the store was away
@@ -270,6 +271,7 @@
 	}
 	delete(a.peers, p.Name)
 	delete(a.usedAt, p.Name)
+	delete(a.sessions, p.Name)
 	delete(a.asksReaders, p.Name)
 	a.log(event.EntryLost).Str("Peer", p.Name).Str("State", "Closed").Int("Running", a.supervisor.RunCount(p.Name)).Send()
 	a.performActions(a.supervisor.Disconnect(a.options.Now(), p.Name))
--- a/batchentry/old_knowledge_test.go
+++ b/batchentry/old_knowledge_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"dogwoodglade/core/batch"
 )
 
 // Guards against starts in an evacuated data centre whose agents restart and offer themselves to an entry that is cut off
@@ -37,3 +39,33 @@
 		s.checkNoStarts("a", "store reached")
 	})
 }
+
+// Guards against tasks of a begun job that an entry starts on an agent which connects to it and has not learned of the
+// evacuation of its data centre yet.
+func TestStartedJobWaitsForReadOfAgent(t *testing.T) {
+	runSiteWithDataCentres(t, 1, func(s *testSite) {
+		s.killEntry("entry-1")
+		s.turnedAway["entry-1"].Store(true)
+		s.stops["a-1"]()
+		s.stops["a-2"]()
+		s.startEntry("entry-1")
+		time.Sleep(3 * time.Second)
+		outcome := make(chan batch.Outcome)
+		go func() { outcome <- s.entries["entry-1"].Submit(s.t.Context(), newJob("begun", 100, time.Second)) }()
+		time.Sleep(500 * time.Millisecond)
+		s.turnedAway["b-1"].Store(true) // nobody tells the entry
+		s.turnedAway["b-2"].Store(true)
+		time.Sleep(2 * time.Second)
+		s.store.evacuate("a")
+		before := s.starts("a")
+		s.startAgent("a-1")
+		s.startAgent("a-2")
+		time.Sleep(time.Second)
+		if n := s.starts("a") - before; n > 0 {
+			s.t.Errorf("%d tasks were started in the evacuated data centre", n)
+		}
+		if o := <-outcome; o != (batch.Completed{}) {
+			s.t.Errorf("got %s", batch.OutcomeName(o))
+		}
+	})
+}
