batchagent: Keep the connection to the next home while the store hangs

Cause: an agent whose knowledge is old waits up to 0.7 s for the evacuations before it changes its home. The tick took the new connection for that of a previous home and closed it after 0.6 s. The agent then reported that it had no home, read the list of entries and dialled again, without end.

Change: the tick leaves the connection to the next home open, and a failed change of the home counts as having a home if the agent still has one.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -144,6 +144,7 @@
 	failedDials          map[string]int         // connection attempts since the last success, by entry
 	draining             map[string]string      // incarnations of the entries that have told this agent to choose another home, by name
 	preferred            preference
+	nextHome             string               // the entry that becomes the home once the evacuations are known; may be empty
 	spareHoldUntil       time.Time            // until then a second hold call waits for the ends of runs
 	usedAt               map[string]time.Time // when each connected entry last had runs here, or connected
 	saved                supervise.Server     // the state that this process last saved
@@ -451,7 +452,7 @@
 		if a.supervisor.RunCount(entry) > 0 {
 			a.usedAt[entry] = now
 		}
-		if home := a.supervisor.Home(); home != "" && entry != home && now.Sub(a.usedAt[entry]) > previousHomeLinger+previousHomeClose {
+		if home := a.supervisor.Home(); home != "" && entry != home && entry != a.nextHome && now.Sub(a.usedAt[entry]) > previousHomeLinger+previousHomeClose {
 			a.performActions(a.supervisor.Disconnect(now, entry))
 			a.closePeer(entry)
 		}
--- a/batchagent/evacuation.go
+++ b/batchagent/evacuation.go
@@ -95,7 +95,10 @@
 
 // awaitEvacuations learns the evacuations before the agent has a home again, as that entry may know nothing and starts
 // tasks at once. It returns when a read has failed too, because an outage of the store must not end all service.
-func (a *Agent) awaitEvacuations(ctx context.Context) {
+func (a *Agent) awaitEvacuations(ctx context.Context, p *inner.Peer) {
+	a.mu.Lock()
+	a.nextHome = p.Name
+	a.mu.Unlock()
 	for begin := time.Now(); a.hasOldEvacuations(); sleep(ctx, entryTellTime/10) {
 		if time.Since(begin) >= entryTellTime || ctx.Err() != nil {
 			a.readEvacuations(ctx)
--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -110,7 +110,7 @@
 			p.Close()
 			continue
 		}
-		a.awaitEvacuations(ctx)
+		a.awaitEvacuations(ctx, p)
 		return a.setHome(p, e)
 	}
 	return false
@@ -172,10 +172,11 @@
 }
 
 // setHome makes the entry of a new connection the home, so that it may use the backend server. It reports whether the
-// connection is still open.
+// agent has a home.
 func (a *Agent) setHome(p *inner.Peer, e home.Entry) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.nextHome = ""
 	if e.Name != p.Name {
 		// A seed is listed under its address until its name is known from a connection.
 		delete(a.known, e.Name)
@@ -186,7 +187,7 @@
 		}
 	}
 	if a.peers[p.Name] != p {
-		return false // the connection has been closed in the meantime
+		return a.supervisor.Home() != "" // the connection has been closed in the meantime
 	}
 	if a.supervisor.Home() != p.Name {
 		a.log(event.HomeChosen).Str("Peer", p.Name).Str("Previous", a.supervisor.Home()).Send()
