batchagent: Do not choose a draining entry after the wait for the store

Cause: whether an entry drains was checked before the agent waited for the evacuations. A request to choose another home that arrived during the wait was not seen again, and the draining entry became the home. Such a request also dropped the present home if it came from another entry.

Change: setHome checks it under the lock, and only the home's own request drops the home.

Measured: TestDrainingEntryDoesNotBecomeHome and TestHomeIsKeptWhileNextOneDrains fail before and pass after.

--- a/batchagent/await_evacuations_test.go
+++ b/batchagent/await_evacuations_test.go
@@ -137,3 +137,40 @@
 		}
 	})
 }
+
+// Guards against an agent that offers its backend server to an entry which has asked it to choose another one, because
+// that request arrived while the agent waited for the store.
+func TestDrainingEntryDoesNotBecomeHome(t *testing.T) {
+	runAgentWithHangingStore(t, func(_ *hangingDirectory, e1, _ *ignorantEntry) {
+		time.Sleep(100 * time.Millisecond)
+		e1.set(func() { e1.draining = true })
+		time.Sleep(10 * time.Second)
+		e1.set(func() {
+			if !e1.offeredAt.IsZero() || e1.connections < 1 {
+				t.Errorf("offered at %v, after %d connections", e1.offeredAt, e1.connections)
+			}
+		})
+	})
+}
+
+// Guards against an agent that drops its home, and with it the runs there, because another entry drains.
+func TestHomeIsKeptWhileNextOneDrains(t *testing.T) {
+	runAgentWithHangingStore(t, func(_ *hangingDirectory, e1, e2 *ignorantEntry) {
+		time.Sleep(3 * time.Second)
+		e1.set(func() {
+			e1.entries = append(e1.entries, home.Entry{Name: "entry-2", Address: "entry-2:1", Weight: 1, Region: "r"})
+		})
+		e2.set(func() { e2.draining = true })
+		time.Sleep(12 * time.Second)
+		e1.set(func() {
+			if !e1.offered || e1.connections != 1 {
+				t.Errorf("offered to the home: %t, after %d connections", e1.offered, e1.connections)
+			}
+		})
+		e2.set(func() {
+			if !e2.offeredAt.IsZero() || e2.connections == 0 {
+				t.Errorf("offered at %v, after %d connections", e2.offeredAt, e2.connections)
+			}
+		})
+	})
+}
--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -189,6 +189,11 @@
 	if a.peers[p.Name] != p {
 		return a.supervisor.Home() != "" // the connection has been closed in the meantime
 	}
+	if a.draining[p.Name] == p.Incarnation { // the entry has said so while the agent awaited the evacuations
+		a.performActions(a.supervisor.Disconnect(a.options.Now(), p.Name))
+		a.closePeer(p.Name)
+		return a.supervisor.Home() != ""
+	}
 	if a.supervisor.Home() != p.Name {
 		a.log(event.HomeChosen).Str("Peer", p.Name).Str("Previous", a.supervisor.Home()).Send()
 	}
@@ -303,7 +308,9 @@
 			a.draining[p.Name] = p.Incarnation
 			a.avoidUntil[p.Name] = a.options.Now().Add(retryDelay)
 			a.log(event.EntryLost).Str("Peer", p.Name).Str("State", "Draining").Send()
-			a.changeHome("")
+			if a.supervisor.Home() == p.Name {
+				a.changeHome("")
+			}
 			a.triggerHomeCheck()
 		}
 	}
