batchagent: Do not wait for a store that has just failed to respond

Cause: with a hanging store, each loss of a home cost 0.7 s without service, the wait for the next entry's knowledge and a read that timed out, although the last read had failed moments before.

Change: within 2 s after a read that failed there is no other one before a change of the home. The wait ends once the entry has told that its knowledge is old, or when its connection is closed. An entry that knows nothing is still awaited for 200 ms, since it may have just started.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -155,11 +155,13 @@
 	sessions             map[string]*entrySession
 	asksReaders          map[string]bool // whether each entry asks for reads of the evacuations, by name
 	readFailed           bool            // the latest read of the evacuations failed
+	readFailedAt         time.Time
 }
 
 // entrySession is what the agent remembers about the present connection to an entry.
 type entrySession struct {
 	wasHome bool
+	toldAge bool // the entry has told how old its knowledge of the evacuations is
 }
 
 // New starts an agent. Stop drains it; the returned function stops it immediately.
--- a/batchagent/await_evacuations_test.go
+++ b/batchagent/await_evacuations_test.go
@@ -174,3 +174,25 @@
 		})
 	})
 }
+
+// Guards against a second without service at each loss of a home while the store hangs, although a read has just timed
+// out.
+func TestLossOfHomeWhileStoreHangs(t *testing.T) {
+	runAgentWithHangingStore(t, func(_ *hangingDirectory, e1, _ *ignorantEntry) {
+		time.Sleep(time.Second)
+		e1.set(func() {
+			if !e1.offered {
+				t.Error("not offered after the first read had failed")
+			}
+			e1.peer.Close()
+		})
+		lost := time.Now()
+		time.Sleep(time.Second)
+		e1.set(func() {
+			if !e1.offered || e1.offeredAt.Sub(lost) > 150*time.Millisecond {
+				t.Errorf("offered after %v", e1.offeredAt.Sub(lost))
+			}
+			t.Logf("offered after %v", e1.offeredAt.Sub(lost))
+		})
+	})
+}
--- a/batchagent/evacuation.go
+++ b/batchagent/evacuation.go
@@ -24,6 +24,9 @@
 	// entryTellTime is how long an agent with old knowledge waits for that of a new home before it reads the store itself.
 	// The first message of an entry answers the agent's first report.
 	entryTellTime = 200 * time.Millisecond
+	// failedReadTime is how long after a read that failed a change of the home does not wait for another one, so that the
+	// loss of a home during an outage of the store costs little service.
+	failedReadTime = 2 * time.Second
 )
 
 // learnEvacuations processes what the store or an entry tells about the evacuations. The state was complete in the store
@@ -94,23 +97,34 @@
 }
 
 // awaitEvacuations learns the evacuations before the agent has a home again, as that entry may know nothing and starts
-// tasks at once. It returns when a read has failed too, because an outage of the store must not end all service.
+// tasks at once. It returns when a read has failed too, now or lately, because an outage of the store must not end all
+// service.
 func (a *Agent) awaitEvacuations(ctx context.Context, p *inner.Peer) {
 	a.mu.Lock()
 	a.nextHome = p.Name
 	a.mu.Unlock()
-	for begin := time.Now(); a.hasOldEvacuations(); sleep(ctx, entryTellTime/10) {
-		if time.Since(begin) >= entryTellTime || ctx.Err() != nil {
-			a.readEvacuations(ctx)
-			return
-		}
+	for begin := time.Now(); a.mayBeTold(p) && time.Since(begin) < entryTellTime && ctx.Err() == nil; {
+		sleep(ctx, entryTellTime/10)
+	}
+	if a.shouldRead(p) {
+		a.readEvacuations(ctx)
 	}
 }
 
-func (a *Agent) hasOldEvacuations() bool {
+// mayBeTold reports whether the agent's knowledge is old and the entry may still tell it about the evacuations. An entry
+// that knows nothing may have just started, and be about to read the store.
+func (a *Agent) mayBeTold(p *inner.Peer) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.evacuationsAreOld() && a.peers[p.Name] == p && !a.sessions[p.Name].toldAge
+}
+
+// shouldRead reports whether the agent's knowledge is old, the connection is open and no read has failed lately.
+func (a *Agent) shouldRead(p *inner.Peer) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.evacuationsAreOld()
+	failedLately := a.readFailed && a.options.Now().Sub(a.readFailedAt) < failedReadTime
+	return a.evacuationsAreOld() && a.peers[p.Name] == p && !failedLately
 }
 
 // readEvacuations reads the evacuations from the store, and tells the entries about a change. It reports whether that
@@ -127,7 +141,7 @@
 		if !a.readFailed && ctx.Err() == nil {
 			a.log(event.PlatformFailed).Str("State", "ReadEvacuations").Err(err).Send()
 		}
-		a.readFailed = true
+		a.readFailed, a.readFailedAt = true, a.options.Now()
 		return false
 	}
 	a.readFailed = false
--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -301,6 +301,7 @@
 	a.mu.Lock()
 	a.learnFromKeepAlive(p, k)
 	if a.peers[p.Name] == p {
+		a.sessions[p.Name].toldAge = a.sessions[p.Name].toldAge || k.StoreSeen > 0
 		a.supervisor.ExtendSession(p.Name, supervise.ClockTime(k.Until))
 		a.supervisor.LimitRuns(p.Name, k.Jobs)
 		a.performActions(a.supervisor.SetRefusingPool(p.Name, k.RefusingPool))
