evacuation: Let the data centres take turns among the agents that are asked

Cause: an entry asked its agents in the order of their names, which carry the data centre. An entry whose agents in its own data centre are cut off with it asked those one after the other first.

Change: the turns alternate between the data centres, and each agent has one turn before any has another. The number of calls stays.

--- a/batchentry/evacuation.go
+++ b/batchentry/evacuation.go
@@ -1,9 +1,7 @@
 package batchentry
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -86,7 +84,11 @@
 	if !known {
 		age = math.MaxInt64 // an evacuation may have been ordered long before this entry started
 	}
-	for _, name := range e.readers.Next(now, age, slices.Collect(maps.Keys(e.agents))) {
+	dataCentres := make(map[string]string, len(e.agents))
+	for name, a := range e.agents {
+		dataCentres[name] = a.peer.DataCentre
+	}
+	for _, name := range e.readers.Next(now, age, dataCentres) {
 		e.agents[name].readStore = true
 		e.metrics.evacuations.asked.Inc(1)
 	}
--- a/core/evacuation/readers.go
+++ b/core/evacuation/readers.go
@@ -1,6 +1,8 @@
 package evacuation
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -18,19 +20,20 @@
 )
 
 // Readers chooses the agents that read the store for an entry whose knowledge is old: the entry may be cut off from the
-// store while they are not. One that succeeded is asked again first; otherwise they take turns.
+// store while they are not. One that succeeded is asked again first; otherwise they take turns, in rounds that go through
+// the data centres, because the agents of one may be cut off together.
 type Readers struct {
 	askedAt  time.Time
-	interval time.Duration // until the next round
-	last     string        // the latest one whose turn it was
-	reader   string        // the latest one that succeeded; empty if it has been asked again since
+	interval time.Duration   // until the next round
+	asked    map[string]bool // the agents that have had their turn
+	reader   string          // the latest one that succeeded; empty if it has been asked again since
 }
 
 // Succeeded records that an agent has read the store.
 func (r *Readers) Succeeded(agent string) { r.reader, r.interval = agent, 0 }
 
-// Next returns the agents to ask now, given the age of the entry's knowledge and the names of its agents.
-func (r *Readers) Next(now time.Time, age time.Duration, agents []string) []string {
+// Next returns the agents to ask now, given the age of the entry's knowledge and the data centres of its agents by name.
+func (r *Readers) Next(now time.Time, age time.Duration, agents map[string]string) []string {
 	if age <= MaxAge {
 		r.interval = 0
 		return nil
@@ -41,19 +44,42 @@
 	r.askedAt, r.interval = now, min(max(2*r.interval, minRound), maxRound)
 	if reader := r.reader; reader != "" {
 		r.reader = ""
-		if slices.Contains(agents, reader) {
+		if _, ok := agents[reader]; ok {
 			return []string{reader}
 		}
 	}
-	agents = slices.Sorted(slices.Values(agents))
-	next, found := slices.BinarySearch(agents, r.last)
-	if found {
-		next++
+	asked := map[string]bool{}
+	var waiting, others []string
+	for _, name := range alternate(agents) {
+		if r.asked[name] {
+			asked[name] = true
+			others = append(others, name)
+		} else {
+			waiting = append(waiting, name)
+		}
+	}
+	if len(waiting) < readersPerRound {
+		asked = map[string]bool{} // those that are added begin the next turns
+	}
+	chosen := slices.Concat(waiting, others)
+	chosen = chosen[:min(readersPerRound, len(chosen))]
+	for _, name := range chosen {
+		asked[name] = true
 	}
-	var asked []string
-	for i := range min(readersPerRound, len(agents)) {
-		asked = append(asked, agents[(next+i)%len(agents)])
+	r.asked = asked
+	return chosen
+}
+
+// alternate returns the agents ordered so that the data centres take turns.
+func alternate(agents map[string]string) []string {
+	names := slices.Sorted(maps.Keys(agents))
+	turns, next := map[string]int{}, map[string]int{}
+	for _, name := range names {
+		turns[name] = next[agents[name]]
+		next[agents[name]]++
 	}
-	r.last = asked[len(asked)-1]
-	return asked
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(turns[a], turns[b]), cmp.Compare(agents[a], agents[b]))
+	})
+	return names
 }
--- a/core/evacuation/readers_test.go
+++ b/core/evacuation/readers_test.go
@@ -14,9 +14,9 @@
 	begin := time.Unix(1000, 0)
 	reads, asked := 0, map[string]bool{}
 	for e := range entries {
-		var names []string
+		names := map[string]string{}
 		for i := e; i < agents; i += entries {
-			names = append(names, fmt.Sprint("agent-", i))
+			names[fmt.Sprint("agent-", i)] = fmt.Sprint("dc-", i%5)
 		}
 		var r evacuation.Readers
 		for age := time.Duration(0); age < outage; age += 150 * time.Millisecond {
@@ -39,7 +39,7 @@
 // are asked beside it.
 func TestReaderIsKept(t *testing.T) {
 	begin := time.Unix(1000, 0)
-	names := []string{"a", "b", "c", "d", "e", "f"}
+	names := map[string]string{"a": "", "b": "", "c": "", "d": "", "e": "", "f": ""}
 	var r evacuation.Readers
 	confirmedAt, reads, oldest := begin, 0, time.Duration(0)
 	for now := begin; now.Before(begin.Add(time.Minute)); now = now.Add(150 * time.Millisecond) {
@@ -59,3 +59,40 @@
 		t.Errorf("%d reads, and the knowledge was up to %v old", reads, oldest)
 	}
 }
+
+// Guards against an entry that asks only agents of its own data centre for many seconds, which are cut off from the store
+// together with it. Their names carry the data centre.
+func TestReadersOfAllDataCentresAreAskedFirst(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	names := map[string]string{}
+	for i := range 30 {
+		names[fmt.Sprint("a-", i)] = "a"
+	}
+	for _, dataCentre := range []string{"b", "c", "d"} {
+		names[dataCentre+"-1"] = dataCentre
+		names[dataCentre+"-2"] = dataCentre
+	}
+	var r evacuation.Readers
+	asked, turns := map[string]bool{}, map[string]int{}
+	reached := time.Duration(-1)
+	for after := time.Duration(0); after < 40*time.Second; after += 150 * time.Millisecond {
+		chosen := r.Next(begin.Add(after), evacuation.MaxAge+1, names)
+		for _, name := range chosen {
+			asked[names[name]] = true
+			turns[name]++
+		}
+		if len(chosen) == 2 && len(turns) <= 6 && names[chosen[0]] == names[chosen[1]] {
+			t.Errorf("after %v both of a round are in data centre %s", after, names[chosen[0]])
+		}
+		if len(asked) == 4 && reached < 0 {
+			reached = after
+		}
+	}
+	t.Logf("all data centres were asked after %v", reached)
+	if reached < 0 || reached > time.Second {
+		t.Errorf("all data centres were asked after %v", reached)
+	}
+	if len(turns) != len(names) {
+		t.Errorf("%d of %d agents were asked", len(turns), len(names))
+	}
+}
