--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -135,7 +135,6 @@
 	saving          chan struct{} // holds an element during a save
 	underWay        chan struct{} // holds an element for each start and stop that is under way
 	calls           sync.WaitGroup
-	startedAt       time.Time
 
 	mu                   sync.Mutex // guards the fields below
 	supervisor           *supervise.Supervisor
@@ -145,6 +144,7 @@
 	failedDials          map[string]int         // connection attempts since the last success, by entry
 	draining             map[string]string      // incarnations of the entries that have told this agent to choose another home, by name
 	preferred            preference
+	nextHome             string               // the entry that becomes the home once the evacuations are known; may be empty
 	spareHoldUntil       time.Time            // until then a second hold call waits for the ends of runs
 	usedAt               map[string]time.Time // when each connected entry last had runs here, or connected
 	saved                supervise.Server     // the state that this process last saved
@@ -152,8 +152,16 @@
 	stopping             bool
 	evacuations          evacuation.Knowledge
 	evacuationsChangedAt time.Time
+	sessions             map[string]*entrySession
 	asksReaders          map[string]bool // whether each entry asks for reads of the evacuations, by name
 	readFailed           bool            // the latest read of the evacuations failed
+	readFailedAt         time.Time
+}
+
+// entrySession is what the agent remembers about the present connection to an entry.
+type entrySession struct {
+	wasHome bool
+	toldAge bool // the entry has told how old its knowledge of the evacuations is
 }
 
 // New starts an agent. Stop drains it; the returned function stops it immediately.
@@ -177,7 +185,6 @@
 		serverKnown:     make(chan struct{}, 1),
 		saving:          make(chan struct{}, 1),
 		underWay:        make(chan struct{}, maxCalls),
-		startedAt:       options.Now(),
 		supervisor:      supervise.New(options.MaxCapacityAge),
 		peers:           map[string]*inner.Peer{},
 		known:           map[string]knownEntry{},
@@ -186,6 +193,7 @@
 		draining:        map[string]string{},
 		usedAt:          map[string]time.Time{},
 		asksReaders:     map[string]bool{},
+		sessions:        map[string]*entrySession{},
 	}
 	for _, seed := range options.Seeds {
 		a.known[seed] = knownEntry{Entry: home.Entry{Name: seed, Address: seed}}
@@ -446,7 +454,7 @@
 		if a.supervisor.RunCount(entry) > 0 {
 			a.usedAt[entry] = now
 		}
-		if home := a.supervisor.Home(); home != "" && entry != home && now.Sub(a.usedAt[entry]) > previousHomeLinger+previousHomeClose {
+		if home := a.supervisor.Home(); home != "" && entry != home && entry != a.nextHome && now.Sub(a.usedAt[entry]) > previousHomeLinger+previousHomeClose {
 			a.performActions(a.supervisor.Disconnect(now, entry))
 			a.closePeer(entry)
 		}
@@ -458,6 +466,7 @@
 	if p, ok := a.peers[entry]; ok {
 		delete(a.peers, entry)
 		delete(a.usedAt, entry)
+		delete(a.sessions, entry)
 		go p.Close()
 		a.triggerHomeCheck()
 	}
@@ -475,7 +484,8 @@
 	if p, ok := a.peers[entry]; ok {
 		now := a.options.Now()
 		r := a.supervisor.Report(now, entry)
-		r.Released = r.Released && now.Sub(a.usedAt[entry]) <= previousHomeLinger
+		// An entry that is about to become the home may not start tasks before awaitEvacuations has returned.
+		r.Released = r.Released && a.sessions[entry].wasHome && now.Sub(a.usedAt[entry]) <= previousHomeLinger
 		p.Report(r)
 	}
 }
--- a/batchagent/home.go
+++ b/batchagent/home.go
@@ -116,7 +116,7 @@
 			p.Close()
 			continue
 		}
-		a.awaitEvacuations(ctx)
+		a.awaitEvacuations(ctx, p)
 		return a.setHome(p, e)
 	}
 	return false
@@ -178,10 +178,11 @@
 }
 
 // setHome makes the entry of a new connection the home, so that it may use the backend server. It reports whether the
-// connection is still open.
+// agent has a home.
 func (a *Agent) setHome(p *inner.Peer, e home.Entry) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.nextHome = ""
 	if e.Name != p.Name {
 		// A seed is listed under its address until its name is known from a connection.
 		delete(a.known, e.Name)
@@ -192,11 +193,17 @@
 		}
 	}
 	if a.peers[p.Name] != p {
-		return false // the connection has been closed in the meantime
+		return a.supervisor.Home() != "" // the connection has been closed in the meantime
+	}
+	if a.draining[p.Name] == p.Incarnation { // the entry has said so while the agent awaited the evacuations
+		a.performActions(a.supervisor.Disconnect(a.options.Now(), p.Name))
+		a.closePeer(p.Name)
+		return a.supervisor.Home() != ""
 	}
 	if a.supervisor.Home() != p.Name {
 		a.log(event.HomeChosen).Str("Peer", p.Name).Str("Previous", a.supervisor.Home()).Send()
 	}
+	a.sessions[p.Name].wasHome = true
 	a.changeHome(p.Name)
 	return true
 }
@@ -262,7 +269,7 @@
 	}
 	a.closePeer(p.Name)
 	delete(a.failedDials, p.Name)
-	a.peers[p.Name], a.usedAt[p.Name] = p, a.options.Now()
+	a.peers[p.Name], a.usedAt[p.Name], a.sessions[p.Name] = p, a.options.Now(), &entrySession{}
 	a.log(event.EntryConnected).Str("Peer", p.Name).Str("Incarnation", p.Incarnation).Send()
 	a.performActions(a.supervisor.Connect(a.options.Now(), p.Name))
 	p.Evacuations(a.evacuations.State(), 0) // the entry may have started while the store was away
@@ -277,6 +284,7 @@
 	}
 	delete(a.peers, p.Name)
 	delete(a.usedAt, p.Name)
+	delete(a.sessions, p.Name)
 	delete(a.asksReaders, p.Name)
 	a.log(event.EntryLost).Str("Peer", p.Name).Str("State", "Closed").Int("Running", a.supervisor.RunCount(p.Name)).Send()
 	a.performActions(a.supervisor.Disconnect(a.options.Now(), p.Name))
@@ -300,6 +308,7 @@
 	a.mu.Lock()
 	a.learnFromKeepAlive(p, k)
 	if a.peers[p.Name] == p {
+		a.sessions[p.Name].toldAge = a.sessions[p.Name].toldAge || k.StoreSeen > 0
 		a.supervisor.ExtendSession(p.Name, supervise.ClockTime(k.Until))
 		a.supervisor.LimitRuns(p.Name, k.Jobs)
 		a.performActions(a.supervisor.SetRefusingPool(p.Name, k.RefusingPool))
@@ -307,7 +316,9 @@
 			a.draining[p.Name] = p.Incarnation
 			a.avoidUntil[p.Name] = a.options.Now().Add(retryDelay)
 			a.log(event.EntryLost).Str("Peer", p.Name).Str("State", "Draining").Send()
-			a.changeHome("")
+			if a.supervisor.Home() == p.Name {
+				a.changeHome("")
+			}
 			a.triggerHomeCheck()
 		}
 	}
--- a/batchentry/evacuation.go
+++ b/batchentry/evacuation.go
@@ -1,8 +1,7 @@
 package batchentry
 
 import (
-	"maps"
-	"slices"
+	"math"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -83,9 +82,13 @@
 func (e *Entry) chooseReaders(now time.Time) {
 	age, known := e.evacuations.Age(now)
 	if !known {
-		age = now.Sub(e.startedAt)
+		age = math.MaxInt64 // an evacuation may have been ordered long before this entry started
 	}
-	for _, name := range e.readers.Next(now, age, slices.Collect(maps.Keys(e.agents))) {
+	dataCentres := make(map[string]string, len(e.agents))
+	for name, a := range e.agents {
+		dataCentres[name] = a.peer.DataCentre
+	}
+	for _, name := range e.readers.Next(now, age, dataCentres) {
 		e.agents[name].readStore = true
 		e.metrics.evacuations.asked.Inc(1)
 	}
