Extend leases by a suspension whatever event follows it

Cause: a suspension was added to the ends of leases only by noteTime, which ran in Tick and with responses that carry a clock. Announce, NextHold, StartRuns and failed calls read these ends before. If a backend server had left with runs under lease and the announcement of its successor was handled first after a suspension of 5 s, its runs were reported as lost with 0.6 s or more of their lease left.

Change: every event of the backend server's calls and announcements, and StartRuns, notes the time first. A restart or replacement that follows no longer discards the pause.

Result: TestLeaseOutlastsSuspensionBeforeAnnouncement failed before ("the run was given up 600ms before its lease ends") and passes.

--- a/core/supervise/clock_test.go
+++ b/core/supervise/clock_test.go
@@ -102,6 +102,33 @@
 	}
 }
 
+// Guards against runs that count as ended while they continue, because the first event after a suspension is not Tick but
+// the announcement of the successor of their backend server, which has left.
+func TestLeaseOutlastsSuspensionBeforeAnnouncement(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, call := startedRun(t, now)
+	s.StartAnswered(now, call, supervise.Accepted, time.Minute)
+	s.Leave("i-1")
+	s.Tick(now)
+	now = now.Add(5 * time.Second) // suspended
+	s.Announce(now, announcedAs("i-2", 2, 1))
+	s.Tick(now)
+	for end := now.Add(supervise.ServerLease); now.Before(end); {
+		if s.TotalRunCount() != 1 {
+			t.Fatalf("the run was given up %v before its lease ends", end.Sub(now))
+		}
+		now = now.Add(50 * time.Millisecond)
+		s.Tick(now)
+	}
+	for end := now.Add(supervise.MaxRunAfterAgentExit); now.Before(end); {
+		now = now.Add(50 * time.Millisecond)
+		s.Tick(now)
+	}
+	if server, _ := s.Server(); s.TotalRunCount() != 0 || server.ID != "i-2" {
+		t.Errorf("%d runs at %s after every lease had ended, want none at i-2", s.TotalRunCount(), server.ID)
+	}
+}
+
 // Guards against an estimate of the backend server's clock that stays ahead although responses show lower readings.
 func TestClockEstimateAheadIsCorrected(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -8,6 +8,7 @@
 
 // StartRuns starts runs for an entry, or reports them as refused.
 func (s *Supervisor) StartRuns(now time.Time, entry string, starts []Start) []Action {
+	s.noteTime(now)
 	c, ok := s.sessions[entry]
 	if !ok {
 		return nil
@@ -61,6 +62,7 @@
 
 // StartAnswered processes the result of a CallStart. The clock is the reading in the response, or zero if it had none.
 func (s *Supervisor) StartAnswered(now time.Time, c CallStart, result StartResult, clock time.Duration) []Action {
+	s.noteTime(now)
 	if clock > 0 && s.isFor(c.Server, c.incarnation) {
 		s.observeAnswer(now, c.createdAt, clock)
 	}
--- a/core/supervise/server.go
+++ b/core/supervise/server.go
@@ -20,6 +20,7 @@
 // An announcement may come from another writer. One that names another process than the one that responds is only
 // applied once the latter no longer responds in its place.
 func (s *Supervisor) Announce(now time.Time, server Server) []Action {
+	s.noteTime(now)
 	s.noteReturn(now, server)
 	same := s.known && server.ID == s.server.ID && server.Incarnation == s.server.Incarnation
 	restarted := s.known && !same && server.ID == s.server.ID && !s.isCandidate(server)
@@ -214,9 +215,10 @@
 	s.observeClock(now, reading)
 }
 
-// noteTime records that the supervisor is at work. The clock of the backend server stops while the host is suspended, and
-// the agent's does not, so only maxStep of a longer pause counts for the estimate, and leases last longer by the rest.
-// After a pause of the agent alone, the estimate is too low until the next response.
+// noteTime records that the supervisor is at work. Whatever reads the ends of leases calls it first: the event after a
+// suspension need not be Tick. The clock of the backend server stops while the host is suspended, and the agent's does
+// not, so only maxStep of a longer pause counts for the estimate, and leases last longer by the rest. After a pause of the
+// agent alone, the estimate is too low until the next response.
 func (s *Supervisor) noteTime(now time.Time) {
 	if pause := s.pause(now); pause > 0 {
 		s.pausedAt = now
@@ -277,6 +279,7 @@
 // NextHold returns the next call that renews the lease, or false if there is no backend server. After it has left, the
 // call only shows whether its successor responds. The wait is how long the response may be delayed, at most HoldWait.
 func (s *Supervisor) NextHold(now time.Time, wait time.Duration) (Hold, bool) {
+	s.noteTime(now)
 	if !s.known || (s.left && s.candidate == nil && !s.mayReturn(now)) {
 		return Hold{}, false
 	}
@@ -294,7 +297,7 @@
 		h.Renew, h.Until = true, s.grantLease(now)
 	}
 	// After a pause the estimate of the clock may be ahead by maxStep. The response corrects it by the time that it takes.
-	if !s.runsListed || s.left || s.hasOrphans(now) || s.pause(now) > 0 || s.pausedAt.After(s.answeredAt) {
+	if !s.runsListed || s.left || s.hasOrphans(now) || s.pausedAt.After(s.answeredAt) {
 		h.Wait = 0
 	}
 	return h
@@ -302,6 +305,7 @@
 
 // HoldAnswered processes the response to a call from NextHold or CallHold.
 func (s *Supervisor) HoldAnswered(now time.Time, h Hold, response HoldResponse) []Action {
+	s.noteTime(now)
 	if !s.known || h.Server != s.server.ID {
 		return nil
 	}
@@ -417,6 +421,7 @@
 
 // HoldFailed handles a call from NextHold or CallHold that got no response.
 func (s *Supervisor) HoldFailed(now time.Time, h Hold) []Action {
+	s.noteTime(now)
 	if !s.known || h.Server != s.server.ID {
 		return nil
 	}
@@ -438,6 +443,7 @@
 // HoldMisdirected handles a call to which another process responded in place of the backend server. The announcement of
 // that process follows.
 func (s *Supervisor) HoldMisdirected(now time.Time, h Hold) []Action {
+	s.noteTime(now)
 	if !s.known || h.Server != s.server.ID {
 		return nil
 	}
@@ -459,6 +465,7 @@
 
 // HoldRefused handles a call whose connection was refused because nothing listens at the address of the backend server.
 func (s *Supervisor) HoldRefused(now time.Time, h Hold) []Action {
+	s.noteTime(now)
 	if !s.known || h.Server != s.server.ID {
 		return nil
 	}
