Check that a start is still wanted when its turn comes, and grant its lease then

A start that got no place in time was repeated as late up to six times, 60 ms apart, and each repeat extended the time after which the runs of a silent backend server count as ended.

Change: when a start has a place, the agent asks the supervisor (SendStart) whether the run is registered with the same number and token and may start; the lease is granted there. A start that was not sent has the result Unsent: its repeat extends no lease before it is sent, and a start that is no longer wanted is refused. Starts are neither sent nor repeated while the backend server is silent, has left, or its process has ended.

TestManyStartsDoNotTimeOutUnsent has the same check; its set-up moved to withBatch.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -281,20 +281,34 @@
 	a.withSupervisor(func(now time.Time) []supervise.Action { return a.supervisor.StartAnswered(now, c, result, clock) })
 }
 
-// callStart makes the call that starts a run. The supervisor repeats a start that was late.
+// callStart makes the call that starts a run, if the run is still wanted when its turn comes. The supervisor repeats a start
+// that was not sent in time.
 func (a *Agent) callStart(c supervise.CallStart) (supervise.StartResult, time.Duration) {
 	done, ok := a.await(startTimeout - c.Age(a.options.Now()))
 	defer done()
-	// The process may have been frozen since the decision. A backend server that restarted under its ID meanwhile would
-	// take the end of the lease for a time on its new clock.
-	if !ok || c.Age(a.options.Now()) > startTimeout {
-		return supervise.Late, 0
+	if ok {
+		c, ok = a.sendStart(c)
+	}
+	if !ok {
+		return supervise.Unsent, 0
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	return a.options.Server.Start(ctx, c)
 }
 
+func (a *Agent) sendStart(c supervise.CallStart) (supervise.CallStart, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.options.Now()
+	// The process may have been frozen since the decision. A backend server that restarted under its ID meanwhile would
+	// take the end of the lease for a time on its new clock.
+	if a.stopping || c.Age(now) > startTimeout {
+		return c, false
+	}
+	return a.supervisor.SendStart(now, c)
+}
+
 func (a *Agent) callStop(c supervise.CallStop) (answered bool, clock time.Duration) {
 	done, ok := a.await(stopTimeout)
 	defer done()
--- a/batchagent/crowded_test.go
+++ b/batchagent/crowded_test.go
@@ -22,8 +22,9 @@
 // batchEntry starts many runs at once when the agent first offers its backend server.
 type batchEntry struct {
 	inner.BatchEntryHandler
-	runs    int
-	started bool
+	runs      int
+	stopAfter time.Duration // after which all runs are stopped; 0 if they are not
+	started   bool
 }
 
 func (e *batchEntry) Connected(*inner.Peer)    {}
@@ -40,6 +41,14 @@
 		starts = append(starts, supervise.Start{RunID: supervise.RunID{Task: batch.TaskID{Job: "1", Index: i}, Attempt: 1}})
 	}
 	p.UpdateRuns(starts, nil)
+	if e.stopAfter > 0 {
+		time.Sleep(e.stopAfter)
+		var stops []supervise.RunID
+		for _, x := range starts {
+			stops = append(stops, x.RunID)
+		}
+		p.UpdateRuns(nil, stops)
+	}
 }
 
 // slowServer takes 30 ms for a start. Its client has eight connections, and a call waits for a free one.
@@ -75,16 +84,15 @@
 	return supervise.HoldResponse{Incarnation: 1, Clock: time.Since(s.began)}, nil
 }
 
-// Guards against starts that time out before they are sent, because others are under way: they would count as carried
-// out, and each raises the token and makes the agent list the runs.
-func TestManyStartsDoNotTimeOutUnsent(t *testing.T) {
+// withBatch runs a test with an agent whose backend server is slow, 2 s after an entry has requested runs there.
+func withBatch(t *testing.T, e *batchEntry, check func(t *testing.T, b *slowServer)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.New()
 		listener, err := network.Host("entry-1").Listen("entry-1:1")
 		if err != nil {
 			t.Fatal(err)
 		}
-		e := &batchEntry{runs: 40}
 		stopEntry := inner.Serve(listener, inner.Local{
 			Identity: inner.Identity{Role: inner.RoleEntry, Name: "entry-1", Incarnation: "1", Address: "entry-1:1"},
 			Clock:    event.NewRecorder("entry-1", 1, time.Now), Metrics: metrics.NewRegistry(),
@@ -106,8 +114,26 @@
 		synctest.Wait()
 		b.mu.Lock()
 		defer b.mu.Unlock()
+		check(t, b)
+	})
+}
+
+// Guards against starts that time out before they are sent, because others are under way: they would count as carried
+// out, and each raises the token and makes the agent list the runs.
+func TestManyStartsDoNotTimeOutUnsent(t *testing.T) {
+	e := &batchEntry{runs: 40}
+	withBatch(t, e, func(t *testing.T, b *slowServer) {
 		if len(b.accepted) != e.runs || b.unanswered > 0 {
 			t.Errorf("%d of %d starts arrived, %d timed out before they were sent", len(b.accepted), e.runs, b.unanswered)
 		}
 	})
 }
+
+// Guards against starts that are sent after they have waited for others, although their runs were stopped meanwhile.
+func TestStoppedRunsAreNotStarted(t *testing.T) {
+	withBatch(t, &batchEntry{runs: 40, stopAfter: 10 * time.Millisecond}, func(t *testing.T, b *slowServer) {
+		if len(b.accepted) != 6 {
+			t.Errorf("%d starts were sent, want only the six that were under way when the runs were stopped", len(b.accepted))
+		}
+	})
+}
--- a/core/supervise/run.go
+++ b/core/supervise/run.go
@@ -46,30 +46,47 @@
 		free = free.Minus(x.Demand)
 		r := &run{Start: x, entry: entry, number: s.runNumbers[x.Task].number + 1, until: until}
 		s.runs[x.Task] = r
-		s.startRun(now, r)
+		s.startRun(now, r, s.grantLease(now))
 	}
 	return s.takeActions()
 }
 
-func (s *Supervisor) startRun(now time.Time, r *run) {
+func (s *Supervisor) startRun(now time.Time, r *run, lease time.Duration) {
 	r.state, r.token, r.cutAt = starting, s.token, time.Time{}
 	s.actions = append(s.actions, CallStart{
 		Server: s.server.ID, Task: r.Task, Number: r.number, Spec: r.Spec,
-		Until: s.grantLease(now), Token: s.token, Entry: r.entry,
+		Until: lease, Token: s.token, Entry: r.entry,
 		createdAt: now, incarnation: s.server.Incarnation, run: r,
 	})
 }
 
+// SendStart returns a call with the lease that it grants if it is sent now. It returns false if the call may not be sent,
+// because the run is no longer wanted or may no longer start.
+func (s *Supervisor) SendStart(now time.Time, c CallStart) (CallStart, bool) {
+	s.noteTime(now)
+	if !s.isPending(c) || !s.isFor(c.Server, c.incarnation) || !s.mayRestart(now, c.run) {
+		return c, false
+	}
+	c.Until = s.grantLease(now)
+	return c, true
+}
+
+// isPending reports whether a call is the latest one that starts its run, and has no result.
+func (s *Supervisor) isPending(c CallStart) bool {
+	r := c.run
+	return s.runs[r.Task] == r && r.number == c.Number && r.token == c.Token && r.state == starting
+}
+
 // StartAnswered processes the result of a CallStart. The clock is the reading in the response, or zero if it had none.
 func (s *Supervisor) StartAnswered(now time.Time, c CallStart, result StartResult, clock time.Duration) []Action {
 	s.noteTime(now)
 	if clock > 0 && s.isFor(c.Server, c.incarnation) {
 		s.observeAnswer(now, c.createdAt, clock)
 	}
-	r := c.run
-	if s.runs[r.Task] != r || r.number != c.Number || r.token != c.Token || r.state != starting {
+	if !s.isPending(c) {
 		return nil
 	}
+	r := c.run
 	switch result {
 	case Accepted:
 		s.runStarted(now, r)
@@ -82,7 +99,7 @@
 			s.raiseToken(now)
 		}
 		s.actions = append(s.actions, CallHold{Hold: s.newHold(now, 0)})
-	case Fenced, Late:
+	case Fenced, Late, Unsent:
 		s.restart(now, r, result, r.number)
 	case Outdated:
 		s.restart(now, r, result, r.number+runNumberStep)
@@ -95,13 +112,19 @@
 	return s.takeActions()
 }
 
-// restart repeats a start that was not carried out for a reason that the agent can correct. If the agent's process was
-// frozen, it may get here before Tick has ended the expired session of the request, so the session is checked again.
+// mayRestart reports whether a call that starts a run may be made, or made again. If the agent's process was frozen, it may
+// get here before Tick has ended the expired session of the request, so the session is checked again. A backend server that
+// does not respond gets no starts, as each would extend the time after which its runs count as ended.
+func (s *Supervisor) mayRestart(now time.Time, r *run) bool {
+	c, ok := s.sessions[r.entry]
+	return !r.stopping && !s.draining && !s.evacuated && !s.hasOrphans(now) && ok && c.alive(now) && s.capacityKnown(now) &&
+		!s.left && !s.processEnded && !s.silent()
+}
+
+// restart repeats a start that was not carried out for a reason that the agent can correct.
 func (s *Supervisor) restart(now time.Time, r *run, result StartResult, number int) {
 	r.restarts++
-	c, ok := s.sessions[r.entry]
-	if r.stopping || r.restarts > maxRestarts || s.draining || s.evacuated || s.hasOrphans(now) || !ok || !c.alive(now) ||
-		!s.capacityKnown(now) {
+	if r.restarts > maxRestarts || !s.mayRestart(now, r) {
 		s.endRun(now, r, Refused, result.String())
 		return
 	}
@@ -113,7 +136,11 @@
 		s.raiseToken(now)
 	}
 	r.number = number
-	s.startRun(now, r)
+	if result == Unsent {
+		s.startRun(now, r, 0) // SendStart grants the lease
+		return
+	}
+	s.startRun(now, r, s.grantLease(now))
 }
 
 func (s *Supervisor) runStarted(now time.Time, r *run) {
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -282,11 +282,12 @@
 	Unanswered               // no response; the request may still be carried out
 	Unacceptable             // the request was malformed
 	NotListening             // the connection was refused, so the request was not sent
+	Unsent                   // the agent did not make the call
 )
 
 var resultNames = [...]string{
 	"Accepted", "Fenced", "Outdated", "Late", "NoRoom", "Unhealthy", "OtherServer", "Unanswered", "Unacceptable",
-	"NotListening",
+	"NotListening", "Unsent",
 }
 
 // String returns the name of the result for logs.
