Put jobs with moved tasks before later ones again

The merge of the later turn of urgent late jobs orders late jobs by their fields last and turn, which bringForward did not reset: a late job with moved tasks stayed behind jobs that had arrived later. bringForward resets them.

--- a/core/dispatch/leave.go
+++ b/core/dispatch/leave.go
@@ -99,7 +99,7 @@
 	if !j.late {
 		return
 	}
-	j.late = false
+	j.late, j.last, j.turn = false, false, j.targetStart
 	if j.queued {
 		heap.Init(&d.pool(j.Pool).queue)
 	}
