Count stops that were not sent as neither answered nor unanswered, and bound extra hold calls

Cause: since a stop that got none of six places within 100 ms counted as unanswered and raised the token, which fenced starts under way. Each run created a stop every 50 ms, so that about 80 goroutines competed for the places. Each unanswered start added a hold call beside the two regular ones, although the client has eight connections, six of them for starts and stops, so that hold calls waited for a connection within their time-outs.

Change: a stop that was not sent is dropped without effect on the token, and the supervisor repeats it; at most one stop of a run waits. One hold call is made beside the regular ones; those that wait for it are merged, with the latest token, and renew no lease, as they could arrive later than the end of the lease allows for.

TestMergedCallToRestartedServer is new.

--- a/batchagent/agent.go
+++ b/batchagent/agent.go
@@ -139,6 +139,9 @@
 
 	mu                   sync.Mutex // guards the fields below
 	supervisor           *supervise.Supervisor
+	waitingStops         map[stopKey]bool       // stops that wait until they may be sent
+	pendingList          *supervise.Hold        // to be sent after the list that is under way
+	listUnderWay         bool                   // whether a hold call beside the regular ones is under way
 	peers                map[string]*inner.Peer // by name of the entry
 	known                map[string]knownEntry  // by name
 	avoidUntil           map[string]time.Time   // entries that are not tried before the time
@@ -156,6 +159,12 @@
 	readFailed           bool            // the latest read of the evacuations failed
 }
 
+// stopKey identifies the run that a stop is for.
+type stopKey struct {
+	task   batch.TaskID
+	number int
+}
+
 // New starts an agent. Stop drains it; the returned function stops it immediately.
 func New(options Options) (*Agent, func()) {
 	if options.Metrics == nil {
@@ -179,6 +188,7 @@
 		underWay:        make(chan struct{}, maxCalls),
 		startedAt:       options.Now(),
 		supervisor:      supervise.New(options.MaxCapacityAge),
+		waitingStops:    map[stopKey]bool{},
 		peers:           map[string]*inner.Peer{},
 		known:           map[string]knownEntry{},
 		avoidUntil:      map[string]time.Time{},
@@ -249,15 +259,51 @@
 		case supervise.CallStart:
 			a.calls.Go(func() { a.start(action) })
 		case supervise.CallStop:
-			a.calls.Go(func() { a.stop(action) })
+			// The supervisor repeats a stop until it takes effect, also while an earlier one for the run still waits.
+			if k := (stopKey{action.Task, action.Number}); !a.waitingStops[k] {
+				a.waitingStops[k] = true
+				a.calls.Go(func() { a.stop(action) })
+			}
 		case supervise.CallHold:
-			a.calls.Go(func() { a.hold(context.Background(), action.Hold) })
+			a.listRuns(action.Hold)
 		case supervise.SendReport:
 			a.report(action.Entry)
 		}
 	}
 }
 
+// listRuns makes a hold call beside the regular ones, after the one that is under way. One that waits renews no lease: it
+// could arrive later than the end of the lease allows for. The regular calls renew it.
+func (a *Agent) listRuns(h supervise.Hold) {
+	if a.listUnderWay {
+		h.Renew = false
+	}
+	if a.pendingList != nil {
+		h = a.pendingList.Merge(h)
+	}
+	a.pendingList = &h
+	if !a.listUnderWay {
+		a.listUnderWay = true
+		a.calls.Go(a.sendLists)
+	}
+}
+
+// sendLists makes the pending hold call, and those that become pending meanwhile.
+func (a *Agent) sendLists() {
+	for {
+		a.mu.Lock()
+		h := a.pendingList
+		a.pendingList = nil
+		if h == nil || a.stopping {
+			a.listUnderWay = false
+			a.mu.Unlock()
+			return
+		}
+		a.mu.Unlock()
+		a.hold(context.Background(), *h)
+	}
+}
+
 // await waits until a start or stop may be made, for the given time at most.
 func (a *Agent) await(limit time.Duration) (done func(), ok bool) {
 	timeout := time.NewTimer(limit)
@@ -309,19 +355,20 @@
 	return a.supervisor.SendStart(now, c)
 }
 
-func (a *Agent) callStop(c supervise.CallStop) (answered bool, clock time.Duration) {
+// stop makes the call that stops a run. A stop that does not get its turn in time has not been sent, so it does not count as
+// unanswered; the supervisor repeats it.
+func (a *Agent) stop(c supervise.CallStop) {
 	done, ok := a.await(stopTimeout)
 	defer done()
+	a.mu.Lock()
+	delete(a.waitingStops, stopKey{c.Task, c.Number})
+	a.mu.Unlock()
 	if !ok {
-		return false, 0
+		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	return a.options.Server.Stop(ctx, c)
-}
-
-func (a *Agent) stop(c supervise.CallStop) {
-	answered, clock := a.callStop(c)
+	answered, clock := a.options.Server.Stop(ctx, c)
 	a.metrics.stopped.Inc(1)
 	line := a.logRun(event.TaskStopped, c.Task, c.Number).Uint64("Token", c.Token).Bool("Answered", answered)
 	if c.Unrequested {
--- a/batchagent/crowded_test.go
+++ b/batchagent/crowded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -25,6 +26,8 @@
 	runs      int
 	stopAfter time.Duration // after which all runs are stopped; 0 if they are not
 	started   bool
+	// goroutines is the number of goroutines before the runs were stopped.
+	goroutines int
 }
 
 func (e *batchEntry) Connected(*inner.Peer)    {}
@@ -43,6 +46,7 @@
 	p.UpdateRuns(starts, nil)
 	if e.stopAfter > 0 {
 		time.Sleep(e.stopAfter)
+		e.goroutines = runtime.NumGoroutine()
 		var stops []supervise.RunID
 		for _, x := range starts {
 			stops = append(stops, x.RunID)
@@ -51,15 +55,19 @@
 	}
 }
 
-// slowServer takes 30 ms for a start. Its client has eight connections, and a call waits for a free one.
+// slowServer takes 30 ms for a start. At most eight starts are under way, and others wait.
 type slowServer struct {
-	silentServer
 	began       time.Time
 	connections chan struct{}
 
 	mu         sync.Mutex
 	accepted   map[batch.TaskID]int
 	unanswered int
+	stopTokens map[uint64]bool
+	hangs      bool // from its first start on
+	hung       bool
+	holds      int // that are under way
+	maxHolds   int
 }
 
 func (s *slowServer) Start(ctx context.Context, c supervise.CallStart) (supervise.StartResult, time.Duration) {
@@ -71,21 +79,51 @@
 		s.unanswered++
 		return supervise.Unanswered, 0
 	}
+	defer func() { <-s.connections }()
+	if s.hangs {
+		s.mu.Lock()
+		s.hung = true
+		s.mu.Unlock()
+		<-ctx.Done()
+		return supervise.Unanswered, 0
+	}
 	time.Sleep(30 * time.Millisecond)
-	<-s.connections
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.accepted[c.Task]++
 	return supervise.Accepted, time.Since(s.began)
 }
 
-func (s *slowServer) Hold(_ context.Context, h supervise.Hold) (supervise.HoldResponse, error) {
+// Stop takes almost as long as the agent waits for its response.
+func (s *slowServer) Stop(_ context.Context, c supervise.CallStop) (bool, time.Duration) {
+	time.Sleep(90 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopTokens[c.Token] = true
+	return true, time.Since(s.began)
+}
+
+func (s *slowServer) Hold(ctx context.Context, h supervise.Hold) (supervise.HoldResponse, error) {
+	s.mu.Lock()
+	s.holds++
+	s.maxHolds = max(s.maxHolds, s.holds)
+	hung := s.hung
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.holds--
+	}()
+	if hung {
+		<-ctx.Done()
+		return supervise.HoldResponse{}, errDown
+	}
 	time.Sleep(h.Wait)
 	return supervise.HoldResponse{Incarnation: 1, Clock: time.Since(s.began)}, nil
 }
 
 // withBatch runs a test with an agent whose backend server is slow, 2 s after an entry has requested runs there.
-func withBatch(t *testing.T, e *batchEntry, check func(t *testing.T, b *slowServer)) {
+func withBatch(t *testing.T, e *batchEntry, hangs bool, check func(t *testing.T, b *slowServer)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		network := memnet.New()
@@ -100,6 +138,7 @@
 		defer stopEntry()
 		b := &slowServer{
 			began: time.Now().Add(-time.Minute), connections: make(chan struct{}, 8), accepted: map[batch.TaskID]int{},
+			stopTokens: map[uint64]bool{}, hangs: hangs,
 		}
 		a, stop := batchagent.New(batchagent.Options{
 			Name: "agent-1", Seeds: []string{"entry-1:1"}, Directory: &directory{}, Server: b, Logger: zerolog.Nop(),
@@ -122,7 +161,7 @@
 // out, and each raises the token and makes the agent list the runs.
 func TestManyStartsDoNotTimeOutUnsent(t *testing.T) {
 	e := &batchEntry{runs: 40}
-	withBatch(t, e, func(t *testing.T, b *slowServer) {
+	withBatch(t, e, false, func(t *testing.T, b *slowServer) {
 		if len(b.accepted) != e.runs || b.unanswered > 0 {
 			t.Errorf("%d of %d starts arrived, %d timed out before they were sent", len(b.accepted), e.runs, b.unanswered)
 		}
@@ -131,9 +170,33 @@
 
 // Guards against starts that are sent after they have waited for others, although their runs were stopped meanwhile.
 func TestStoppedRunsAreNotStarted(t *testing.T) {
-	withBatch(t, &batchEntry{runs: 40, stopAfter: 10 * time.Millisecond}, func(t *testing.T, b *slowServer) {
+	withBatch(t, &batchEntry{runs: 40, stopAfter: 10 * time.Millisecond}, false, func(t *testing.T, b *slowServer) {
 		if len(b.accepted) != 6 {
 			t.Errorf("%d starts were sent, want only the six that were under way when the runs were stopped", len(b.accepted))
 		}
 	})
 }
+
+// Guards against stops that count as unanswered although they were not sent, which raises the token and fences starts, and
+// against several stops of a run that wait for each other.
+func TestWaitingStops(t *testing.T) {
+	e := &batchEntry{runs: 40, stopAfter: 500 * time.Millisecond}
+	withBatch(t, e, false, func(t *testing.T, b *slowServer) {
+		if len(b.stopTokens) != 1 {
+			t.Errorf("stops had %d tokens, want one, as none was sent without a response", len(b.stopTokens))
+		}
+		const underWay = 6
+		if n := runtime.NumGoroutine() - e.goroutines; n > e.runs+underWay {
+			t.Errorf("%d more goroutines for the stops of %d runs, of which %d are under way", n, e.runs, underWay)
+		}
+	})
+}
+
+// Guards against hold calls that time out while they wait for a connection, because starts without a response each add one.
+func TestHoldCallsFitConnections(t *testing.T) {
+	withBatch(t, &batchEntry{runs: 40}, true, func(t *testing.T, b *slowServer) {
+		if b.maxHolds > 3 {
+			t.Errorf("%d hold calls were under way at once, want at most 3", b.maxHolds)
+		}
+	})
+}
--- a/core/supervise/restarted_test.go
+++ b/core/supervise/restarted_test.go
@@ -72,3 +72,34 @@
 		}
 	}
 }
+
+// Guards against a restarted backend server that is not called again, or that is sent the end of a lease on its earlier
+// clock, because its first call was merged with the check of an unanswered start.
+func TestMergedCallToRestartedServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s, call := startedRun(t, now)
+	fence, ok := holdCall(s.Announce(now, announcedAs("i-1", 2, 1)))
+	if !ok {
+		t.Fatal("the restarted backend server was not called")
+	}
+	check, ok := holdCall(s.StartAnswered(now, call, supervise.Unanswered, 0))
+	if !ok {
+		t.Fatal("the unanswered start was not checked")
+	}
+	merged := fence.Merge(check)
+	if merged.Token != check.Token || merged.Renew {
+		t.Errorf("got %+v", merged)
+	}
+	if _, ok := holdCall(s.HoldFailed(now, merged)); !ok {
+		t.Error("the call was not repeated")
+	}
+}
+
+func holdCall(actions []supervise.Action) (h supervise.Hold, ok bool) {
+	for _, a := range actions {
+		if c, is := a.(supervise.CallHold); is {
+			return c.Hold, true
+		}
+	}
+	return h, false
+}
--- a/core/supervise/supervise.go
+++ b/core/supervise/supervise.go
@@ -244,6 +244,16 @@
 	return h
 }
 
+// Merge returns a call in place of both h and a later one, if neither has been sent. The later one lists the runs under a
+// token that is no lower. If h is the first call to a backend server that may have restarted, the result is repeated as h
+// would be, and renews no lease.
+func (h Hold) Merge(later Hold) Hold {
+	if h.Server == later.Server && h.incarnation == later.incarnation && h.retries > 0 {
+		later.Renew, later.retries = false, max(h.retries, later.retries)
+	}
+	return later
+}
+
 // HoldResponse is the response to a Hold.
 type HoldResponse struct {
 	Incarnation int64
