Release the room held for the tasks of a withdrawn job

Withdraw deleted the job but not the reservations of its moved tasks, so that their room stayed idle until the backend server could not be used any more. Withdraw and finish release them in the same way now.

TestWithdrawnJobHoldsNoRoom: 1 of 4 tasks started in that room before, 4 now.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -389,9 +389,9 @@
 	d.answer(now, j, o)
 	d.pool(j.Pool).queued -= j.waitingWork
 	j.waitingWork, j.waiting = 0, nil
+	j.release()
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			t.release()
 			if t.server != nil && t.state == placed {
 				d.addStop(t.server, supervise.RunID{Task: t.id, Attempt: t.attempt})
 			}
@@ -524,6 +524,7 @@
 	j.answered = true
 	d.pool(j.Pool).queued -= j.waitingWork
 	j.waitingWork, j.waiting = 0, nil
+	j.release()
 	delete(d.jobs, id)
 	return true
 }
--- a/core/dispatch/move_test.go
+++ b/core/dispatch/move_test.go
@@ -274,3 +274,35 @@
 		t.Errorf("%d of 4 runs were stopped", n)
 	}
 }
+
+// Guards against room that is held for good for a job that went on to another entry.
+func TestWithdrawnJobHoldsNoRoom(t *testing.T) {
+	s := newMoveSite("agent-1")
+	s.submit(named("moved", 3))
+	s.percent["moved"] = 5
+	s.connect("agent-2")
+	s.submit(named("refused", 1))
+	s.wait(300 * time.Millisecond)
+	s.report("agent-1", 2*time.Second)
+	if n := len(s.stopped["agent-1"]); n != 3 {
+		t.Fatalf("%d runs were stopped, want 3", n)
+	}
+	for _, id := range s.runs["agent-2"] {
+		s.end("agent-2", id, supervise.Refused)
+	}
+	s.report("agent-2", 0) // no task is started there for a moment
+	for i := range s.stopped["agent-1"] {
+		s.stopped["agent-1"][i].End = supervise.Refused
+	}
+	s.report("agent-1", 1900*time.Millisecond)
+	for _, id := range []batch.JobID{"moved", "refused"} {
+		if !s.Withdraw(id) {
+			t.Fatalf("job %s was not withdrawn", id)
+		}
+	}
+	s.wait(100 * time.Millisecond)
+	s.submit(named("new", 4))
+	if n := s.running("agent-2", "new"); n != 4 {
+		t.Errorf("%d of 4 tasks were started where the withdrawn job had room", n)
+	}
+}
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -60,6 +60,15 @@
 	}
 }
 
+// release gives up the room that is held for the tasks of a job.
+func (j *job) release() {
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			t.release()
+		}
+	}
+}
+
 // releaseAll gives up the room that the backend server holds.
 func (s *server) releaseAll() {
 	for t := range s.reservedFor {
