Start moved tasks in the room that is held for them first

In a saturated pool, placing ended at a job that did not fit, because room that is held counts as used for the queue: the moved tasks behind it were not tried, and their room stayed idle. Waiting tasks with reserved room are placed before the queue, in its order, under the same conditions as others.

--- a/core/dispatch/move_test.go
+++ b/core/dispatch/move_test.go
@@ -306,3 +306,26 @@
 		t.Errorf("%d of 4 tasks were started where the withdrawn job had room", n)
 	}
 }
+
+// Guards against room that stays idle although its task waits: the pool is saturated, and a job that comes first does not
+// fit.
+func TestMovedTasksStartBehindLargerOnes(t *testing.T) {
+	s := newMoveSite("agent-1")
+	moved := named("moved", 4)
+	moved.Target = 10 * time.Second
+	s.submit(moved)
+	s.percent["moved"] = 5
+	s.connect("agent-2")
+	s.wait(300 * time.Millisecond)
+	s.report("agent-1", 2*time.Second)
+	if n := len(s.stopped["agent-1"]); n != 4 {
+		t.Fatalf("%d runs were stopped, want 4", n)
+	}
+	first := named("first", 1)
+	first.Steps[0].Demand.Processor = 4000
+	s.submit(first)
+	s.report("agent-1", 1900*time.Millisecond)
+	if n := s.running("agent-2", "moved"); n != 4 {
+		t.Errorf("%d of 4 moved tasks were started", n)
+	}
+}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"slices"
 	"time"
 
 	"dogwoodglade/core/batch"
@@ -91,6 +92,7 @@
 
 // placePool starts waiting tasks in queue order while there is capacity.
 func (d *Dispatcher) placePool(now time.Time, p *poolState) {
+	d.placeReserved(now, p)
 	var skipped []*job
 	tried := 0
 	for p.queue.Len() > 0 {
@@ -148,6 +150,38 @@
 	}
 }
 
+// placeReserved starts the waiting tasks for which backend servers hold room. The queue may be left before it reaches
+// their jobs, as that room counts as used for all others.
+func (d *Dispatcher) placeReserved(now time.Time, p *poolState) {
+	var reserved []*task
+	for _, s := range d.sortedServers {
+		for t := range s.reservedFor {
+			if j := d.jobs[t.id.Job]; t.state == waiting && j.Pool == p.name && j.mayStart(now) {
+				reserved = append(reserved, t)
+			}
+		}
+	}
+	slices.SortFunc(reserved, func(a, b *task) int {
+		return cmp.Or(compareStartOrder(d.jobs[a.id.Job], d.jobs[b.id.Job]), a.id.Compare(b.id))
+	})
+	for _, t := range reserved {
+		j := d.jobs[t.id.Job]
+		st := j.steps[t.id.Step]
+		if s, _ := d.chooseServer(now, j, st, t); s != nil {
+			d.startTask(now, j, st, t, s)
+			j.waiting = slices.DeleteFunc(j.waiting, func(x *task) bool { return x == t })
+		}
+	}
+}
+
+// mayStart reports whether a task of the job may still be started.
+func (j *job) mayStart(now time.Time) bool {
+	if j.started() {
+		return !j.answered && !j.timedOut(now)
+	}
+	return !j.answered && !now.After(j.startDeadline)
+}
+
 // placeJob starts the waiting tasks of a job that fit.
 func (d *Dispatcher) placeJob(now time.Time, j *job) {
 	rest := j.waiting[:0]
