Count the runs of large jobs on a backend server apart

The limit of 192 runs for tasks of large jobs counted the runs of small jobs as well, so that a steady flow of small jobs kept a large one from starting. Its tasks now get a place while fewer than 192 runs there are of large jobs, and fewer than 256 in all.

TestLargeJobStartsBesideSmallOnes: beside 200 runs of small jobs 0 tasks of a large one started before, 56 now. TestTinyTasksAreStartedInParts expected that the two runs of a small job take two of the 192 places; it now expects all 192 tasks to be started.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -282,6 +282,9 @@
 	s.used = s.used.Plus(st.Demand)
 	id := supervise.RunID{Task: t.id, Attempt: t.attempt}
 	s.runs[id] = t
+	if j.large {
+		s.largeJobRuns++
+	}
 	if t.suspect {
 		s.suspects++
 		j.activeSuspects++
@@ -300,6 +303,9 @@
 	}
 	delete(s.runs, e.RunID)
 	j := d.jobs[t.id.Job]
+	if j.large {
+		s.largeJobRuns--
+	}
 	if t.suspect {
 		s.suspects--
 		j.activeSuspects--
--- a/core/dispatch/places.go
+++ b/core/dispatch/places.go
@@ -15,10 +15,11 @@
 
 // places returns how many more tasks of a job the backend server may be sent, whatever they demand.
 func (s *server) places(large bool) int {
+	free := maxRuns - len(s.runs)
 	if large {
-		return max(maxLargeJobRuns-len(s.runs), 0)
+		free = min(free, maxLargeJobRuns-s.largeJobRuns)
 	}
-	return max(maxRuns-len(s.runs), 0)
+	return max(free, 0)
 }
 
 func isLarge(j batch.Job) bool { return j.TaskCount() > largeJob }
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -95,6 +95,7 @@
 	reservedFor   map[*task]resource.Amount
 	lostRunsEndBy time.Time // when lost runs cannot exist any more
 	runs          map[supervise.RunID]*task
+	largeJobRuns  int  // runs of tasks of large jobs
 	suspects      int  // among the tasks of runs
 	processEnded  bool // it has crashed, and its runs have not been reported as ended
 	dataCentre    string
