Count only usable backend servers as places for large jobs

Whether a large job waits for a place was decided without the other conditions for placing its tasks. One degraded backend server without runs made all large jobs at the head of the queue count as tried, and the small jobs behind them did not start. chooseServer now reports that it skipped a backend server only for lack of a place.

TestLargeJobsWaitForUsablePlaces: 0 of 2 tasks of a small job started before, 2 now.

--- a/core/dispatch/places.go
+++ b/core/dispatch/places.go
@@ -23,13 +23,3 @@
 }
 
 func isLarge(j batch.Job) bool { return j.TaskCount() > largeJob }
-
-// hasPlaces reports whether a backend server has a place for a task of a job.
-func (d *Dispatcher) hasPlaces(j *job) bool {
-	for _, s := range d.sortedServers {
-		if d.usableFor(s, j) && s.info.Pool == j.Pool && s.places(j.large) > 0 {
-			return true
-		}
-	}
-	return false
-}
--- a/core/dispatch/places_test.go
+++ b/core/dispatch/places_test.go
@@ -88,3 +88,31 @@
 		t.Errorf("%d tasks of a large job were started beside %d of small ones, want %d", len(got), small, maxRuns-small)
 	}
 }
+
+// Guards against small jobs that wait behind large ones, because these count as tried while the only places for them are on
+// a degraded backend server.
+func TestLargeJobsWaitForUsablePlaces(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New()
+	report := supervise.Report{
+		Offered: true, Server: supervise.Server{ID: "i-1", Pool: "pool", Capacity: resource.Amount{Processor: 16000}},
+	}
+	for _, agent := range []string{"agent-1", "agent-2", "agent-3"} {
+		d.Connect(now, agent)
+		d.HandleReport(now, agent, report)
+	}
+	s := d.servers["agent-3"]
+	s.quarantined, s.nextProbe = true, now.Add(time.Minute)
+	for i := range 2 * lookAhead {
+		d.Submit(now, tinyTasks(batch.JobID(fmt.Sprint("large-", i)), batch.MaxTasks))
+	}
+	small := tinyTasks("small", 1)
+	last := small.Steps[0]
+	last.After, last.Count = []int{0}, 2
+	small.Steps = append(small.Steps, last)
+	first := d.Submit(now, small)
+	report.Ended = []supervise.RunEnd{{RunID: startedRuns(first)[0], End: supervise.Done, RunTime: time.Millisecond}}
+	if got := startedRuns(d.HandleReport(now, first[0].(*StartRuns).Agent, report)); len(got) != 2 {
+		t.Errorf("%d of 2 tasks of the second step of a small job were started behind large ones", len(got))
+	}
+}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -126,11 +126,7 @@
 			heap.Fix(&p.queue, 0)
 			continue
 		}
-		// Large jobs that wait for a place do not count as tried, so that others behind them start.
-		hasPlaces := !j.large || d.hasPlaces(j)
-		if hasPlaces {
-			d.placeJob(now, j)
-		}
+		lacksPlace := d.placeJob(now, j)
 		heap.Pop(&p.queue)
 		if len(j.waiting) == 0 {
 			j.queued = false
@@ -138,7 +134,8 @@
 		}
 		// The free capacity is too small for the next task of this job, but another job may have a smaller one.
 		skipped = append(skipped, j)
-		if hasPlaces && !j.onlySuspectsWait() {
+		// Large jobs that wait for a place do not count as tried, so that others behind them start.
+		if !(j.large && lacksPlace) && !j.onlySuspectsWait() {
 			tried++
 		}
 		if tried >= lookAhead || d.isFull(p.name) {
@@ -182,15 +179,17 @@
 	return !j.answered && !now.After(j.startDeadline)
 }
 
-// placeJob starts the waiting tasks of a job that fit.
-func (d *Dispatcher) placeJob(now time.Time, j *job) {
+// placeJob starts the waiting tasks of a job that fit. It reports whether others would fit on a backend server that has
+// no place for them.
+func (d *Dispatcher) placeJob(now time.Time, j *job) (lacksPlace bool) {
 	rest := j.waiting[:0]
 	for i, t := range j.waiting {
 		st := j.steps[t.id.Step]
-		s, constrained := d.chooseServer(now, j, st, t)
+		s, skipped := d.chooseServer(now, j, st, t)
 		if s == nil {
 			rest = append(rest, t)
-			if !constrained {
+			lacksPlace = lacksPlace || skipped.lacksPlace
+			if !skipped.constrained {
 				rest = append(rest, j.waiting[i+1:]...)
 				break
 			}
@@ -199,6 +198,7 @@
 		d.startTask(now, j, st, t, s)
 	}
 	j.waiting = rest
+	return lacksPlace
 }
 
 // isFull reports whether no backend server of a pool has capacity for a small task.
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -244,21 +244,26 @@
 	}
 }
 
-// chooseServer returns the backend server for a task, or nil. constrained reports whether backend servers with free
-// capacity were skipped because of the task's constraints.
-func (d *Dispatcher) chooseServer(now time.Time, j *job, st *step, t *task) (best *server, constrained bool) {
+// skips tells why backend servers with free capacity were not chosen for a task.
+type skips struct {
+	constrained bool // because of the task's constraints
+	lacksPlace  bool // only for lack of a place
+}
+
+// chooseServer returns the backend server for a task, or nil.
+func (d *Dispatcher) chooseServer(now time.Time, j *job, st *step, t *task) (best *server, skipped skips) {
 	if (t.suspect && !d.mayStartSuspect(j)) || (j.activeRuns > 0 && d.awaitsCrash(j)) {
-		return nil, true
+		return nil, skips{constrained: true}
 	}
 	var bestScore float64
 	degraded, usable := d.countDegraded()
 	for _, s := range d.sortedServers {
-		if !d.usableFor(s, j) || s.info.Pool != j.Pool || !st.Demand.Fits(s.freeFor(t)) || s.places(j.large) == 0 ||
+		if !d.usableFor(s, j) || s.info.Pool != j.Pool || !st.Demand.Fits(s.freeFor(t)) ||
 			now.Before(s.backoffUntil) {
 			continue
 		}
 		if !mayRunOn(s, st, t, usable) {
-			constrained = true
+			skipped.constrained = true
 			continue
 		}
 		// A degraded backend server gets one task at a time, at intervals, to find out whether it has recovered. If
@@ -268,7 +273,11 @@
 		}
 		if s.needsSlack() && !d.fastEnough(now, j, st, s) && !s.mayMeasure(now, j) &&
 			d.hasFastServer(j.Pool, st.Step, t.failedOn) {
-			constrained = true
+			skipped.constrained = true
+			continue
+		}
+		if s.places(j.large) == 0 {
+			skipped.lacksPlace = true
 			continue
 		}
 		score := d.score(s, st, t)
@@ -279,7 +288,7 @@
 			best, bestScore = s, score
 		}
 	}
-	return best, constrained
+	return best, skipped
 }
 
 // mayRunOn reports whether the constraints of a task allow a backend server, given how many are usable.
