--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -285,6 +285,9 @@
 	s.used = s.used.Plus(st.Demand)
 	id := supervise.RunID{Task: t.id, Attempt: t.attempt}
 	s.runs[id] = t
+	if j.large {
+		s.largeJobRuns++
+	}
 	if t.suspect {
 		s.suspects++
 		j.activeSuspects++
@@ -303,6 +306,9 @@
 	}
 	delete(s.runs, e.RunID)
 	j := d.jobs[t.id.Job]
+	if j.large {
+		s.largeJobRuns--
+	}
 	if t.suspect {
 		s.suspects--
 		j.activeSuspects--
@@ -394,9 +400,9 @@
 	d.answer(now, j, o)
 	d.pool(j.Pool).queued -= j.waitingWork
 	j.waitingWork, j.waiting = 0, nil
+	j.release()
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			t.release()
 			if t.server != nil && t.state == placed {
 				d.addStop(t.server, supervise.RunID{Task: t.id, Attempt: t.attempt})
 			}
@@ -530,6 +536,7 @@
 	j.answered = true
 	d.pool(j.Pool).queued -= j.waitingWork
 	j.waitingWork, j.waiting = 0, nil
+	j.release()
 	delete(d.jobs, id)
 	return true
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"slices"
 	"time"
 
 	"dogwoodglade/core/batch"
@@ -87,6 +88,7 @@
 
 // placePool starts waiting tasks in queue order while there is capacity.
 func (d *Dispatcher) placePool(now time.Time, p *poolState) {
+	d.placeReserved(now, p)
 	var skipped []*job
 	tried := 0
 	for p.queue.Len() > 0 {
@@ -120,11 +122,7 @@
 			heap.Fix(&p.queue, 0)
 			continue
 		}
-		// Large jobs that wait for a place do not count as tried, so that others behind them start.
-		hasPlaces := !j.large || d.hasPlaces(j)
-		if hasPlaces {
-			d.placeJob(now, j)
-		}
+		lacksPlace := d.placeJob(now, j)
 		heap.Pop(&p.queue)
 		if len(j.waiting) == 0 {
 			j.queued = false
@@ -132,7 +130,8 @@
 		}
 		// The free capacity is too small for the next task of this job, but another job may have a smaller one.
 		skipped = append(skipped, j)
-		if hasPlaces && !j.onlySuspectsWait() {
+		// Large jobs that wait for a place do not count as tried, so that others behind them start.
+		if !(j.large && lacksPlace) && !j.onlySuspectsWait() {
 			tried++
 		}
 		if tried >= lookAhead || d.isFull(p.name) {
@@ -144,15 +143,49 @@
 	}
 }
 
-// placeJob starts the waiting tasks of a job that fit.
-func (d *Dispatcher) placeJob(now time.Time, j *job) {
+// placeReserved starts the waiting tasks for which backend servers hold room. The queue may be left before it reaches
+// their jobs, as that room counts as used for all others.
+func (d *Dispatcher) placeReserved(now time.Time, p *poolState) {
+	var reserved []*task
+	for _, s := range d.sortedServers {
+		for t := range s.reservedFor {
+			if j := d.jobs[t.id.Job]; t.state == waiting && j.Pool == p.name && j.mayStart(now) {
+				reserved = append(reserved, t)
+			}
+		}
+	}
+	slices.SortFunc(reserved, func(a, b *task) int {
+		return cmp.Or(compareStartOrder(d.jobs[a.id.Job], d.jobs[b.id.Job]), a.id.Compare(b.id))
+	})
+	for _, t := range reserved {
+		j := d.jobs[t.id.Job]
+		st := j.steps[t.id.Step]
+		if s, _ := d.chooseServer(now, j, st, t); s != nil {
+			d.startTask(now, j, st, t, s)
+			j.waiting = slices.DeleteFunc(j.waiting, func(x *task) bool { return x == t })
+		}
+	}
+}
+
+// mayStart reports whether a task of the job may still be started.
+func (j *job) mayStart(now time.Time) bool {
+	if j.started() {
+		return !j.answered && !j.timedOut(now)
+	}
+	return !j.answered && !now.After(j.startDeadline)
+}
+
+// placeJob starts the waiting tasks of a job that fit. It reports whether others would fit on a backend server that has
+// no place for them.
+func (d *Dispatcher) placeJob(now time.Time, j *job) (lacksPlace bool) {
 	rest := j.waiting[:0]
 	for i, t := range j.waiting {
 		st := j.steps[t.id.Step]
-		s, constrained := d.chooseServer(now, j, st, t)
+		s, skipped := d.chooseServer(now, j, st, t)
 		if s == nil {
 			rest = append(rest, t)
-			if !constrained {
+			lacksPlace = lacksPlace || skipped.lacksPlace
+			if !skipped.constrained {
 				rest = append(rest, j.waiting[i+1:]...)
 				break
 			}
@@ -161,6 +194,7 @@
 		d.startTask(now, j, st, t, s)
 	}
 	j.waiting = rest
+	return lacksPlace
 }
 
 // isFull reports whether no backend server of a pool has capacity for a small task.
