Release reserved room that can no longer be used

Room for a moved task was held until its backend server could not be used, also when it had restarted, had become degraded, or its capacity, pool or labels did not allow the task any more. After each report, room that does not fit is released; all of it when the reserved amount exceeds the capacity, as each task would otherwise wait for the others.

TestShrunkServerHoldsNoRoom: 0 of 3 tasks started in that room before, 3 now.

--- a/core/dispatch/move_test.go
+++ b/core/dispatch/move_test.go
@@ -329,3 +329,26 @@
 		t.Errorf("%d of 4 moved tasks were started", n)
 	}
 }
+
+// Guards against room that stays idle on a backend server that has become too small for the task.
+func TestShrunkServerHoldsNoRoom(t *testing.T) {
+	s := newMoveSite("agent-1")
+	moved := named("moved", 1)
+	moved.Steps[0].Demand.Processor = 4000
+	s.submit(moved)
+	s.percent["moved"] = 5
+	s.connect("agent-2")
+	s.wait(300 * time.Millisecond)
+	s.report("agent-1", 2*time.Second)
+	if n := len(s.stopped["agent-1"]); n != 1 {
+		t.Fatalf("%d runs were stopped, want 1", n)
+	}
+	s.perform(s.HandleReport(s.now, "agent-2", supervise.Report{
+		Clock: time.Duration(s.now.UnixNano()), Offered: true,
+		Server: supervise.Server{ID: "agent-2", Pool: "pool", Capacity: resource.Amount{Processor: 3000}},
+	}))
+	s.submit(named("new", 3))
+	if n := s.running("agent-2", "new"); n != 3 {
+		t.Errorf("%d of 3 tasks were started where room was held for a task that does not fit", n)
+	}
+}
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"dogwoodglade/core/resource"
@@ -60,6 +61,21 @@
 	}
 }
 
+// releaseUnfit gives up the room for tasks that the backend server cannot be used for any more.
+func (d *Dispatcher) releaseUnfit(s *server) {
+	if !s.usable() || s.degraded() || !s.reserved.Fits(s.capacity) {
+		s.releaseAll()
+		return
+	}
+	for t := range s.reservedFor {
+		j := d.jobs[t.id.Job]
+		st := j.steps[t.id.Step]
+		if s.info.Pool != j.Pool || (st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) {
+			t.release()
+		}
+	}
+}
+
 // release gives up the room that is held for the tasks of a job.
 func (j *job) release() {
 	for _, s := range j.steps {
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -213,6 +213,7 @@
 		s.logSlowdown, s.failureShare, s.consecutiveFailures, s.consecutiveSlowRuns = 0, 0, 0, 0
 		s.quarantined, s.hangs, s.probeDelay = false, false, 0
 		s.logSteadySlowdown, s.steadyRuns = 0, 0
+		s.releaseAll()
 	}
 	d.observeProgress(now, s, r.Progress)
 	changed := s.offered != r.Offered || s.capacity != r.Server.Capacity
@@ -220,9 +221,7 @@
 	s.processEnded = r.ProcessEnded
 	s.capacity, s.usedByOthers = r.Server.Capacity, r.UsedByOthers
 	d.observeLeaving(now, s, r)
-	if !s.usable() {
-		s.releaseAll()
-	}
+	d.releaseUnfit(s)
 	if changed {
 		d.updatePoolCapacity()
 	}
