Judge room on slow backend servers by when the task starts

Room on a slow backend server was chosen as if the moved task started at once, but it starts 65 ms later, and was then judged again: a task that was in time at the decision only could be refused the room held for it. The room is now chosen for the later start, and a task always fits the room that is held for it. The tests of moves, leaving and slow backend servers pass; there is no test of its own.

--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -34,7 +34,7 @@
 	for _, s := range d.sortedServers {
 		free, ok := room[s]
 		if !ok || s.info.Pool != m.job.Pool || !m.step.Demand.Fits(free) || !mayRunOn(s, m.step, m.task, usable) ||
-			(s.needsSlack() && !d.fastEnough(now, m.job, m.step, s) &&
+			(s.needsSlack() && !d.fastEnough(now.Add(moveTime), m.job, m.step, s) &&
 				d.hasFastServer(m.job.Pool, m.step.Step, m.task.failedOn)) {
 			continue
 		}
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -270,7 +270,7 @@
 		if s.degraded() && float64(degraded) <= maxDegradedShare*float64(usable) && !s.mayProbe(now, j) {
 			continue
 		}
-		if s.needsSlack() && !d.fastEnough(now, j, st, s) && !s.mayMeasure(now, j) &&
+		if s != t.reservedOn && s.needsSlack() && !d.fastEnough(now, j, st, s) && !s.mayMeasure(now, j) &&
 			d.hasFastServer(j.Pool, st.Step, t.failedOn) {
 			skipped.constrained = true
 			continue
