--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"dogwoodglade/core/resource"
@@ -33,7 +34,7 @@
 	for _, s := range d.sortedServers {
 		free, ok := room[s]
 		if !ok || s.info.Pool != m.job.Pool || !m.step.Demand.Fits(free) || !mayRunOn(s, m.step, m.task, usable) ||
-			(s.needsSlack() && !d.fastEnough(now, m.job, m.step, s) &&
+			(s.needsSlack() && !d.fastEnough(now.Add(moveTime), m.job, m.step, s) &&
 				d.hasFastServer(m.job.Pool, m.step.Step, m.task.failedOn)) {
 			continue
 		}
@@ -60,6 +61,21 @@
 	}
 }
 
+// releaseUnfit gives up the room for tasks that the backend server cannot be used for any more.
+func (d *Dispatcher) releaseUnfit(s *server) {
+	if !s.usable() || s.degraded() || !s.reserved.Fits(s.capacity) {
+		s.releaseAll()
+		return
+	}
+	for t := range s.reservedFor {
+		j := d.jobs[t.id.Job]
+		st := j.steps[t.id.Step]
+		if s.info.Pool != j.Pool || (st.Label != "" && !slices.Contains(s.info.Labels, st.Label)) {
+			t.release()
+		}
+	}
+}
+
 // release gives up the room that is held for the tasks of a job.
 func (j *job) release() {
 	for _, s := range j.steps {
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -213,6 +213,7 @@
 		s.logSlowdown, s.failureShare, s.consecutiveFailures, s.consecutiveSlowRuns = 0, 0, 0, 0
 		s.quarantined, s.hangs, s.probeDelay = false, false, 0
 		s.logSteadySlowdown, s.steadyRuns = 0, 0
+		s.releaseAll()
 	}
 	d.observeProgress(now, s, r.Progress)
 	changed := s.offered != r.Offered || s.capacity != r.Server.Capacity
@@ -220,9 +221,7 @@
 	s.processEnded = r.ProcessEnded
 	s.capacity, s.usedByOthers = r.Server.Capacity, r.UsedByOthers
 	d.observeLeaving(now, s, r)
-	if !s.usable() {
-		s.releaseAll()
-	}
+	d.releaseUnfit(s)
 	if changed {
 		p := d.pool(s.info.Pool)
 		before := p.cores
@@ -274,7 +273,7 @@
 		if s.degraded() && float64(degraded) <= maxDegradedShare*float64(usable) && !s.mayProbe(now, j) {
 			continue
 		}
-		if s.needsSlack() && !d.fastEnough(now, j, st, s) && !s.mayMeasure(now, j) &&
+		if s != t.reservedOn && s.needsSlack() && !d.fastEnough(now, j, st, s) && !s.mayMeasure(now, j) &&
 			d.hasFastServer(j.Pool, st.Step, t.failedOn) {
 			skipped.constrained = true
 			continue
@@ -316,9 +315,9 @@
 
 // tasksOn returns the number of tasks of a step that may be running on a backend server, or for which it holds room.
 func tasksOn(st *step, s *server) int {
-	n := 0
-	for _, t := range st.tasks {
-		if (t.server == s && (t.state == placed || t.state == lost)) || t.reservedOn == s {
+	n := st.runsOn[s]
+	for t := range s.reservedFor {
+		if k := t.id.Index; k < len(st.tasks) && st.tasks[k] == t && t.server != s {
 			n++
 		}
 	}
