--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -131,7 +131,7 @@
 		// The free capacity is too small for the next task of this job, but another job may have a smaller one.
 		skipped = append(skipped, j)
 		// Large jobs that wait for a place do not count as tried, so that others behind them start.
-		if !(j.large && lacksPlace) && !j.onlySuspectsWait() {
+		if (!j.large || !lacksPlace) && !j.onlySuspectsWait() {
 			tried++
 		}
 		if tried >= lookAhead || d.isFull(p.name) {
