Check the places on a backend server before a run is moved there

Room for a moved task was chosen by amounts only. On a backend server with 256 runs the task found no place after its run had been stopped, and other tasks took the places in the meantime. Places are now tracked beside the amounts, and held with the room.

TestRoomNeedsPlaces: beside 254 and 256 runs, 3 runs were stopped before; now 2 and 0.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -95,6 +95,7 @@
 	movedFrom   []*server // its run was stopped there because it was slow or hung
 	reservedOn  *server   // holds room for it, as its run is or was stopped because its backend server leaves
 	stopping    bool
+	large       bool          // its job is large
 	suspect     bool          // a backend server crashed under a task of the job
 	waitingWork coreTime      // predicted when the task began to wait; 0 if it is not waiting
 	percent     int           // progress of its run
@@ -311,7 +312,7 @@
 		if !s.degraded() {
 			p.Healthy = true
 			// Nothing fits on a backend server that has shrunk below what is in use in any resource.
-			if free := s.free(); free.Valid() && s.places(false) > 0 {
+			if free := s.free(); free.Valid() && s.places.free(false) > 0 {
 				p = p.withFree(s, d.pool(s.info.Pool).usableCapacity(free))
 			}
 		}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -94,7 +94,7 @@
 	for i, s := range j.steps {
 		s.tasks = make([]*task, s.Count)
 		for k := range s.tasks {
-			s.tasks[k] = &task{id: batch.TaskID{Job: j.ID, Step: i, Index: k}, suspect: suspect}
+			s.tasks[k] = &task{id: batch.TaskID{Job: j.ID, Step: i, Index: k}, suspect: suspect, large: j.large}
 		}
 		if s.pendingDependencies == 0 {
 			j.unblock(d.route(j.Route), s)
@@ -205,7 +205,7 @@
 			(s.needsSlack() && !d.inTimeOn(s, j, st) && d.hasFastServer(j.Pool, st, nil)) {
 			continue
 		}
-		fitting := min(s.free().FitCount(st.Demand), s.places(large))
+		fitting := min(s.free().FitCount(st.Demand), s.places.free(large))
 		if s.degraded() {
 			if now.Before(s.nextProbe) || len(s.runs) > 0 {
 				continue
@@ -282,9 +282,7 @@
 	s.used = s.used.Plus(st.Demand)
 	id := supervise.RunID{Task: t.id, Attempt: t.attempt}
 	s.runs[id] = t
-	if j.large {
-		s.largeJobRuns++
-	}
+	s.places.take(t.large, 1)
 	if st.MaxPerServer > 0 {
 		if st.runsOn == nil {
 			st.runsOn = map[*server]int{}
@@ -309,9 +307,7 @@
 	}
 	delete(s.runs, e.RunID)
 	j := d.jobs[t.id.Job]
-	if j.large {
-		s.largeJobRuns--
-	}
+	s.places.take(t.large, -1)
 	if t.suspect {
 		s.suspects--
 		j.activeSuspects--
--- a/core/dispatch/leave.go
+++ b/core/dispatch/leave.go
@@ -72,11 +72,14 @@
 	slices.SortFunc(moving, func(a, b movable) int {
 		return cmp.Or(a.latestStart.Compare(b.latestStart), a.id.Task.Compare(b.id.Task))
 	})
-	room := d.roomSoon(now)
+	rooms := d.roomSoon(now)
 	moved := map[*server]int{}
 	for _, m := range moving {
-		if target := d.chooseRoom(now, room, m); target != nil {
-			room[target] = room[target].Minus(m.step.Demand)
+		if target := d.chooseRoom(now, rooms, m); target != nil {
+			r := rooms[target]
+			r.free = r.free.Minus(m.step.Demand)
+			r.places.take(m.job.large, 1)
+			rooms[target] = r
 			target.reserve(m.task, m.step.Demand)
 			moved[m.task.server]++
 			m.task.stopping = true
--- a/core/dispatch/move_test.go
+++ b/core/dispatch/move_test.go
@@ -352,3 +352,27 @@
 		t.Errorf("%d of 3 tasks were started where room was held for a task that does not fit", n)
 	}
 }
+
+// Guards against runs that are stopped although the other backend server has no place for them, however little its runs
+// demand.
+func TestRoomNeedsPlaces(t *testing.T) {
+	for runs, want := range map[int]int{254: 2, 256: 0} {
+		s := newMoveSite("agent-1")
+		s.submit(named("moved", 4))
+		s.percent["moved"] = 5
+		s.connect("agent-2")
+		for i := range runs {
+			tiny := named(batch.JobID(fmt.Sprint("tiny-", i)), 1)
+			tiny.Steps[0].Demand.Processor, tiny.Steps[0].Estimate = 1, 10*time.Second
+			s.submit(tiny)
+		}
+		if n := len(s.runs["agent-2"]); n != runs {
+			t.Fatalf("%d tiny tasks were started, want %d", n, runs)
+		}
+		s.wait(300 * time.Millisecond)
+		s.report("agent-1", 2*time.Second)
+		if n := len(s.stopped["agent-1"]); n != want {
+			t.Errorf("beside %d runs, %d were stopped to be moved, want %d", runs, n, want)
+		}
+	}
+}
--- a/core/dispatch/places.go
+++ b/core/dispatch/places.go
@@ -13,13 +13,32 @@
 	largeJob = 160
 )
 
-// places returns how many more tasks of a job the backend server may be sent, whatever they demand.
-func (s *server) places(large bool) int {
-	free := maxRuns - len(s.runs)
+// places is how many places of a backend server are in use, by runs or held for moved tasks.
+type places struct{ all, large int }
+
+// free returns how many more tasks of a job the backend server may be sent, whatever they demand.
+func (p places) free(large bool) int {
+	free := maxRuns - p.all
 	if large {
-		free = min(free, maxLargeJobRuns-s.largeJobRuns)
+		free = min(free, maxLargeJobRuns-p.large)
 	}
 	return max(free, 0)
 }
 
+func (p *places) take(large bool, n int) {
+	p.all += n
+	if large {
+		p.large += n
+	}
+}
+
+// hasPlaceFor reports whether the backend server may be sent a task.
+func (s *server) hasPlaceFor(t *task) bool {
+	used := s.places
+	if t.reservedOn == s {
+		used.take(t.large, -1)
+	}
+	return used.free(t.large) > 0
+}
+
 func isLarge(j batch.Job) bool { return j.TaskCount() > largeJob }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -135,7 +135,7 @@
 		// The free capacity is too small for the next task of this job, but another job may have a smaller one.
 		skipped = append(skipped, j)
 		// Large jobs that wait for a place do not count as tried, so that others behind them start.
-		if !(j.large && lacksPlace) && !j.onlySuspectsWait() {
+		if (!j.large || !lacksPlace) && !j.onlySuspectsWait() {
 			tried++
 		}
 		if tried >= lookAhead || d.isFull(p.name) {
@@ -219,7 +219,7 @@
 func (d *Dispatcher) isFull(pool string) bool {
 	for _, s := range d.sortedServers {
 		if s.connected && !s.evacuated && (s.offered || s.released) && s.info.Pool == pool &&
-			s.free().Processor >= minFreeProcessor && s.places(false) > 0 {
+			s.free().Processor >= minFreeProcessor && s.places.free(false) > 0 {
 			return false
 		}
 	}
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -7,33 +7,41 @@
 	"dogwoodglade/core/resource"
 )
 
-// roomSoon returns the capacity of each usable backend server that is free, and not held for another task, when a run that
+// room is what a backend server has for further tasks.
+type room struct {
+	free   resource.Amount
+	places places // in use
+}
+
+// roomSoon returns the room on each usable backend server that is free, and not held for another task, when a run that
 // is stopped now has ended.
-func (d *Dispatcher) roomSoon(now time.Time) map[*server]resource.Amount {
-	room := map[*server]resource.Amount{}
+func (d *Dispatcher) roomSoon(now time.Time) map[*server]room {
+	rooms := map[*server]room{}
 	for _, s := range d.sortedServers {
 		if !s.usable() || s.degraded() || now.Before(s.backoffUntil) {
 			continue
 		}
-		free := s.free()
+		r := room{free: s.free(), places: s.places}
 		for id, t := range s.runs {
 			if t.stopping || !t.startedAt.Add(d.leastRunTime(s, t)).After(now.Add(moveTime)) {
-				free = free.Plus(d.jobs[id.Task.Job].steps[id.Task.Step].Demand)
+				r.free = r.free.Plus(d.jobs[id.Task.Job].steps[id.Task.Step].Demand)
+				r.places.take(t.large, -1)
 			}
 		}
-		room[s] = free
+		rooms[s] = r
 	}
-	return room
+	return rooms
 }
 
 // chooseRoom returns the backend server with room for a moved task that placing it would choose, or nil.
-func (d *Dispatcher) chooseRoom(now time.Time, room map[*server]resource.Amount, m movable) *server {
+func (d *Dispatcher) chooseRoom(now time.Time, rooms map[*server]room, m movable) *server {
 	var best *server
 	var bestScore float64
 	_, usable := d.countDegraded()
 	for _, s := range d.sortedServers {
-		free, ok := room[s]
-		if !ok || s.info.Pool != m.job.Pool || !m.step.Demand.Fits(free) || !mayRunOn(s, m.step, m.task, usable) ||
+		r, ok := rooms[s]
+		if !ok || s.info.Pool != m.job.Pool || !m.step.Demand.Fits(r.free) ||
+			r.places.free(m.job.large) == 0 || !mayRunOn(s, m.step, m.task, usable) ||
 			(s.needsSlack() && !d.fastEnough(now.Add(moveTime), m.job, m.step, s) &&
 				d.hasFastServer(m.job.Pool, m.step.Step, m.task.failedOn)) {
 			continue
@@ -50,6 +58,7 @@
 	t.release()
 	t.reservedOn, s.reservedFor[t] = s, demand
 	s.reserved = s.reserved.Plus(demand)
+	s.places.take(t.large, 1)
 }
 
 // release gives up the room that is held for a task, if there is any.
@@ -57,6 +66,7 @@
 	if s := t.reservedOn; s != nil {
 		s.reserved = s.reserved.Minus(s.reservedFor[t])
 		delete(s.reservedFor, t)
+		s.places.take(t.large, -1)
 		t.reservedOn = nil
 	}
 }
--- a/core/dispatch/server.go
+++ b/core/dispatch/server.go
@@ -95,7 +95,7 @@
 	reservedFor   map[*task]resource.Amount
 	lostRunsEndBy time.Time // when lost runs cannot exist any more
 	runs          map[supervise.RunID]*task
-	largeJobRuns  int  // runs of tasks of large jobs
+	places        places
 	suspects      int  // among the tasks of runs
 	processEnded  bool // it has crashed, and its runs have not been reported as ended
 	dataCentre    string
@@ -275,7 +275,7 @@
 			skipped.constrained = true
 			continue
 		}
-		if s.places(j.large) == 0 {
+		if !s.hasPlaceFor(t) {
 			skipped.lacksPlace = true
 			continue
 		}
