--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -215,7 +215,7 @@
 func (d *Dispatcher) isFull(pool string) bool {
 	for _, s := range d.sortedServers {
 		if s.connected && !s.evacuated && (s.offered || s.released) && s.info.Pool == pool &&
-			s.free().Processor >= minFreeProcessor && s.places(false) > 0 {
+			s.free().Processor >= minFreeProcessor && s.places.free(false) > 0 {
 			return false
 		}
 	}
