--- a/core/overload/overload.go
+++ b/core/overload/overload.go
@@ -77,7 +77,7 @@
 	// displaced. An early refusal leaves its caller time to try again.
 	displaceShare = 0.2
 	// maxDisplaceShare is the share of refusals, before the weights of priority and size, from which no job is displaced.
-	// When half of the arriving jobs are refused, most of those that wait were chosen already: displacing them exchanges
+	// When half of the arriving jobs are refused, most of those that wait were accepted in place of others: displacing them exchanges
 	// one refusal for another, and its caller is told later.
 	maxDisplaceShare = 0.5
 	// minWait and maxWait are the predicted waits between which the share of the arriving work that is refused rises
