--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -60,7 +60,7 @@
 }
 
 func play(name, program, path, keep string, trouble bool) verdict {
-	cases := map[string]func(s *testSite, trouble bool) verdict{"cancel": playCancel, "replaced": playReplaced}
+	cases := map[string]func(s *testSite, trouble bool) verdict{"copy": playCopy}
 	directory := keep
 	if directory == "" {
 		var err error
@@ -72,7 +72,7 @@
 	}
 	s := &testSite{
 		program: program, directory: directory, record: &recorder{begin: time.Now(), path: path},
-		links: map[string]*link{}, backends: map[string]*standin.Backend{}, processes: map[string]*process{},
+		backends: map[string]*standin.Backend{}, processes: map[string]*process{},
 	}
 	defer s.close()
 	do, ok := cases[name]
--- a/review/_stand3/site.go
+++ b/review/_stand3/site.go
@@ -36,7 +36,6 @@
 // Groups of loopback addresses: the third octet.
 const (
 	entryHosts = 1 + iota
-	entryLinks
 	agentHosts
 	backendHosts
 	storeHosts
@@ -61,7 +60,6 @@
 	octet              int
 	record             *recorder
 	store              *standin.Store
-	links              map[string]*link
 	backends           map[string]*standin.Backend
 	processes          map[string]*process
 	cleanUps           []func()
@@ -129,20 +127,6 @@
 	}
 }
 
-// addLinkedEntry starts an entry that the others reach through a link.
-func (s *testSite) addLinkedEntry(number int, seeds []string) error {
-	name := fmt.Sprintf("entry-%d", number)
-	l, err := newLink(s.address(entryLinks, number, innerPort), s.address(entryHosts, number, innerPort))
-	if err != nil {
-		return err
-	}
-	s.links[name] = l
-	s.cleanUps = append(s.cleanUps, l.close)
-	// The deploy file's command, with the option for an entry behind a port forwarder.
-	return s.run(s.entrySettings(name, s.host(entryLinks, number), number, seeds),
-		"fleet", "entry", "--inner-listen", s.address(entryHosts, number, innerPort))
-}
-
 // addAgent starts a backend server and the agent beside it.
 func (s *testSite) addAgent(i int, seeds []string) error {
 	name := fmt.Sprintf("agent-%d", i)
