--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -60,7 +60,7 @@
 }
 
 func play(name, program, path, keep string, trouble bool) verdict {
-	cases := map[string]func(s *testSite, trouble bool) verdict{"copy": playCopy}
+	cases := map[string]func(s *testSite, trouble bool) verdict{"copy": playCopy, "dropped": playDropped}
 	directory := keep
 	if directory == "" {
 		var err error
