Show how old an entry's configuration may be, who watches, and what a 404 was decided by

Entries now keep until when their configuration is known to have been the newest, from their own polls and from the loads of others (EntryLoad.ConfigurationAge): Batch.ConfigurationAgeMilliseconds, and Age in TablesAdopted. WatcherChanged (6008) says who polls at short intervals, Taken in PlatformFailed for how long a lost poll was waited for, and RouteNotFound (6009) by which version a request was answered 404. No decision changes.

--- a/batchentry/configuration.go
+++ b/batchentry/configuration.go
@@ -61,10 +61,16 @@
 func (e *Entry) watchConfiguration(ctx context.Context) {
 	var b backoff
 	var r configurationReader
+	watcher := false
 	for ctx.Err() == nil {
 		e.mu.Lock()
 		plan := e.watchPlan()
 		e.mu.Unlock()
+		if plan.Watcher != watcher {
+			watcher = plan.Watcher
+			e.log(event.WatcherChanged).Bool("Watcher", watcher).Send()
+		}
+		began := e.options.Now()
 		edits, err := e.readConfiguration(ctx, r, plan)
 		e.mu.Lock()
 		// They are valid even if the configuration cannot be decoded.
@@ -78,7 +84,7 @@
 			r.hasPosition = false
 		case err != nil:
 			if !r.failed && ctx.Err() == nil {
-				e.log(event.PlatformFailed).Bool("Watcher", plan.Watcher).Err(err).Send()
+				e.log(event.PlatformFailed).Bool("Watcher", plan.Watcher).Dur("Taken", e.options.Now().Sub(began)).Err(err).Send()
 			}
 			r.failed = true
 			e.setReadsStore(false)
@@ -93,8 +99,13 @@
 		}
 		b = backoff{}
 		e.setReadsStore(true)
-		if err == nil && edits.configuration.Version > 0 {
-			e.applyIfNewer(edits.configuration, "store")
+		if err == nil {
+			if edits.configuration.Version > 0 {
+				e.applyIfNewer(edits.configuration, "store")
+			}
+			e.mu.Lock()
+			e.confirmConfiguration(edits.confirmedAt)
+			e.mu.Unlock()
 		}
 	}
 }
@@ -176,6 +187,18 @@
 	e.readsStore = reads
 }
 
+// confirmConfiguration records that the store had no newer configuration at a time.
+func (e *Entry) confirmConfiguration(at time.Time) { e.configAsOf = latest(e.configAsOf, at) }
+
+// configurationAge returns for how long the store may have had a newer configuration. It reports false if that is not
+// known.
+func (e *Entry) configurationAge(now time.Time) (age time.Duration, known bool) {
+	if e.configAsOf.IsZero() {
+		return 0, false
+	}
+	return now.Sub(e.configAsOf), true
+}
+
 // applyIfNewer applies a configuration if it is newer than the current one, and announces its version to the other
 // entries.
 func (e *Entry) applyIfNewer(c site.Configuration, source string) {
@@ -195,9 +218,13 @@
 	if previous == 0 {
 		close(e.configured)
 	}
-	e.log(event.TablesAdopted).Uint64("Version", next.Version).Uint64("Previous", previous).
+	line := e.log(event.TablesAdopted).Uint64("Version", next.Version).Uint64("Previous", previous).
 		Int("Routes", len(next.Routes)).Int("Skipped", next.Skipped).Str("Peer", source).
-		Int64("DisplacingPools", displacing).Int64("GuardedPools", guarded).Send()
+		Int64("DisplacingPools", displacing).Int64("GuardedPools", guarded)
+	if age, known := e.configurationAge(e.options.Now()); known {
+		line = line.Dur("Age", age)
+	}
+	line.Send()
 	e.sendLoad()
 }
 
--- a/batchentry/configuration_test.go
+++ b/batchentry/configuration_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -138,3 +140,38 @@
 		}
 	}
 }
+
+// Guards against entries of which nothing says for how long they may have missed a change of the configuration, or which
+// of them poll at short intervals.
+func TestConfigurationAgeIsReported(t *testing.T) {
+	const entries = 11
+	runSiteInOneRegion(t, entries, 0, func(s *testSite) {
+		most := int64(0)
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			for name := range s.entries {
+				age := metrics.GetOrRegisterGauge("Batch.ConfigurationAgeMilliseconds", s.metrics[name]).Value()
+				if age < 0 {
+					s.t.Fatalf("%s does not know the age of its configuration", name)
+				}
+				most = max(most, age)
+			}
+		}
+		s.t.Logf("the oldest confirmation of %d entries was %d ms old", entries, most)
+		if most > 1500 {
+			s.t.Errorf("an entry beside watchers that reach the store has heard of none of their polls for %d ms", most)
+		}
+		if started, ended := s.logs.count(`"Watcher":true`), s.logs.count(`"Watcher":false`); started-ended != 2 {
+			s.t.Errorf("%d entries began to watch and %d ended, want 2 watchers", started, ended)
+		}
+		s.store.mu.Lock()
+		s.store.down = true
+		s.store.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		for name := range s.entries {
+			if age := metrics.GetOrRegisterGauge("Batch.ConfigurationAgeMilliseconds", s.metrics[name]).Value(); age < 8000 {
+				s.t.Errorf("%s: age %d ms after an outage of 10 s", name, age)
+			}
+		}
+	})
+}
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -131,6 +131,7 @@
 	withdrawn        map[batch.JobID]map[string]withdrawal // by the entry that the job was forwarded to
 	unconfirmed      map[batch.JobID]map[string]uint64     // number of the latest withdrawal, by origin
 	config           site.Configuration
+	configAsOf       time.Time // the store had no newer configuration at this time; zero if that is not known
 	evacuations      evacuation.Knowledge
 	loadEvacuations  sentEvacuations // what the latest load told the other entries
 	readers          evacuation.Readers
--- a/batchentry/log.go
+++ b/batchentry/log.go
@@ -154,3 +154,9 @@
 	e.log(event.JobRefused).Str("Job", id).Str("Route", route).Str("State", reason).Send()
 	e.metrics.rejected.Inc(1)
 }
+
+// LogRouteNotFound logs and counts a request that no route of a version of the configuration matches.
+func (e *Entry) LogRouteNotFound(host string, version uint64) {
+	e.log(event.RouteNotFound).Str("Host", host).Uint64("Version", version).Send()
+	e.metrics.rejected.Inc(1)
+}
--- a/batchentry/measure.go
+++ b/batchentry/measure.go
@@ -42,6 +42,8 @@
 	agentAge metrics.Gauge
 	entryAge metrics.Gauge
 	version  metrics.Gauge
+	// The age in milliseconds of the latest confirmation that the store has no newer configuration; -1 if there is none.
+	configurationAge metrics.Gauge
 
 	displacingPools  metrics.Gauge // pools in which more urgent jobs may displace others
 	guardedPools     metrics.Gauge // pools in which no route may starve
@@ -56,28 +58,29 @@
 		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
 	return entryMetrics{
-		registry:    r,
-		submitted:   metrics.GetOrRegisterCounter("Batch.Submitted", r),
-		forwarded:   metrics.GetOrRegisterCounter("Batch.Forwarded", r),
-		passedOn:    metrics.GetOrRegisterCounter("Batch.PassedOn", r),
-		promptLoads: metrics.GetOrRegisterCounter("Batch.PromptLoads", r),
-		cancelled:   metrics.GetOrRegisterCounter("Batch.Cancelled", r),
-		rejected:    metrics.GetOrRegisterCounter("Batch.Rejected", r),
-		crashes:     metrics.GetOrRegisterCounter("Batch.Crashes", r),
-		moved:       metrics.GetOrRegisterCounter("Batch.Moved", r),
-		givenUp:     metrics.GetOrRegisterCounter("Batch.GivenUp", r),
-		waited:      histogram("Batch.WaitedMicroseconds"),
-		taken:       histogram("Batch.TakenMicroseconds"),
-		queue:       metrics.GetOrRegisterGaugeFloat64("Batch.QueuedCoreSeconds", r),
-		open:        metrics.GetOrRegisterGauge("Batch.Open", r),
-		waiting:     metrics.GetOrRegisterGauge("Batch.Waiting", r),
-		cores:       metrics.GetOrRegisterGaugeFloat64("Batch.Cores", r),
-		free:        metrics.GetOrRegisterGaugeFloat64("Batch.FreeCores", r),
-		agents:      metrics.GetOrRegisterGauge("Batch.Agents", r),
-		entries:     metrics.GetOrRegisterGauge("Batch.Entries", r),
-		agentAge:    metrics.GetOrRegisterGauge("Batch.OldestAgentMilliseconds", r),
-		entryAge:    metrics.GetOrRegisterGauge("Batch.OldestEntryMilliseconds", r),
-		version:     metrics.GetOrRegisterGauge("Batch.ConfigurationVersion", r),
+		registry:         r,
+		submitted:        metrics.GetOrRegisterCounter("Batch.Submitted", r),
+		forwarded:        metrics.GetOrRegisterCounter("Batch.Forwarded", r),
+		passedOn:         metrics.GetOrRegisterCounter("Batch.PassedOn", r),
+		promptLoads:      metrics.GetOrRegisterCounter("Batch.PromptLoads", r),
+		cancelled:        metrics.GetOrRegisterCounter("Batch.Cancelled", r),
+		rejected:         metrics.GetOrRegisterCounter("Batch.Rejected", r),
+		crashes:          metrics.GetOrRegisterCounter("Batch.Crashes", r),
+		moved:            metrics.GetOrRegisterCounter("Batch.Moved", r),
+		givenUp:          metrics.GetOrRegisterCounter("Batch.GivenUp", r),
+		waited:           histogram("Batch.WaitedMicroseconds"),
+		taken:            histogram("Batch.TakenMicroseconds"),
+		queue:            metrics.GetOrRegisterGaugeFloat64("Batch.QueuedCoreSeconds", r),
+		open:             metrics.GetOrRegisterGauge("Batch.Open", r),
+		waiting:          metrics.GetOrRegisterGauge("Batch.Waiting", r),
+		cores:            metrics.GetOrRegisterGaugeFloat64("Batch.Cores", r),
+		free:             metrics.GetOrRegisterGaugeFloat64("Batch.FreeCores", r),
+		agents:           metrics.GetOrRegisterGauge("Batch.Agents", r),
+		entries:          metrics.GetOrRegisterGauge("Batch.Entries", r),
+		agentAge:         metrics.GetOrRegisterGauge("Batch.OldestAgentMilliseconds", r),
+		entryAge:         metrics.GetOrRegisterGauge("Batch.OldestEntryMilliseconds", r),
+		version:          metrics.GetOrRegisterGauge("Batch.ConfigurationVersion", r),
+		configurationAge: metrics.GetOrRegisterGauge("Batch.ConfigurationAgeMilliseconds", r),
 
 		displacingPools:  metrics.GetOrRegisterGauge("Batch.DisplacingPools", r),
 		guardedPools:     metrics.GetOrRegisterGauge("Batch.GuardedPools", r),
@@ -105,6 +108,11 @@
 	m.agents.Update(int64(len(e.agents)))
 	m.entries.Update(int64(len(e.entries)))
 	m.version.Update(int64(e.config.Version))
+	configurationAge := int64(-1)
+	if age, known := e.configurationAge(now); known {
+		configurationAge = age.Milliseconds()
+	}
+	m.configurationAge.Update(configurationAge)
 	m.dispatchingPeers.Update(int64(e.peers.Dispatchers()))
 	m.slowServers.Update(int64(e.dispatcher.SlowServers()))
 	m.evacuations.update(now, e.evacuations)
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -25,7 +25,11 @@
 		Load: e.dispatcher.Load(), Version: e.config.Version, Weight: e.options.Weight, ReadsStore: e.readsStore,
 	}
 	l.Load.Draining = l.Load.Draining || e.releasingAgents
-	l.StoreAge = e.storeAge(e.options.Now())
+	now := e.options.Now()
+	l.StoreAge = e.storeAge(now)
+	if age, known := e.configurationAge(now); known {
+		l.ConfigurationAge = max(age, time.Nanosecond)
+	}
 	return l
 }
 
@@ -185,6 +189,10 @@
 		}
 	}
 	e.learnFromLoad(now, p, l)
+	if l.Version <= e.config.Version && l.ConfigurationAge > 0 && l.Echo > 0 {
+		// The load was sent after this entry's clock reading that it echoes.
+		e.confirmConfiguration(time.Unix(0, int64(l.Echo)).Add(-l.ConfigurationAge))
+	}
 	e.reassignStranded(now)
 	if l.Version > e.config.Version && !x.pulling {
 		x.pulling = true
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -95,6 +95,9 @@
 
 	DataCentreEvacuated Number = 6006
 	EvacuationTakenBack Number = 6007
+
+	WatcherChanged Number = 6008
+	RouteNotFound  Number = 6009
 )
 
 // Events of the limits on clients.
--- a/core/event/name.go
+++ b/core/event/name.go
@@ -29,6 +29,7 @@
 	EditAccepted: "EditAccepted", EditRefused: "EditRefused", TablesAdopted: "TablesAdopted",
 	PlatformFailed: "PlatformFailed", PlatformRestored: "PlatformRestored",
 	DataCentreEvacuated: "DataCentreEvacuated", EvacuationTakenBack: "EvacuationTakenBack",
+	WatcherChanged: "WatcherChanged", RouteNotFound: "RouteNotFound",
 
 	ConnectionsClosed: "ConnectionsClosed", BodiesRefused: "BodiesRefused",
 }
--- a/io/inner/batch.go
+++ b/io/inner/batch.go
@@ -93,6 +93,8 @@
 	Evacuations *Evacuations `cbor:",omitempty"`
 	// StoreAge is the age of the sender's knowledge about the evacuations; 0 if it has none.
 	StoreAge time.Duration `cbor:",omitempty"`
+	// ConfigurationAge is how long before this message the store had no newer version than Version; 0 if that is not known.
+	ConfigurationAge time.Duration `cbor:",omitempty"`
 }
 
 // KeepAlive is sent periodically from an entry to its agents.
