Reproduce a configuration that is late at entries that reach the store

Callers of entries that the store answers were served by an old version, or refused a new route, for up to 6 s after a change had been acknowledged.

--- a/batchentry/evacuation_test.go
+++ b/batchentry/evacuation_test.go
@@ -23,14 +23,18 @@
 type processStore struct {
 	*fakeStore
 	turnedAway *atomic.Bool
+	unanswered *atomic.Bool  // calls get no response, nor do those in progress
 	reads      *atomic.Int64 // of evacuations, by an agent
 }
 
 func (s *testSite) storeFor(process string) processStore {
 	if s.turnedAway[process] == nil {
-		s.turnedAway[process] = &atomic.Bool{}
+		s.turnedAway[process], s.unanswered[process] = &atomic.Bool{}, &atomic.Bool{}
+	}
+	return processStore{
+		fakeStore: s.store, turnedAway: s.turnedAway[process], unanswered: s.unanswered[process],
+		reads: &s.evacuationReads,
 	}
-	return processStore{fakeStore: s.store, turnedAway: s.turnedAway[process], reads: &s.evacuationReads}
 }
 
 func (d processStore) Configuration(ctx context.Context) (site.Configuration, evacuation.State, error) {
@@ -44,6 +48,10 @@
 	ctx context.Context, after evacuation.State, wait time.Duration,
 ) (batchentry.Edits, error) {
 	x, err := d.fakeStore.WaitForChange(ctx, after, wait)
+	if d.unanswered.Load() {
+		<-ctx.Done()
+		return batchentry.Edits{}, ctx.Err()
+	}
 	if d.turnedAway.Load() {
 		return batchentry.Edits{}, storeDownError{}
 	}
--- a/batchentry/fixture_test.go
+++ b/batchentry/fixture_test.go
@@ -73,10 +73,11 @@
 	logs     *logRecorder
 	// suspended is how long the entries have been suspended. Their timers did not advance meanwhile.
 	suspended atomic.Int64
-	// dataCentres are those of the agents and entries, by name, and turnedAway the processes that the store does not
-	// answer.
+	// dataCentres are those of the agents and entries, by name, turnedAway the processes whose calls the store refuses, and
+	// unanswered those whose calls of WaitForChange get no response.
 	dataCentres     map[string]string
 	turnedAway      map[string]*atomic.Bool
+	unanswered      map[string]*atomic.Bool
 	evacuationReads atomic.Int64
 	region          string // of all processes; if empty, each entry has a region of its own, with some of the agents
 }
@@ -85,7 +86,7 @@
 	s := &testSite{
 		region: region, metrics: map[string]metrics.Registry{}, logs: &logRecorder{},
 		t: t, network: memnet.New(), store: newFakeStore(), overlaps: &overlapRecorder{running: map[batch.TaskID]string{}},
-		dataCentres: map[string]string{}, turnedAway: map[string]*atomic.Bool{},
+		dataCentres: map[string]string{}, turnedAway: map[string]*atomic.Bool{}, unanswered: map[string]*atomic.Bool{},
 		entries: map[string]testEntry{}, backends: map[string]*backend{}, stops: map[string]func(){},
 	}
 	for i := range entries {
--- a/batchentry/origin_test.go
+++ b/batchentry/origin_test.go
@@ -76,9 +76,15 @@
 
 func (o *fakePeerEntry) dialTo(s *testSite, entry, incarnation string) *inner.Peer {
 	s.t.Helper()
-	p, err := inner.Dial(s.t.Context(), s.network.Host("other").Dial, entry+":1", inner.Local{
-		Identity: inner.Identity{Role: inner.RoleEntry, Name: "other", Incarnation: incarnation, Address: "other:1"},
-		Clock:    event.NewRecorder("other", 1, time.Now), Metrics: metrics.NewRegistry(),
+	return o.dialAs(s, "other", entry, incarnation)
+}
+
+// dialAs connects to an entry under a name.
+func (o *fakePeerEntry) dialAs(s *testSite, name, entry, incarnation string) *inner.Peer {
+	s.t.Helper()
+	p, err := inner.Dial(s.t.Context(), s.network.Host(name).Dial, entry+":1", inner.Local{
+		Identity: inner.Identity{Role: inner.RoleEntry, Name: name, Incarnation: incarnation, Address: name + ":1"},
+		Clock:    event.NewRecorder(name, 1, time.Now), Metrics: metrics.NewRegistry(),
 	}, o)
 	if err != nil {
 		s.t.Fatal(err)
