Let every entry read the store when its configuration may be outdated

Cause: an entry waited for others to notice that they cannot reach the store. Two entries at a time polled at short intervals. Others took their place pair by pair, each after a time-out of 2 s, in an order that has nothing to do with who reaches the store; and an entry counted as able to read it by its latest completed call. The long polls of the rest hide this, as they end at the change, unless their responses were lost before: that shows only after 16 s, while the region counts as undisturbed after 3 to 4 s. The same waiting kept an entry from the store that is told of a newer version, but cannot get it from those that report it.

Change: each entry knows until when its configuration is known to have been the newest, from its polls and from the loads of the others, and reads the store without waiting for a change once that is longer ago than watch.Plan.MaxAge. Watchers remain as what saves calls.

--- a/batchentry/configuration.go
+++ b/batchentry/configuration.go
@@ -27,6 +27,8 @@
 	// isolationCheckInterval is how often an entry checks whether it has no connection to another entry. If it has
 	// none, it reads the list of entries in the store again.
 	isolationCheckInterval = 2 * time.Second
+	// minPollTime limits how often a poll in progress is ended because the configuration may be outdated.
+	minPollTime = 500 * time.Millisecond
 )
 
 // backoff is an exponential backoff. Jitter keeps entries from retrying at the same time.
@@ -45,6 +47,7 @@
 	state       evacuation.State // as read here; edits up to its position have been read
 	hasPosition bool
 	failed      bool // the latest call failed
+	outdated    bool // the configuration may be outdated, so the next call does not wait for a change
 }
 
 // operatorEdits is what a call to the store returned.
@@ -54,8 +57,19 @@
 	confirmedAt   time.Time // the store had no later edits at this time
 }
 
-// errBecameWatcher cancels a poll that is longer than that of a watcher.
-var errBecameWatcher = errors.New("the entry has become a watcher of the configuration")
+// errBecameWatcher and errOutdated cancel a poll in progress: one that is longer than that of a watcher, and one that has
+// not ended although the configuration may be outdated.
+var (
+	errBecameWatcher = errors.New("the entry has become a watcher of the configuration")
+	errOutdated      = errors.New("the configuration may be outdated")
+)
+
+// poll is a call to the store that waits for a change.
+type poll struct {
+	interrupt context.CancelCauseFunc
+	began     time.Time
+	watcher   bool // it is as short as that of a watcher
+}
 
 // watchConfiguration reads the configuration from the store and applies its changes until the context ends.
 func (e *Entry) watchConfiguration(ctx context.Context) {
@@ -80,6 +94,9 @@
 		switch {
 		case errors.Is(err, errBecameWatcher):
 			continue
+		case errors.Is(err, errOutdated):
+			r.outdated = true
+			continue
 		case errors.As(err, &lost):
 			r.hasPosition = false
 		case err != nil:
@@ -100,12 +117,8 @@
 		b = backoff{}
 		e.setReadsStore(true)
 		if err == nil {
-			if edits.configuration.Version > 0 {
-				e.applyIfNewer(edits.configuration, "store")
-			}
-			e.mu.Lock()
-			e.confirmConfiguration(edits.confirmedAt)
-			e.mu.Unlock()
+			r.outdated = false
+			e.applyIfNewer(edits.configuration, edits.confirmedAt, "store")
 		}
 	}
 }
@@ -122,18 +135,20 @@
 		c, evacuations, err := e.options.Directory.Configuration(ctx)
 		return operatorEdits{configuration: c, evacuations: evacuations, confirmedAt: askedAt}.valid(), err
 	}
-	if r.failed {
+	if r.failed || r.outdated {
 		plan.Wait = 0
 	}
 	ctx, interrupt := context.WithCancelCause(ctx)
 	defer interrupt(nil)
-	e.setPollInterrupt(plan, interrupt)
-	defer e.setPollInterrupt(plan, nil)
+	if plan.Wait > 0 {
+		e.setPoll(&poll{interrupt: interrupt, began: askedAt, watcher: plan.Watcher})
+		defer e.setPoll(nil)
+	}
 	timeoutCtx, cancel := context.WithTimeout(ctx, plan.Wait+plan.Timeout)
 	defer cancel()
 	x, err := e.options.Directory.WaitForChange(timeoutCtx, r.state, plan.Wait)
-	if err != nil && errors.Is(context.Cause(ctx), errBecameWatcher) {
-		err = errBecameWatcher
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errBecameWatcher) || errors.Is(cause, errOutdated)) {
+		err = cause
 	}
 	edits := operatorEdits{configuration: x.Configuration, evacuations: x.Evacuations, confirmedAt: askedAt}
 	if end := askedAt.Add(plan.Wait); x.Waited && !e.options.Now().Before(end) {
@@ -163,22 +178,31 @@
 	return plan
 }
 
-// interruptLongPoll ends the poll in progress if this entry has become a watcher since the poll began.
-func (e *Entry) interruptLongPoll() {
-	if e.interruptPoll != nil && e.watchPlan().Watcher {
-		e.interruptPoll(errBecameWatcher)
-		e.interruptPoll = nil
+// interruptPoll ends the poll in progress if this entry has become a watcher since the poll began, or if the
+// configuration may be outdated: the poll's response may have been lost, and the watchers may not reach the store.
+func (e *Entry) interruptPoll(now time.Time) {
+	if e.poll == nil {
+		return
 	}
+	plan := e.watchPlan()
+	age, known := e.configurationAge(now)
+	var cause error
+	switch {
+	case known && age > plan.MaxAge && now.Sub(e.poll.began) >= minPollTime:
+		cause = errOutdated
+	case plan.Watcher && !e.poll.watcher:
+		cause = errBecameWatcher
+	default:
+		return
+	}
+	e.poll.interrupt(cause)
+	e.poll = nil
 }
 
-// setPollInterrupt sets the function that ends the poll in progress. The poll of a watcher is short and not interrupted.
-func (e *Entry) setPollInterrupt(plan watch.Plan, interrupt context.CancelCauseFunc) {
+func (e *Entry) setPoll(p *poll) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if plan.Watcher {
-		interrupt = nil
-	}
-	e.interruptPoll = interrupt
+	e.poll = p
 }
 
 func (e *Entry) setReadsStore(reads bool) {
@@ -199,17 +223,24 @@
 	return now.Sub(e.configAsOf), true
 }
 
-// applyIfNewer applies a configuration if it is newer than the current one, and announces its version to the other
-// entries.
-func (e *Entry) applyIfNewer(c site.Configuration, source string) {
+// applyIfNewer applies a configuration if it is newer than the current one. The store had no newer one at confirmedAt; zero
+// means that this is not known. It tells the other entries if they may not have known either.
+func (e *Entry) applyIfNewer(c site.Configuration, confirmedAt time.Time, source string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := e.options.Now()
+	age, known := e.configurationAge(now)
+	outdated := known && age > e.watchPlan().MaxAge
 	previous := e.config.Version
 	next, newer := e.config.Newer(c)
+	e.config = next
+	e.confirmConfiguration(confirmedAt)
 	if !newer {
+		if outdated && !confirmedAt.IsZero() {
+			e.sendLoad()
+		}
 		return
 	}
-	e.config = next
 	rules := next.OverloadRules()
 	e.dispatcher.SetOverloadRules(rules)
 	displacing, guarded := countRules(rules)
@@ -221,7 +252,7 @@
 	line := e.log(event.TablesAdopted).Uint64("Version", next.Version).Uint64("Previous", previous).
 		Int("Routes", len(next.Routes)).Int("Skipped", next.Skipped).Str("Peer", source).
 		Int64("DisplacingPools", displacing).Int64("GuardedPools", guarded)
-	if age, known := e.configurationAge(e.options.Now()); known {
+	if known {
 		line = line.Dur("Age", age)
 	}
 	line.Send()
--- a/batchentry/entry.go
+++ b/batchentry/entry.go
@@ -144,12 +144,12 @@
 	sentCores        float64 // cores of usable backend servers in the load that was last sent
 	sentLoads        overflow.SentLoads
 	lastSession      uint64
-	lastForward      uint64                  // number of the latest forward to another entry
-	checkedAt        time.Time               // when the time limits and the callers' connections were last checked
-	actions          []dispatch.Action       // to be carried out by performActions
-	performing       bool                    // performActions is in progress
-	readsStore       bool                    // the latest call about the configuration succeeded
-	interruptPoll    context.CancelCauseFunc // ends the long poll in progress; nil if none, or if it is short
+	lastForward      uint64            // number of the latest forward to another entry
+	checkedAt        time.Time         // when the time limits and the callers' connections were last checked
+	actions          []dispatch.Action // to be carried out by performActions
+	performing       bool              // performActions is in progress
+	readsStore       bool              // the latest call about the configuration succeeded
+	poll             *poll             // of the configuration, in progress; nil if none
 }
 
 type agentSession struct {
@@ -287,7 +287,7 @@
 			lastExpiry = now
 			e.expireForwarded(now)
 		}
-		e.interruptLongPoll()
+		e.interruptPoll(now)
 		e.updateMetrics(now)
 		e.mu.Unlock()
 	}
--- a/batchentry/peer.go
+++ b/batchentry/peer.go
@@ -269,7 +269,7 @@
 		e.log(event.PlatformFailed).Str("Peer", p.Name).Err(err).Send()
 		return
 	}
-	e.applyIfNewer(c, p.Name)
+	e.applyIfNewer(c, time.Time{}, p.Name)
 }
 
 // removeEntry ends the session with another entry. Jobs that it forwarded are cancelled. Jobs that were forwarded to it
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -97,6 +98,41 @@
 	}
 }
 
+// Guards against an entry that learns a change late because others, which cannot reach the store, come before it, and
+// against a region whose entries all read the store at once when its watchers are lost.
+func TestEveryEntryHasATurn(t *testing.T) {
+	for _, c := range []struct {
+		size  int
+		bound time.Duration // operators expect a configuration to be in force within this time
+		call  time.Duration // the time that a call and its announcement take
+	}{
+		{3, 2 * time.Second, 300 * time.Millisecond},
+		{11, 3 * time.Second, 300 * time.Millisecond},
+		{55, 3 * time.Second, 300 * time.Millisecond},
+		{810, 4 * time.Second, 300 * time.Millisecond},
+	} {
+		r := newRegion(c.size)
+		turns := map[time.Duration]int{}
+		for name := range r {
+			r[name] = false
+		}
+		for name := range r {
+			p := r.plan(name)
+			turns[p.MaxAge]++
+			if p.MaxAge+c.call > c.bound {
+				t.Errorf("%s of %d has its turn after %v, want %v at most", name, c.size, p.MaxAge, c.bound-c.call)
+			}
+		}
+		before := 0
+		for _, at := range slices.Sorted(maps.Keys(turns)) {
+			if turns[at] > max(2, 2*before) {
+				t.Errorf("%d of %d entries have their turn after %v, %d before them", turns[at], c.size, at, before)
+			}
+			before += turns[at]
+		}
+	}
+}
+
 // Guards against entries of one data centre that are all of the watchers although their names begin alike.
 func TestWatchersSpread(t *testing.T) {
 	centres := map[string]int{}
