Soak: changes of the configuration while the store turns entries away

Its plans cut the links to the store one at a time. Its check judged only the newest version, so that each change excused the one before for 2 s more, and skipped an entry that was more than three versions behind.

Each version is now judged by itself, up to eight back, and an entry that has none of them is judged too.

TestChecker has the two cases that the check let pass.

--- a/soak/judge.go
+++ b/soak/judge.go
@@ -95,6 +95,12 @@
 	since    time.Time
 }
 
+// writtenVersion is a version of the configuration and when the store acknowledged it.
+type writtenVersion struct {
+	version uint64
+	at      time.Time
+}
+
 // shownVersion is the newest version of the configuration that was seen at an incarnation of an entry.
 type shownVersion struct {
 	incarnation int
@@ -379,25 +385,31 @@
 }
 
 // RecordVersion checks the newest version of the configuration that an entry showed in response to a request that was
-// sent at the time sent. current is the newest version that the store had acknowledged, at ackedAt.
-func (c *checker) RecordVersion(entry string, incarnation int, shown, current uint64, ackedAt, sent time.Time) {
+// sent at the time sent, or 0 if it is older than all that the routes identify. acknowledged are the latest versions that the store had acknowledged before that.
+func (c *checker) RecordVersion(entry string, incarnation int, shown uint64, acknowledged []writtenVersion, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	previous := c.shownVersions[entry]
-	if previous.incarnation == incarnation && shown < previous.version {
-		c.reportViolation("%s went back from version %d to %d", entry, previous.version, shown)
-	}
-	c.shownVersions[entry] = shownVersion{incarnation: incarnation, version: shown}
-	limit := configApplyTimeout
-	if c.disturbances.Disturbed(ackedAt, sent, func(s *span) bool { return s.subject == storeSubject }) {
-		limit += maxStretch
+	if shown > 0 {
+		previous := c.shownVersions[entry]
+		if previous.incarnation == incarnation && shown < previous.version {
+			c.reportViolation("%s went back from version %d to %d", entry, previous.version, shown)
+		}
+		c.shownVersions[entry] = shownVersion{incarnation: incarnation, version: shown}
 	}
-	undisturbed := !c.disturbances.Disturbed(sent, sent, func(s *span) bool {
+	if c.disturbances.Disturbed(sent, sent, func(s *span) bool {
 		return s.subject == entry || s.subject == storeSubject || s.subject == storeLinkOf(entry)
-	})
-	if shown < current && undisturbed && sent.Sub(ackedAt) > limit {
-		c.reportViolation("%s shows version %d %v after version %d was acknowledged",
-			entry, shown, sent.Sub(ackedAt), current)
+	}) {
+		return
+	}
+	for _, w := range acknowledged {
+		limit := configApplyTimeout
+		if c.disturbances.Disturbed(w.at, sent, func(s *span) bool { return s.subject == storeSubject }) {
+			limit += maxStretch
+		}
+		if shown < w.version && sent.Sub(w.at) > limit {
+			c.reportViolation("%s shows version %d %v after version %d was acknowledged", entry, shown, sent.Sub(w.at), w.version)
+			return
+		}
 	}
 }
 
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -227,23 +227,33 @@
 			recordOutcome(standin.Completed, "", false)
 		}, ""},
 		{"older version", func(s scenario) {
-			s.RecordVersion("entry-1", 1, 3, 3, time.Now(), time.Now())
-			s.RecordVersion("entry-1", 1, 2, 3, time.Now(), time.Now())
+			s.RecordVersion("entry-1", 1, 3, []writtenVersion{{3, time.Now()}}, time.Now())
+			s.RecordVersion("entry-1", 1, 2, []writtenVersion{{3, time.Now()}}, time.Now())
 		}, "went back from version 3 to 2"},
 		{"older version after a restart", func(s scenario) {
-			s.RecordVersion("entry-1", 1, 3, 3, time.Now(), time.Now())
-			s.RecordVersion("entry-1", 2, 2, 3, time.Now(), time.Now())
+			s.RecordVersion("entry-1", 1, 3, []writtenVersion{{3, time.Now()}}, time.Now())
+			s.RecordVersion("entry-1", 2, 2, []writtenVersion{{3, time.Now()}}, time.Now())
 		}, ""},
 		{"version not in effect", func(s scenario) {
 			at := time.Now()
 			time.Sleep(configApplyTimeout + pause)
-			s.RecordVersion("entry-1", 1, 2, 3, at, time.Now())
+			s.RecordVersion("entry-1", 1, 2, []writtenVersion{{3, at}}, time.Now())
 		}, "after version 3 was acknowledged"},
+		{"version not in effect although newer ones were just acknowledged", func(s scenario) {
+			at := time.Now()
+			time.Sleep(configApplyTimeout + pause)
+			s.RecordVersion("entry-1", 1, 2, []writtenVersion{{2, at}, {3, at}, {4, time.Now()}}, time.Now())
+		}, "after version 3 was acknowledged"},
+		{"version in effect before newer ones", func(s scenario) {
+			at := time.Now()
+			time.Sleep(configApplyTimeout + pause)
+			s.RecordVersion("entry-1", 1, 3, []writtenVersion{{3, at}, {4, time.Now()}}, time.Now())
+		}, ""},
 		{"version not in effect during a store outage", func(s scenario) {
 			s.disturbances.Begin(storeSubject, false)
 			at := time.Now()
 			time.Sleep(configApplyTimeout + pause)
-			s.RecordVersion("entry-1", 1, 2, 3, at, time.Now())
+			s.RecordVersion("entry-1", 1, 2, []writtenVersion{{3, at}}, time.Now())
 		}, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/soak/main.go
+++ b/soak/main.go
@@ -25,15 +25,17 @@
 
 // options configure the run of one site.
 type options struct {
-	seed         uint64
-	duration     time.Duration // of the plan
-	entries      int
-	agents       int
-	overlapping  bool // the plan is that of newOverlappingPlan
-	restarts     bool // the plan has the disturbances of withRestarts
-	lateOnWay    bool // late orders outlive the process that they were sent to
-	binary       string
-	logDirectory string // where logs are saved after a violation
+	seed        uint64
+	duration    time.Duration // of the plan
+	entries     int
+	agents      int
+	overlapping bool // the plan is that of newOverlappingPlan
+	restarts    bool // the plan has the disturbances of withRestarts
+	// configuration is set if the plan is that of newConfigurationPlan.
+	configuration bool
+	lateOnWay     bool // late orders outlive the process that they were sent to
+	binary        string
+	logDirectory  string // where logs are saved after a violation
 }
 
 func main() {
@@ -56,6 +58,9 @@
 			&cli.BoolFlag{
 				Name: "overlapping", Usage: "break connections in waves beside slow processes, while callers leave and submit again",
 			},
+			&cli.BoolFlag{
+				Name: "configuration", Usage: "change the configuration while the store turns some entries away",
+			},
 			&cli.BoolFlag{
 				Name: "restarts", Usage: "restart backend servers under their ID, agents and entries at once",
 			},
@@ -85,7 +90,7 @@
 	o := options{
 		duration: cmd.Duration("for"), entries: cmd.Int("entries"), agents: cmd.Int("agents"), binary: cmd.String("binary"),
 		logDirectory: cmd.String("keep"), overlapping: cmd.Bool("overlapping"),
-		restarts: cmd.Bool("restarts"), lateOnWay: cmd.Bool("late-on-way"),
+		configuration: cmd.Bool("configuration"), restarts: cmd.Bool("restarts"), lateOnWay: cmd.Bool("late-on-way"),
 	}
 	if o.binary == "" {
 		binary, cleanUp, err := build(ctx)
@@ -199,10 +204,14 @@
 		return 0, nil, err
 	}
 	defer cleanUp()
-	plan := newPlan(o.seed, o.duration, s.targets())
-	if o.overlapping {
-		plan = newOverlappingPlan(o.seed, o.duration, s.targets())
+	draw := newPlan
+	switch {
+	case o.configuration:
+		draw = newConfigurationPlan
+	case o.overlapping:
+		draw = newOverlappingPlan
 	}
+	plan := draw(o.seed, o.duration, s.targets())
 	if o.restarts {
 		plan = withRestarts(plan, o.seed, s.targets())
 	}
--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -37,4 +37,9 @@
 		cause: "a job was reported as failed for two crashes, although its task had ended before one of them; the response " +
 			"that listed its end was lost",
 	},
+	{
+		options: options{seed: 13, duration: 9 * time.Second, entries: 11, agents: 3, configuration: true},
+		cause: "entries that the store answered waited until others, which it did not answer, had noticed that one after the " +
+			"other",
+	},
 }
--- a/soak/site.go
+++ b/soak/site.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,7 +59,7 @@
 	leaveDelay = 2500 * time.Millisecond
 	// versionRouteCount is the number of latest versions for which the configuration has a route that identifies the
 	// version.
-	versionRouteCount = 3
+	versionRouteCount = 8
 	// readinessInterval and maxReadinessFailures are the values of the platform's load balancer, which takes an entry out
 	// of rotation after maxReadinessFailures consecutive failed checks.
 	readinessInterval    = time.Second
@@ -82,7 +83,7 @@
 	mu             sync.Mutex // guards what follows
 	behaviour      callerBehaviour
 	version        uint64
-	versionAckedAt time.Time // when the store acknowledged the version
+	acknowledged   []writtenVersion // the latest versions, at most versionRouteCount of them
 	missedChecks   map[string]int
 	evacuations    map[string]int // of a data centre that last
 	storeFaults    map[kind]standin.StoreFault
@@ -304,7 +305,9 @@
 	if err := s.store.Configure(c); err != nil {
 		return err
 	}
-	s.version, s.versionAckedAt = c.Version, time.Now()
+	s.version = c.Version
+	s.acknowledged = append(s.acknowledged, writtenVersion{version: c.Version, at: time.Now()})
+	s.acknowledged = s.acknowledged[max(0, len(s.acknowledged)-versionRouteCount):]
 	return nil
 }
 
@@ -343,7 +346,7 @@
 	if ready {
 		s.missedChecks[name] = 0
 	}
-	version, ackedAt := s.version, s.versionAckedAt
+	version, acknowledged := s.version, slices.Clone(s.acknowledged)
 	s.mu.Unlock()
 	incarnation, running := s.processes[name].Running()
 	if !running || !ready {
@@ -361,8 +364,8 @@
 		}
 	}
 	incarnationAfter, running := s.processes[name].Running()
-	if shown > 0 && running && incarnationAfter == incarnation {
-		s.checker.RecordVersion(name, incarnation, shown, version, ackedAt, sent)
+	if running && incarnationAfter == incarnation {
+		s.checker.RecordVersion(name, incarnation, shown, acknowledged, sent)
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -103,7 +103,9 @@
 	}
 	seen := map[kind]bool{}
 	for seed := range uint64(60) {
-		for _, draw := range []func(uint64, time.Duration, targets) []disturbance{newPlan, newOverlappingPlan} {
+		for _, draw := range []func(uint64, time.Duration, targets) []disturbance{
+			newPlan, newOverlappingPlan, newConfigurationPlan,
+		} {
 			plan := draw(seed, 20*time.Second, all)
 			if !slices.Equal(plan, draw(seed, 20*time.Second, all)) {
 				t.Errorf("seed %d gave two different plans", seed)
