--- a/batchentry/configuration.go
+++ b/batchentry/configuration.go
@@ -224,7 +224,8 @@
 }
 
 // applyIfNewer applies a configuration if it is newer than the current one. The store had no newer one at confirmedAt; zero
-// means that this is not known. It tells the other entries if they may not have known either.
+// means that this is not known. The other entries are told at once of a newer version, and of a confirmation that was
+// overdue, so that they need not read the store as well.
 func (e *Entry) applyIfNewer(c site.Configuration, confirmedAt time.Time, source string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/batchentry/configuration_test.go
+++ b/batchentry/configuration_test.go
@@ -125,6 +125,31 @@
 	}
 }
 
+// Guards against entries that call a store which does not answer at a high rate, because their configuration may be
+// outdated.
+func TestConfigurationPollRateDuringOutage(t *testing.T) {
+	const (
+		entries  = 11
+		outage   = time.Minute
+		perEntry = 1.0 // polls per second
+	)
+	for _, responds := range []bool{false, true} {
+		runSiteInOneRegion(t, entries, 0, func(s *testSite) {
+			s.store.mu.Lock()
+			s.store.unresponsive, s.store.down = !responds, responds
+			s.store.mu.Unlock()
+			s.store.silence()
+			before := s.store.pollCount()
+			time.Sleep(outage)
+			rate := float64(s.store.pollCount()-before) / outage.Seconds() / entries
+			s.t.Logf("responds %v: %.2f polls/s of each entry", responds, rate)
+			if rate > perEntry {
+				s.t.Errorf("responds %v: %.2f polls/s of each entry, more than %.2f", responds, rate, perEntry)
+			}
+		})
+	}
+}
+
 func (d *fakeStore) pollCount() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -385,7 +385,8 @@
 }
 
 // RecordVersion checks the newest version of the configuration that an entry showed in response to a request that was
-// sent at the time sent, or 0 if it is older than all that the routes identify. acknowledged are the latest versions that the store had acknowledged before that.
+// sent at the time sent, or 0 if it is older than all that the routes identify. acknowledged are the latest versions that
+// the store had acknowledged before that, in order.
 func (c *checker) RecordVersion(entry string, incarnation int, shown uint64, acknowledged []writtenVersion, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soak/main.go
+++ b/soak/main.go
@@ -25,14 +25,13 @@
 
 // options configure the run of one site.
 type options struct {
-	seed        uint64
-	duration    time.Duration // of the plan
-	entries     int
-	agents      int
-	overlapping bool // the plan is that of newOverlappingPlan
-	restarts    bool // the plan has the disturbances of withRestarts
-	// configuration is set if the plan is that of newConfigurationPlan.
-	configuration bool
+	seed          uint64
+	duration      time.Duration // of the plan
+	entries       int
+	agents        int
+	overlapping   bool // the plan is that of newOverlappingPlan
+	configuration bool // the plan is that of newConfigurationPlan
+	restarts      bool // the plan has the disturbances of withRestarts
 	lateOnWay     bool // late orders outlive the process that they were sent to
 	binary        string
 	logDirectory  string // where logs are saved after a violation
